--- /dev/null
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -0,0 +1,338 @@
+//! The state of all jobs and endpoints, and what is decided from it.
+//!
+//! * [`calls`]: what callers ask.
+//! * [`books`]: jobs, runs, and the room and bounds that runs take up.
+//! * [`looks`]: what endpoints say.
+//! * [`schedule`]: which tasks start where.
+//! * [`evict`]: lasting tasks that have to go elsewhere, and pacing of fillers.
+//! * [`upkeep`]: instances that are maintained or moved.
+//!
+//! A [`Batch`] holds the records of what was decided since the last one, and the actions that may
+//! be carried out once these records are durable. Batches are made durable one after another.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::config::FleetConfig;
+use crate::endpoint::Endpoint;
+use crate::id::{EndpointId, Epoch, JobId, QueueName, ServiceName, WorkspaceName};
+use crate::instances::Instances;
+use crate::job::JobSpec;
+use crate::order::{Action, Due, Target};
+use crate::progress::{self, Entry, JobState, Progress, Record};
+use crate::resources::Resources;
+use crate::{Now, Steady};
+
+pub mod books;
+pub mod calls;
+pub mod evict;
+pub mod looks;
+pub mod schedule;
+pub mod upkeep;
+
+/// What a cell is told about the site, and its own limits.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// How long a lease is asked for. Long enough to outlive a change of leader, which takes
+    /// about 2 s, and as short as that allows, since what a silent endpoint ran can't be started
+    /// elsewhere before.
+    pub lease: Duration,
+    /// After this much of an endpoint's clock a start is void, so that one that is carried out
+    /// late does nothing.
+    pub start_valid: Duration,
+    /// A look waits so long at the endpoint for an end.
+    pub look_wait: Duration,
+    /// The same where tasks have to keep a target, which only looks show.
+    pub look_wait_target: Duration,
+    /// Least time from one look to the next, so that ends that come close together share one.
+    pub look_gap: Duration,
+    /// The same after a look that failed, or while ends can't be noted.
+    pub look_retry: Duration,
+    /// An endpoint that answered no look for so long gets no new work.
+    pub fresh: Duration,
+    /// What a former leader asked for has lapsed so long after the change of leader at the
+    /// latest: its last renewal without the store, the longest lease, and the slowest clock.
+    pub unread_lapse: Duration,
+    /// How long the state of a job is told after its end.
+    pub keep_ended: Duration,
+    /// How much earlier than due a repetition may begin.
+    pub early: Duration,
+    /// The time that another holder's operations on instances stay away after a change of leader.
+    pub holder_gap: Duration,
+    /// Most jobs held at once; more would take more memory than an entry instance has.
+    pub max_jobs: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            lease: Duration::from_secs(6),
+            start_valid: Duration::from_millis(1500),
+            look_wait: Duration::from_secs(1),
+            look_wait_target: Duration::from_millis(600),
+            look_gap: Duration::from_millis(25),
+            look_retry: Duration::from_millis(200),
+            fresh: Duration::from_millis(1800),
+            unread_lapse: Duration::from_secs(10),
+            keep_ended: Duration::from_secs(150),
+            early: Duration::ZERO,
+            holder_gap: Duration::from_millis(3500),
+            max_jobs: 50_000,
+        }
+    }
+}
+
+/// A job and how far it is.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// What was asked for.
+    pub spec: Arc<JobSpec>,
+    /// How far it is.
+    pub progress: Progress,
+    /// The state that is durable, which is what callers are told.
+    pub shown: JobState,
+}
+
+/// Records that belong together, and what may follow once they are durable.
+#[derive(Debug, Default)]
+pub struct Batch {
+    /// What has to be durable.
+    pub records: Vec<Record>,
+    /// What may be carried out then.
+    pub actions: Vec<Action>,
+    shown: Vec<(JobId, JobState)>,
+    noted: Vec<(EndpointId, u64, u64)>,
+}
+
+/// All jobs and endpoints.
+#[derive(Debug)]
+pub struct Cell {
+    settings: Settings,
+    epoch: Epoch,
+    cfg: Option<Arc<FleetConfig>>,
+    now: Now,
+    began: Steady,
+    jobs: BTreeMap<JobId, Job>,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    looks: BTreeMap<EndpointId, looks::Plan>,
+    used: BTreeMap<WorkspaceName, Resources>,
+    ready: BTreeMap<ServiceName, BTreeSet<JobId>>,
+    unbegun: BTreeMap<QueueName, BTreeSet<JobId>>,
+    due: BTreeSet<Due>,
+    ended: BTreeSet<Due>,
+    instances: Instances,
+    advice: BTreeMap<crate::TaskId, schedule::Advice>,
+    dirty: BTreeSet<JobId>,
+    fresh_specs: BTreeSet<JobId>,
+    dropped: BTreeSet<JobId>,
+    extra_records: Vec<Record>,
+    noted: BTreeSet<EndpointId>,
+    outbox: Vec<Action>,
+    gated: Vec<Action>,
+    is_fenced: bool,
+    is_log_down: bool,
+}
+
+impl Cell {
+    /// A cell of the leader with `epoch`, made from the records of former leaders.
+    ///
+    /// Records that can't be read are returned with the reason; they change nothing else.
+    #[must_use]
+    pub fn restore(
+        settings: Settings,
+        epoch: Epoch,
+        now: Now,
+        records: &[(Box<str>, Box<[u8]>)],
+    ) -> (Cell, Vec<progress::Error>) {
+        let mut cell = Cell::new(settings, epoch, now);
+        let mut faults = Vec::new();
+        let mut specs = BTreeMap::new();
+        let mut progresses = BTreeMap::new();
+        for (key, value) in records {
+            if key.starts_with('w') {
+                cell.instances.restore(key, value);
+                continue;
+            }
+            if !key.starts_with(['j', 'p']) {
+                continue;
+            }
+            match progress::decode(key, value) {
+                Ok(Entry::Spec(spec)) => {
+                    specs.insert(spec.id, spec);
+                }
+                Ok(Entry::Progress(id, progress)) => {
+                    progresses.insert(id, progress);
+                }
+                Err(error) => faults.push(error),
+            }
+        }
+        for (id, spec) in specs {
+            let progress = progresses.remove(&id).unwrap_or_default();
+            cell.adopt(spec, progress);
+        }
+        (cell, faults)
+    }
+
+    fn new(settings: Settings, epoch: Epoch, now: Now) -> Cell {
+        Cell {
+            settings,
+            epoch,
+            cfg: None,
+            now,
+            began: now.steady,
+            jobs: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            looks: BTreeMap::new(),
+            used: BTreeMap::new(),
+            ready: BTreeMap::new(),
+            unbegun: BTreeMap::new(),
+            due: BTreeSet::new(),
+            ended: BTreeSet::new(),
+            instances: Instances::default(),
+            advice: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            fresh_specs: BTreeSet::new(),
+            dropped: BTreeSet::new(),
+            extra_records: Vec::new(),
+            noted: BTreeSet::new(),
+            outbox: Vec::new(),
+            gated: Vec::new(),
+            is_fenced: false,
+            is_log_down: false,
+        }
+    }
+
+    /// The leadership that this cell's orders carry.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Whether an endpoint has seen a newer leader.
+    #[must_use]
+    pub fn is_fenced(&self) -> bool {
+        self.is_fenced
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn config(&self) -> Option<&Arc<FleetConfig>> {
+        self.cfg.as_ref()
+    }
+
+    /// Puts a configuration in force; an older version than the one in force changes nothing.
+    pub fn configure(&mut self, cfg: Arc<FleetConfig>) {
+        if self.cfg.as_ref().is_some_and(|c| c.version >= cfg.version) {
+            return;
+        }
+        self.cfg = Some(cfg);
+        self.index_again();
+    }
+
+    /// Moves time on, decides what is to be done, and returns what needs no record.
+    pub fn tick(&mut self, now: Now) -> Vec<Action> {
+        self.now = now;
+        self.open_due();
+        self.drop_ended();
+        self.release_lapsed();
+        self.tend_instances();
+        self.tend_lasting();
+        self.schedule();
+        self.plan_looks();
+        std::mem::take(&mut self.outbox)
+    }
+
+    /// Takes in whether the log takes records; while it doesn't, nothing new is accepted.
+    pub fn log_is_down(&mut self, is_down: bool) {
+        self.is_log_down = is_down;
+    }
+
+    /// Sets the time before facts are told.
+    pub fn at(&mut self, now: Now) {
+        self.now = now;
+    }
+
+    /// What has been decided since the last batch, if anything.
+    ///
+    /// # Errors
+    /// If a record can't be encoded, which for these types doesn't happen.
+    pub fn take_batch(&mut self) -> progress::Result<Option<Batch>> {
+        let mut batch = Batch {
+            records: std::mem::take(&mut self.extra_records),
+            actions: std::mem::take(&mut self.gated),
+            ..Batch::default()
+        };
+        for id in std::mem::take(&mut self.dirty) {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            if self.fresh_specs.remove(&id) {
+                let spec = progress::encode(progress::spec_key(id), &*job.spec)?;
+                batch.records.push(spec);
+            }
+            let key = progress::progress_key(id);
+            batch.records.push(progress::encode(key, &job.progress)?);
+            batch.shown.push((id, job.progress.state));
+        }
+        for id in std::mem::take(&mut self.dropped) {
+            let keys = [progress::progress_key(id), progress::spec_key(id)];
+            let drop = |key| Record { key, value: None };
+            batch.records.extend(keys.map(drop));
+        }
+        for id in std::mem::take(&mut self.noted) {
+            if let Some(endpoint) = self.endpoints.get(&id) {
+                batch.noted.push((id, endpoint.born, endpoint.noted));
+            }
+        }
+        let is_empty =
+            batch.records.is_empty() && batch.actions.is_empty() && batch.noted.is_empty();
+        Ok((!is_empty).then_some(batch))
+    }
+
+    /// Takes in that `batch` is durable, and returns what may be carried out now.
+    pub fn committed(&mut self, batch: Batch) -> Vec<Action> {
+        for (id, state) in batch.shown {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.shown = job.shown.max(state);
+            }
+        }
+        for (id, born, noted) in batch.noted {
+            if let Some(endpoint) = self.endpoints.get_mut(&id)
+                && endpoint.born == born
+            {
+                endpoint.noted_durably = endpoint.noted_durably.max(noted);
+                self.looks.entry(id).or_default().hurry(self.now.steady);
+            }
+        }
+        batch.actions
+    }
+
+    /// A job, for views and tests.
+    #[must_use]
+    pub fn job(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    /// Every endpoint, for views and tests.
+    #[must_use]
+    pub fn endpoints(&self) -> &BTreeMap<EndpointId, Endpoint> {
+        &self.endpoints
+    }
+
+    /// Jobs held, for metrics.
+    #[must_use]
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    fn target(&self, id: &EndpointId) -> Option<Target> {
+        let endpoint = self.endpoints.get(id)?;
+        let report = endpoint.report.as_ref()?;
+        Some(Target {
+            id: id.clone(),
+            born: endpoint.born,
+            addr: report.addr,
+        })
+    }
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/src/cell/books.rs
@@ -0,0 +1,488 @@
+//! Jobs, runs, and the room and bounds that runs take up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tracing::{info, warn};
+
+use super::{Cell, Job};
+use crate::endpoint::{Endpoint, How};
+use crate::id::{EndpointId, JobId, RunNumber, ServiceName, TaskId, job_text};
+use crate::job::{JobSpec, StepSpec};
+use crate::order::{Action, Due, Order};
+use crate::progress::{JobState, Occurrence, Phase, Progress, Run, RunView};
+use crate::resources::Resources;
+
+/// How much of an endpoint's counts of failed and well-ended runs stays at each new one.
+const COUNT_FADE: f64 = 0.9;
+
+impl Cell {
+    /// Takes a job into the books: one that was just accepted, or one of a former leader.
+    pub(super) fn adopt(&mut self, spec: Arc<JobSpec>, progress: Progress) {
+        let id = spec.id;
+        let is_new = progress.next == 0 && progress.state == JobState::Queued;
+        let shown = progress.state;
+        if progress.state.is_final() {
+            self.ended.insert(Due {
+                at_ms: progress.ended_ms,
+                job: id,
+            });
+        }
+        let runs: Vec<_> = progress.runs(id).map(|(t, r)| (t, r.clone())).collect();
+        self.jobs.insert(
+            id,
+            Job {
+                spec,
+                progress,
+                shown,
+            },
+        );
+        for (task, run) in runs {
+            self.occupy(task, &run.endpoint, run.born, run.number);
+        }
+        if is_new {
+            self.open_next(id);
+        } else {
+            self.await_next(id);
+        }
+        self.index(id);
+    }
+
+    /// Begins occurrences whose time has come.
+    pub(super) fn open_due(&mut self) {
+        let early = u64::try_from(self.settings.early.as_millis()).unwrap_or(0);
+        while let Some(&due) = self.due.first()
+            && due.at_ms <= self.now.unix_ms + early
+        {
+            self.due.pop_first();
+            self.open_next(due.job);
+            self.index(due.job);
+        }
+    }
+
+    /// Begins the next occurrence if it is due, else waits for its time.
+    fn open_next(&mut self, id: JobId) {
+        let early = u64::try_from(self.settings.early.as_millis()).unwrap_or(0);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let next = job.progress.next;
+        if job.progress.state.is_final() || next >= job.spec.occurrences() {
+            return;
+        }
+        if job.spec.repeat.is_none() || job.spec.due_ms(next) <= self.now.unix_ms + early {
+            let occurrence = Occurrence::new(&job.spec.steps);
+            job.progress.open.insert(next, occurrence);
+            job.progress.next = next + 1;
+            self.dirty.insert(id);
+        }
+        self.await_next(id);
+    }
+
+    fn await_next(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let next = job.progress.next;
+        if !job.progress.state.is_final() && next < job.spec.occurrences() {
+            self.due.insert(Due {
+                at_ms: job.spec.due_ms(next),
+                job: id,
+            });
+        }
+    }
+
+    /// The service whose endpoints run a job's tasks now.
+    pub(super) fn service_of(&self, spec: &JobSpec) -> ServiceName {
+        self.cfg
+            .as_ref()
+            .and_then(|c| c.queue(&spec.queue))
+            .map_or_else(|| spec.service.clone(), |q| q.service.clone())
+    }
+
+    pub(super) fn step(&self, task: TaskId) -> Option<&StepSpec> {
+        let job = self.jobs.get(&task.job)?;
+        job.spec.steps.get(usize::from(task.step))
+    }
+
+    /// Files every job anew, after queues may have gone to other services.
+    pub(super) fn index_again(&mut self) {
+        self.ready.clear();
+        let ids: Vec<JobId> = self.jobs.keys().copied().collect();
+        for id in ids {
+            self.index(id);
+        }
+    }
+
+    /// Files a job under what it waits for, after any change of it.
+    pub(super) fn index(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let service = self.service_of(&job.spec);
+        let is_unbegun = job.progress.state == JobState::Queued && job.spec.repeat.is_none();
+        let waiting = self.unbegun.entry(job.spec.queue.clone()).or_default();
+        if is_unbegun {
+            waiting.insert(id);
+        } else {
+            waiting.remove(&id);
+        }
+        let has_waiting = !job.progress.state.is_final() && has_waiting_task(job);
+        let ready = self.ready.entry(service).or_default();
+        if has_waiting {
+            ready.insert(id);
+        } else {
+            ready.remove(&id);
+        }
+    }
+
+    /// Books the room of a run at its endpoint, and against its workspace's bound.
+    pub(super) fn occupy(
+        &mut self,
+        task: TaskId,
+        endpoint: &EndpointId,
+        born: u64,
+        number: RunNumber,
+    ) {
+        let Some(room) = self.step(task).map(StepSpec::room) else {
+            return;
+        };
+        let need = self.step(task).map(|s| s.need).unwrap_or_default();
+        self.endpoints
+            .entry(endpoint.clone())
+            .or_insert_with(|| Endpoint::new(born))
+            .occupy(task, number, room);
+        if let Some(workspace) = self.workspace_of(task.job) {
+            *self.used.entry(workspace).or_default() += &need;
+        }
+    }
+
+    fn workspace_of(&self, id: JobId) -> Option<crate::WorkspaceName> {
+        self.jobs.get(&id)?.spec.workspace.clone()
+    }
+
+    /// Whether the bound of the job's workspace allows `need` more.
+    pub(super) fn is_within_bound(&self, spec: &JobSpec, need: &Resources) -> bool {
+        let Some(workspace) = &spec.workspace else {
+            return true;
+        };
+        let bound = self.cfg.as_ref().and_then(|c| c.workspace(workspace));
+        let mut total = self.used.get(workspace).copied().unwrap_or_default();
+        total += need;
+        bound.is_none_or(|w| w.bound.bounds(&total))
+    }
+
+    /// Decides a start: it is recorded first and ordered after.
+    pub(super) fn start(&mut self, task: TaskId, endpoint: &EndpointId, ticket: Option<Box<str>>) {
+        let (now, valid) = (self.now.steady, self.settings.start_valid);
+        let Some(target) = self.target(endpoint) else {
+            return;
+        };
+        let Some(at) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        let Some(deadline) = at.clock_ahead(now, valid) else {
+            return;
+        };
+        at.lease_asked(deadline);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let Some(t) = job.progress.task_mut(task) else {
+            return;
+        };
+        t.last_run += 1;
+        let (run, checkpoint) = (t.last_run, t.checkpoint.clone());
+        t.runs.push(Run {
+            number: run,
+            endpoint: endpoint.clone(),
+            born: target.born,
+            view: RunView {
+                phase: Phase::Ordered,
+                ordered_at: now,
+                moved_at: now,
+                ..RunView::default()
+            },
+        });
+        job.progress.state = JobState::Running;
+        info!(%task, run, endpoint = %endpoint, queue = %spec.queue,
+            waited_ms = self.now.unix_ms.saturating_sub(spec.accepted_ms),
+            resumed = !checkpoint.is_empty(), "start decided");
+        self.dirty.insert(task.job);
+        self.occupy(task, endpoint, target.born, run);
+        self.gated.push(Action::Order {
+            target,
+            order: Order::Start {
+                task,
+                run,
+                spec,
+                deadline,
+                checkpoint,
+                ticket,
+            },
+            epoch: self.epoch,
+            at: now,
+        });
+    }
+
+    /// Orders a stop of a run, unless one was ordered just before.
+    pub(super) fn stop(&mut self, task: TaskId, run: RunNumber, why: &'static str) {
+        const AGAIN_AFTER: Duration = Duration::from_millis(700);
+        let now = self.now.steady;
+        let Some(r) = self.run_mut(task, run) else {
+            return;
+        };
+        let is_recent = r
+            .view
+            .stop_sent_at
+            .is_some_and(|at| now.saturating_sub(at) < AGAIN_AFTER);
+        if is_recent {
+            return;
+        }
+        r.view.stop_sent_at = Some(now);
+        let endpoint = r.endpoint.clone();
+        info!(%task, run, endpoint = %endpoint, why, "stop decided");
+        if let Some(target) = self.target(&endpoint) {
+            self.outbox.push(Action::Order {
+                target,
+                order: Order::Stop { task, run },
+                epoch: self.epoch,
+                at: now,
+            });
+        }
+    }
+
+    pub(super) fn run_mut(&mut self, task: TaskId, run: RunNumber) -> Option<&mut Run> {
+        let job = self.jobs.get_mut(&task.job)?;
+        let runs = &mut job.progress.task_mut(task)?.runs;
+        runs.iter_mut().find(|r| r.number == run)
+    }
+
+    pub(super) fn run(&self, task: TaskId, run: RunNumber) -> Option<&Run> {
+        let job = self.jobs.get(&task.job)?;
+        let runs = &job.progress.task(task)?.runs;
+        runs.iter().find(|r| r.number == run)
+    }
+
+    /// Takes a run that surely doesn't exist any more out of the books.
+    ///
+    /// Returns whether there was one.
+    pub(super) fn forget_run(&mut self, task: TaskId, run: RunNumber) -> bool {
+        let Some(need) = self.step(task).map(|s| s.need) else {
+            return false;
+        };
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return false;
+        };
+        let workspace = job.spec.workspace.clone();
+        let Some(t) = job.progress.task_mut(task) else {
+            return false;
+        };
+        let Some(at) = t.runs.iter().position(|r| r.number == run) else {
+            return false;
+        };
+        let gone = t.runs.remove(at);
+        if let Some(endpoint) = self.endpoints.get_mut(&gone.endpoint) {
+            endpoint.vacate(task, run);
+        }
+        if let Some(used) = workspace.and_then(|w| self.used.get_mut(&w)) {
+            *used -= &need;
+        }
+        self.dirty.insert(task.job);
+        true
+    }
+
+    /// A run is gone without an end of its own.
+    pub(super) fn run_lost(&mut self, task: TaskId, run: RunNumber, why: &'static str) {
+        if self.forget_run(task, run) {
+            warn!(%task, run, why, "run lost");
+            self.close_done(task.job);
+            self.index(task.job);
+        }
+    }
+
+    /// Takes in the end of a run.
+    pub(super) fn run_ended(
+        &mut self,
+        task: TaskId,
+        run: RunNumber,
+        how: How,
+        checkpoint: &str,
+        endpoint: &EndpointId,
+    ) {
+        if !self.forget_run(task, run) {
+            return;
+        }
+        info!(%task, run, ?how, endpoint = %endpoint, "run ended");
+        self.count_end(how, endpoint);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let step = &spec.steps[usize::from(task.step)];
+        if how == How::Done && step.is_gang {
+            self.gang_done(task);
+        } else if let Some(t) = job.progress.task_mut(task) {
+            if !checkpoint.is_empty() {
+                t.checkpoint = checkpoint.into();
+            }
+            match how {
+                How::Done if !step.is_lasting => t.is_done = true,
+                How::Failed => {
+                    t.failures += 1;
+                    t.failed_at.push(endpoint.clone());
+                }
+                _ => {}
+            }
+        }
+        self.after_end(task, step);
+    }
+
+    fn count_end(&mut self, how: How, endpoint: &EndpointId) {
+        let Some(endpoint) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        let (failed, done) = match how {
+            How::Failed => (1.0, 0.0),
+            How::Done => (0.0, 1.0),
+            _ => return,
+        };
+        endpoint.failures = endpoint.failures * COUNT_FADE + failed;
+        endpoint.successes = endpoint.successes * COUNT_FADE + done;
+    }
+
+    /// One end of a gang that is done stands for all its members. Their runs stay in the books
+    /// until their own ends are listed, since they take up room until then.
+    fn gang_done(&mut self, task: TaskId) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(occurrence) = job.progress.open.get_mut(&task.occurrence) else {
+            return;
+        };
+        for t in &mut occurrence.steps[usize::from(task.step)] {
+            t.is_done = true;
+        }
+    }
+
+    /// What follows from an end: a finished occurrence or job, or one that failed too often.
+    fn after_end(&mut self, task: TaskId, step: &StepSpec) {
+        let attempts = self.attempts(task.job);
+        let Some(job) = self.jobs.get(&task.job) else {
+            return;
+        };
+        let is_hopeless = !step.is_lasting
+            && job
+                .progress
+                .task(task)
+                .is_some_and(|t| !t.is_done && t.failures >= attempts);
+        let is_all_done = job.progress.next >= job.spec.occurrences()
+            && job.progress.open.values().all(Occurrence::is_done);
+        if is_hopeless {
+            info!(job = %job_text(task.job), %task, attempts, "task failed for good");
+            self.finish(task.job, JobState::Failed);
+        } else if is_all_done {
+            self.finish(task.job, JobState::Completed);
+        }
+        self.stop_copies(task);
+        self.close_done(task.job);
+        self.index(task.job);
+    }
+
+    /// Stops the other copies of a task that is done.
+    fn stop_copies(&mut self, task: TaskId) {
+        let t = self.jobs.get(&task.job).and_then(|j| j.progress.task(task));
+        let Some(t) = t.filter(|t| t.is_done) else {
+            return;
+        };
+        let runs: Vec<_> = t.runs.iter().map(|r| r.number).collect();
+        for run in runs {
+            self.stop(task, run, "another copy is done");
+        }
+    }
+
+    /// Closes occurrences that are done and of which nothing runs any more.
+    fn close_done(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.progress.open.retain(|_, o| {
+                let has_runs = o.steps.iter().flatten().any(|t| !t.runs.is_empty());
+                has_runs || !o.is_done()
+            });
+        }
+    }
+
+    fn attempts(&self, id: JobId) -> u32 {
+        /// Where the queue is removed: what the queues of today allow at least.
+        const WITHOUT_QUEUE: u32 = 3;
+        let queue = self.jobs.get(&id).map(|j| &j.spec.queue);
+        let cfg = self.cfg.as_ref();
+        queue
+            .and_then(|q| cfg?.queue(q))
+            .map_or(WITHOUT_QUEUE, |q| q.attempts.max(1))
+    }
+
+    /// Gives a job its final state, if it has none, and stops what runs of it.
+    pub(super) fn finish(&mut self, id: JobId, state: JobState) {
+        let ended_ms = self.now.unix_ms;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.progress.state.is_final() {
+            return;
+        }
+        job.progress.state = state;
+        job.progress.ended_ms = ended_ms;
+        info!(job = %job_text(id), ?state,
+            took_ms = ended_ms.saturating_sub(job.spec.accepted_ms), "job ended");
+        self.dirty.insert(id);
+        self.ended.insert(Due {
+            at_ms: ended_ms,
+            job: id,
+        });
+        self.stop_rest(id);
+        self.index(id);
+    }
+
+    /// Stops every run of a job that has ended.
+    pub(super) fn stop_rest(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let runs: Vec<_> = job.progress.runs(id).map(|(t, r)| (t, r.number)).collect();
+        for (task, run) in runs {
+            self.stop(task, run, "its job has ended");
+        }
+    }
+
+    /// Drops jobs that ended long ago and of which nothing runs.
+    pub(super) fn drop_ended(&mut self) {
+        let keep = u64::try_from(self.settings.keep_ended.as_millis()).unwrap_or(u64::MAX);
+        while let Some(&due) = self.ended.first()
+            && due.at_ms.saturating_add(keep) <= self.now.unix_ms
+        {
+            self.ended.pop_first();
+            let Some(job) = self.jobs.get(&due.job) else {
+                continue;
+            };
+            if job.progress.runs(due.job).next().is_some() {
+                let at_ms = self.now.unix_ms;
+                self.ended.insert(Due { at_ms, ..due });
+                return;
+            }
+            self.jobs.remove(&due.job);
+            self.dirty.remove(&due.job);
+            self.dropped.insert(due.job);
+        }
+    }
+}
+
+/// Whether a task's turn has come and it doesn't run.
+fn has_waiting_task(job: &Job) -> bool {
+    job.progress.open.values().any(|o| {
+        let steps = o.steps.iter().zip(&job.spec.steps);
+        steps.into_iter().any(|(tasks, spec)| {
+            tasks.iter().any(|t| !t.is_done && t.runs.is_empty()) && o.is_step_ready(spec)
+        })
+    })
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -0,0 +1,193 @@
+//! What callers ask.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tracing::info;
+
+use super::{Cell, Job};
+use crate::config::Queue;
+use crate::id::{self, JobId, WorkspaceName};
+use crate::job::{JobSpec, Repeat, StepSpec};
+use crate::order::{Action, Answer, CallId};
+use crate::progress::{JobState, Progress};
+
+/// When to come back while there is no configuration; the first one precedes callers by seconds.
+const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// When to come back while the log takes no records; its outages last some seconds.
+const LOG_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// When to come back while the most jobs are held.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// One call of a caller.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Says which call the answer belongs to.
+    pub id: CallId,
+    /// The host that was named.
+    pub host: Box<str>,
+    /// The path, without query.
+    pub path: Box<str>,
+    /// The key that came along.
+    pub key: Option<Box<str>>,
+    /// What is asked.
+    pub verb: Verb,
+}
+
+/// What is asked of a job or a queue.
+#[derive(Debug, Clone)]
+pub enum Verb {
+    /// Accept a job; or why what came isn't one.
+    Submit(Result<Draft, Box<str>>),
+    /// Tell a state, or how many wait.
+    Read,
+    /// Cancel a job.
+    Cancel,
+}
+
+/// A job as it comes from its caller.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Draft {
+    /// What each task is given.
+    pub text: Box<str>,
+    /// The steps.
+    pub steps: Vec<StepSpec>,
+    /// Present if the steps run several times.
+    pub repeat: Option<Repeat>,
+}
+
+impl Cell {
+    /// Takes in a call. Its answer comes as an [`Action::Reply`].
+    pub fn call(&mut self, call: &Call) {
+        if let Some(answer) = self.answer(call) {
+            self.outbox.push(Action::Reply {
+                call: call.id,
+                answer,
+            });
+        }
+    }
+
+    /// The answer, unless it has to wait for a record.
+    fn answer(&mut self, call: &Call) -> Option<Answer> {
+        let Some(cfg) = self.cfg.clone() else {
+            return Some(Answer::Refused {
+                retry_after: NO_CONFIG_RETRY_AFTER,
+                reason: "no configuration yet",
+            });
+        };
+        let Some(queue) = cfg.route(&call.host, &call.path) else {
+            return Some(Answer::NoQueue);
+        };
+        let workspace = call.key.as_deref().and_then(|k| cfg.workspace_of(k));
+        if workspace.is_none() && !queue.is_public {
+            return Some(Answer::NoKey);
+        }
+        let workspace = workspace.map(|w| w.name.clone());
+        let name = &call.path[queue.prefix.len()..];
+        match (&call.verb, name, id::parse_job(name)) {
+            (Verb::Read, "", _) => Some(Answer::Waiting(self.waiting(queue))),
+            (Verb::Submit(Ok(draft)), _, Ok(job)) => {
+                self.submit(call.id, job, queue, workspace, draft)
+            }
+            (Verb::Submit(Err(reason)), _, Ok(_)) => Some(Answer::Malformed(reason.clone())),
+            (Verb::Submit(_), _, Err(error)) => Some(Answer::Malformed(error.to_string().into())),
+            (_, _, Err(_)) => Some(Answer::Gone),
+            (Verb::Read, _, Ok(job)) => Some(self.read(job, workspace.as_ref())),
+            (Verb::Cancel, _, Ok(job)) => self.cancel(call.id, job, workspace.as_ref()),
+        }
+    }
+
+    /// Accepts a job. The same id again is the same job, whatever comes with it.
+    fn submit(
+        &mut self,
+        call: CallId,
+        id: JobId,
+        queue: &Queue,
+        workspace: Option<WorkspaceName>,
+        draft: &Draft,
+    ) -> Option<Answer> {
+        let accepted = Action::Reply {
+            call,
+            answer: Answer::Accepted,
+        };
+        if self.jobs.contains_key(&id) {
+            self.gated.push(accepted);
+            return None;
+        }
+        if self.is_log_down {
+            return Some(Answer::Refused {
+                retry_after: LOG_RETRY_AFTER,
+                reason: "jobs can't be made durable now",
+            });
+        }
+        if self.jobs.len() >= self.settings.max_jobs {
+            return Some(Answer::Refused {
+                retry_after: FULL_RETRY_AFTER,
+                reason: "too many jobs are held",
+            });
+        }
+        let spec = JobSpec {
+            id,
+            queue: queue.name.clone(),
+            service: queue.service.clone(),
+            workspace,
+            text: draft.text.clone(),
+            steps: draft.steps.clone(),
+            repeat: draft.repeat,
+            accepted_ms: self.now.unix_ms,
+        };
+        if let Err(error) = spec.check() {
+            return Some(Answer::Malformed(error.to_string().into()));
+        }
+        let tasks: u32 = spec.steps.iter().map(|s| s.count).sum();
+        info!(job = %id::job_text(id), queue = %queue.name, workspace = ?spec.workspace,
+            steps = spec.steps.len(), tasks, repeats = spec.occurrences(), "job taken");
+        self.fresh_specs.insert(id);
+        self.dirty.insert(id);
+        self.adopt(Arc::new(spec), Progress::default());
+        self.gated.push(accepted);
+        None
+    }
+
+    fn read(&self, id: JobId, workspace: Option<&WorkspaceName>) -> Answer {
+        match self.jobs.get(&id) {
+            Some(job) if may_see(job, workspace) => Answer::State(job.shown),
+            _ => Answer::Gone,
+        }
+    }
+
+    fn cancel(
+        &mut self,
+        call: CallId,
+        id: JobId,
+        workspace: Option<&WorkspaceName>,
+    ) -> Option<Answer> {
+        if !self.jobs.get(&id).is_some_and(|j| may_see(j, workspace)) {
+            return Some(Answer::Gone);
+        }
+        if self.is_log_down {
+            return Some(Answer::Refused {
+                retry_after: LOG_RETRY_AFTER,
+                reason: "the cancelling can't be made durable now",
+            });
+        }
+        info!(job = %id::job_text(id), "job cancelled");
+        self.finish(id, JobState::Cancelled);
+        self.gated.push(Action::Reply {
+            call,
+            answer: Answer::Cancelled,
+        });
+        None
+    }
+
+    /// Jobs of the queue for which no task has started.
+    fn waiting(&self, queue: &Queue) -> usize {
+        self.unbegun.get(&queue.name).map_or(0, BTreeSet::len)
+    }
+}
+
+/// A job is seen by the workspace that sent it, and by everyone if nobody's key came with it.
+fn may_see(job: &Job, workspace: Option<&WorkspaceName>) -> bool {
+    job.spec.workspace.is_none() || job.spec.workspace.as_ref() == workspace
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/src/cell/evict.rs
@@ -0,0 +1,190 @@
+//! Lasting tasks that have to go elsewhere, and pacing of fillers.
+
+use std::time::Duration;
+
+use tracing::info;
+
+use super::Cell;
+use crate::Steady;
+use crate::endpoint::Look;
+use crate::id::{EndpointId, RunNumber, TaskId};
+use crate::job::StepSpec;
+use crate::order::{Action, Order};
+use crate::progress::Task;
+
+/// A lasting task is at work when its endpoint says so of all of it.
+const AT_WORK: u32 = 100;
+/// Above this part of its target a task's tail is about to miss it: fillers beside it slow down.
+const SLOW_DOWN_ABOVE: f64 = 0.85;
+/// Below this part of the target fillers may speed up again. The gap to the other threshold keeps
+/// the pace from swinging.
+const SPEED_UP_BELOW: f64 = 0.6;
+/// A pace takes 100 ms to act and shows in the tail of the last half second, so another change
+/// before that would answer to old news.
+const PACE_GAP: Duration = Duration::from_millis(600);
+/// How much fillers speed up at a time, percent.
+const PACE_STEP: u32 = 20;
+/// Below this percentage fillers are halted rather than halved again.
+const PACE_FLOOR: u32 = 15;
+
+impl Cell {
+    /// Moves lasting tasks away from endpoints that leave or have to be empty soon, no faster
+    /// than their steps allow and only while there is room elsewhere.
+    pub(super) fn tend_lasting(&mut self) {
+        let leaving: Vec<(EndpointId, bool)> = self
+            .endpoints
+            .iter()
+            .filter(|(_, e)| !e.runs.is_empty())
+            .filter_map(|(id, e)| {
+                let is_draining = e.report.as_ref().is_some_and(|r| r.is_draining);
+                (is_draining || e.is_reserved).then(|| (id.clone(), is_draining))
+            })
+            .collect();
+        for (id, is_draining) in leaving {
+            self.evict(&id, is_draining);
+        }
+    }
+
+    fn evict(&mut self, id: &EndpointId, is_draining: bool) {
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return;
+        };
+        let runs: Vec<_> = endpoint.runs.keys().copied().collect();
+        for (task, run) in runs {
+            if self.may_evict(task, run, is_draining) {
+                self.stop(task, run, "its endpoint has to be empty");
+            }
+        }
+    }
+
+    fn may_evict(&self, task: TaskId, run: RunNumber, is_draining: bool) -> bool {
+        let Some(step) = self.step(task).filter(|s| s.is_lasting) else {
+            return false;
+        };
+        let is_settled = self
+            .run(task, run)
+            .is_some_and(|r| !r.view.is_stopping() && r.view.seen_at.is_some());
+        let is_sparable = is_draining || self.away_beside(task) < step.may_miss.max(1);
+        is_settled && is_sparable && self.has_room_elsewhere(task, step)
+    }
+
+    /// How many other tasks of the step aren't at work.
+    fn away_beside(&self, task: TaskId) -> u32 {
+        let job = self.jobs.get(&task.job);
+        let occurrence = job.and_then(|j| j.progress.open.get(&task.occurrence));
+        let Some(tasks) = occurrence.map(|o| &o.steps[usize::from(task.step)]) else {
+            return 0;
+        };
+        let others = tasks
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| *index != task.index as usize);
+        let away = others.filter(|(_, t)| !is_at_work(t)).count();
+        u32::try_from(away).unwrap_or(u32::MAX)
+    }
+
+    /// Whether the task could start on another endpoint now.
+    fn has_room_elsewhere(&self, task: TaskId, step: &StepSpec) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let service = self.service_of(&job.spec);
+        let room = step.room();
+        self.candidates(&service).iter().any(|id| {
+            let siblings = self.siblings_at(task, id);
+            self.endpoints.get(id).is_some_and(|e| {
+                let has_label = step.requires.as_deref().is_none_or(|l| e.has_label(l));
+                let is_spread = step.per_endpoint == 0 || siblings < step.per_endpoint;
+                has_label && is_spread && e.free().holds(&room)
+            })
+        })
+    }
+
+    fn siblings_at(&self, task: TaskId, id: &EndpointId) -> u32 {
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return 0;
+        };
+        let is_sibling =
+            |t: &TaskId| (t.job, t.occurrence, t.step) == (task.job, task.occurrence, task.step);
+        let count = endpoint.runs.keys().filter(|(t, _)| is_sibling(t)).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Paces the fillers at an endpoint so that the serving tasks beside them keep their targets.
+    pub(super) fn pace(&mut self, id: &EndpointId, look: &Look) {
+        let mut worst: Option<f64> = None;
+        let mut fillers = Vec::new();
+        for running in &look.running {
+            let Some(step) = self.step(running.task) else {
+                continue;
+            };
+            if step.is_filler {
+                fillers.push((running.task, running.number));
+            }
+            if let Some(target) = step.target
+                && running.percent >= AT_WORK
+            {
+                let part = f64::from(running.load) / (target.as_secs_f64() * 1000.0).max(1.0);
+                worst = Some(worst.map_or(part, |w| w.max(part)));
+            }
+        }
+        if fillers.is_empty() {
+            return;
+        }
+        let now = self.now.steady;
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        let pace = endpoint.filler_pace;
+        let wanted = next_pace(pace, worst, now.saturating_sub(endpoint.paced_at));
+        if wanted != pace {
+            endpoint.filler_pace = wanted;
+            endpoint.paced_at = now;
+            info!(endpoint = %id, pace, wanted, worst, fillers = fillers.len(), "fillers paced");
+        }
+        for (task, run) in fillers {
+            self.pace_run(id, task, run, wanted);
+        }
+    }
+
+    fn pace_run(&mut self, id: &EndpointId, task: TaskId, run: RunNumber, percent: u32) {
+        let (now, epoch): (Steady, _) = (self.now.steady, self.epoch);
+        let target = self.target(id);
+        let Some(r) = self.run_mut(task, run) else {
+            return;
+        };
+        if r.view.pace.unwrap_or(AT_WORK) == percent {
+            return;
+        }
+        r.view.pace = Some(percent);
+        self.outbox.extend(target.map(|target| Action::Order {
+            target,
+            order: Order::Pace { task, run, percent },
+            epoch,
+            at: now,
+        }));
+    }
+}
+
+fn is_at_work(task: &Task) -> bool {
+    task.runs
+        .iter()
+        .any(|r| r.view.percent >= AT_WORK && !r.view.is_stopping())
+}
+
+/// The pace of fillers after a look at how near the worst serving task is to its target.
+///
+/// Halving reaches a harmless pace within two or three looks, well before harm counts; speeding
+/// up goes by small steps.
+#[must_use]
+pub fn next_pace(pace: u32, worst: Option<f64>, since_change: Duration) -> u32 {
+    if since_change < PACE_GAP {
+        return pace;
+    }
+    match worst {
+        Some(part) if part > SLOW_DOWN_ABOVE && pace < PACE_FLOOR => 0,
+        Some(part) if part > SLOW_DOWN_ABOVE => pace / 2,
+        Some(part) if part > SPEED_UP_BELOW => pace,
+        _ => (pace + PACE_STEP).min(100),
+    }
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -0,0 +1,479 @@
+//! What endpoints say: the platform's list of them, looks, and answers to orders.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tracing::{info, warn};
+
+use super::Cell;
+use crate::Steady;
+use crate::endpoint::{Endpoint, Look, Report, Running};
+use crate::id::{EndpointId, RunNumber, TaskId};
+use crate::order::{Action, LookFailure, LookOrder, Order, Outcome, Refusal, Target};
+use crate::progress::{Phase, Run, RunView};
+
+/// The most ends that an endpoint lists at once; the platform's own limit. A longer list may
+/// leave out the end of a run that is missing from it.
+const ENDS_LISTED: usize = 500;
+/// An endpoint that says it is unwell gets no work for so long.
+const UNWELL_SHUN: Duration = Duration::from_millis(1500);
+/// An endpoint that had no room, or wasn't there, gets no work for so long, by which time it was
+/// looked at again.
+const BRIEF_SHUN: Duration = Duration::from_millis(300);
+/// An endpoint that didn't answer a start gets no work for so long.
+const SILENT_SHUN: Duration = Duration::from_millis(800);
+/// Failed looks are tried again after at most this many times the usual pause.
+const MAX_RETRY_STEPS: u32 = 5;
+
+/// When an endpoint is looked at next.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Plan {
+    due: Steady,
+    is_under_way: bool,
+    failures: u32,
+}
+
+impl Plan {
+    /// Brings the next look forward to `now`.
+    pub fn hurry(&mut self, now: Steady) {
+        self.due = self.due.min(now);
+    }
+}
+
+impl Cell {
+    /// Takes in an entry of the platform's list.
+    pub fn endpoint_listed(&mut self, report: Report) {
+        let id = report.id.clone();
+        let endpoint = self
+            .endpoints
+            .entry(id.clone())
+            .or_insert_with(|| Endpoint::new(report.born));
+        if report.born < endpoint.born {
+            return;
+        }
+        let is_reborn = report.born > endpoint.born;
+        let was_draining = endpoint.report.as_ref().is_some_and(|r| r.is_draining);
+        if report.is_draining && !was_draining {
+            info!(endpoint = %id, "endpoint drains");
+        }
+        if !endpoint.is_listed {
+            info!(endpoint = %id, service = %report.service, born = report.born, "endpoint listed");
+        }
+        let born = report.born;
+        endpoint.is_listed = true;
+        endpoint.report = Some(report);
+        if is_reborn {
+            self.reborn(&id, born);
+        }
+    }
+
+    /// Takes in that the platform's list no longer holds an endpoint.
+    pub fn endpoint_unlisted(&mut self, id: &EndpointId) {
+        if let Some(endpoint) = self.endpoints.get_mut(id)
+            && endpoint.is_listed
+        {
+            endpoint.is_listed = false;
+            warn!(endpoint = %id, runs = endpoint.runs.len(), "endpoint unlisted");
+        }
+    }
+
+    /// The ids of all endpoints that the list held when it was last read.
+    #[must_use]
+    pub fn listed(&self) -> BTreeSet<EndpointId> {
+        let listed = self.endpoints.iter().filter(|(_, e)| e.is_listed);
+        listed.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// An endpoint began a new life, and knows nothing of the older one.
+    ///
+    /// An order that was under way meanwhile may have reached the new life, so that its runs stay
+    /// in the books until a look at the new life shows which of them are there.
+    fn reborn(&mut self, id: &EndpointId, born: u64) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        warn!(endpoint = %id, born, before = endpoint.born, runs = endpoint.runs.len(),
+            "endpoint restarted");
+        let mut fresh = Endpoint::new(born);
+        fresh.report = endpoint.report.take();
+        fresh.is_listed = endpoint.is_listed;
+        fresh.instance = endpoint.instance.take();
+        fresh.runs = std::mem::take(&mut endpoint.runs);
+        fresh.used = endpoint.used;
+        let runs: Vec<_> = fresh.runs.keys().copied().collect();
+        *endpoint = fresh;
+        for (task, run) in runs {
+            if let Some(r) = self.run_mut(task, run) {
+                r.born = born;
+            }
+        }
+        let now = self.now.steady;
+        self.looks.entry(id.clone()).or_default().hurry(now);
+    }
+
+    /// Orders the looks that are due.
+    pub(super) fn plan_looks(&mut self) {
+        let now = self.now.steady;
+        let ids: Vec<EndpointId> = self
+            .endpoints
+            .iter()
+            .filter(|(_, e)| self.is_look_wanted(e))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ids {
+            let plan = *self.looks.entry(id.clone()).or_default();
+            if !plan.is_under_way && plan.due <= now {
+                self.look(&id, plan);
+            }
+        }
+    }
+
+    fn is_look_wanted(&self, endpoint: &Endpoint) -> bool {
+        let Some(report) = &endpoint.report else {
+            return false;
+        };
+        let service = self
+            .cfg
+            .as_ref()
+            .and_then(|c| c.services.get(&report.service));
+        let is_used = service.is_some_and(|s| !s.is_spare);
+        !endpoint.runs.is_empty() || (endpoint.is_listed && is_used)
+    }
+
+    fn look(&mut self, id: &EndpointId, plan: Plan) {
+        let now = self.now.steady;
+        let lease_for = self.settings.lease;
+        let Some(target) = self.target(id) else {
+            return;
+        };
+        let wait = self.look_wait(id);
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        // A look that is tried again asks for no lease: while none is asked for, it is known when
+        // the last one has run out, and what ran there can be started elsewhere.
+        let lease = match plan.failures {
+            0 => endpoint.clock_ahead(now, lease_for),
+            _ => None,
+        };
+        if let Some(end) = lease {
+            endpoint.lease_asked(end);
+        }
+        let noted = endpoint.noted_durably;
+        self.looks.entry(id.clone()).or_default().is_under_way = true;
+        self.outbox.push(Action::Look(LookOrder {
+            target,
+            epoch: self.epoch,
+            noted,
+            lease,
+            wait,
+        }));
+    }
+
+    /// The first look, and looks that are to settle something, don't wait.
+    fn look_wait(&self, id: &EndpointId) -> Duration {
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return Duration::ZERO;
+        };
+        let is_unsettled = endpoint.runs.keys().any(|&(task, run)| {
+            self.run(task, run)
+                .is_some_and(|r| matches!(r.view.phase, Phase::Unanswered | Phase::Recorded))
+        });
+        if endpoint.looked_at.is_none() || is_unsettled {
+            Duration::ZERO
+        } else if self.has_target(endpoint) {
+            self.settings.look_wait_target
+        } else {
+            self.settings.look_wait
+        }
+    }
+
+    fn has_target(&self, endpoint: &Endpoint) -> bool {
+        let has_target = |task| self.step(task).is_some_and(|s| s.target.is_some());
+        endpoint.runs.keys().any(|&(task, _)| has_target(task))
+    }
+
+    /// Takes in how a look went.
+    pub fn looked(&mut self, target: &Target, result: Result<Look, LookFailure>) {
+        let now = self.now.steady;
+        let plan = self.looks.entry(target.id.clone()).or_default();
+        plan.is_under_way = false;
+        match result {
+            Ok(look) => {
+                plan.failures = 0;
+                plan.due = now + self.settings.look_gap;
+                self.take_look(&target.id, &look);
+            }
+            Err(failure) => {
+                plan.failures = (plan.failures + 1).min(MAX_RETRY_STEPS);
+                plan.due = now + self.settings.look_retry * plan.failures;
+                if plan.failures == 1 {
+                    warn!(endpoint = %target.id, addr = %target.addr, ?failure, "look failed");
+                }
+                self.is_fenced |= failure == LookFailure::Fenced;
+            }
+        }
+    }
+
+    fn take_look(&mut self, id: &EndpointId, look: &Look) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        if look.born < endpoint.born {
+            return;
+        }
+        if look.born > endpoint.born {
+            self.reborn(id, look.born);
+        }
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        endpoint.read_clock(look);
+        if endpoint.looked_at.is_none() {
+            info!(endpoint = %id, running = look.running.len(), ended = look.ended.len(), "first look");
+        }
+        endpoint.looked_at = Some(look.sent_at);
+        self.take_ends(id, look);
+        for running in &look.running {
+            self.take_running(id, running, look.answered_at);
+        }
+        self.settle_missing(id, look);
+        self.pace(id, look);
+    }
+
+    fn take_ends(&mut self, id: &EndpointId, look: &Look) {
+        let mut ends: Vec<_> = look.ended.iter().collect();
+        ends.sort_by_key(|e| e.number);
+        let noted = self.endpoints.get(id).map_or(0, |e| e.noted);
+        for end in ends.iter().filter(|e| e.number > noted) {
+            self.run_ended(end.task, end.run, end.how, &end.checkpoint, id);
+            if let Some(endpoint) = self.endpoints.get_mut(id) {
+                endpoint.noted = end.number;
+            }
+            self.noted.insert(id.clone());
+        }
+        // What is listed again hasn't been acknowledged yet: the next look would be answered at
+        // once, again and again, until the ends are durably noted.
+        if !ends.is_empty() {
+            let retry = self.now.steady + self.settings.look_retry;
+            self.looks.entry(id.clone()).or_default().due = retry;
+        }
+    }
+
+    fn take_running(&mut self, id: &EndpointId, running: &Running, at: Steady) {
+        let (task, number) = (running.task, running.number);
+        let is_over = self
+            .jobs
+            .get(&task.job)
+            .is_none_or(|j| j.progress.state.is_final());
+        if self.run(task, number).is_none() && !self.adopt_run(id, task, number) {
+            self.stop_stray(id, task, number);
+            return;
+        }
+        let Some(run) = self.run_mut(task, number) else {
+            return;
+        };
+        if !matches!(run.view.phase, Phase::Taken { .. }) {
+            run.view.phase = Phase::Taken { at };
+        }
+        run.view.seen_at.get_or_insert(at);
+        if run.view.percent != running.percent {
+            run.view.percent = running.percent;
+            run.view.moved_at = at;
+        }
+        let is_stopping = run.view.is_stopping();
+        let job = self.jobs.get_mut(&task.job);
+        if let Some(t) = job.and_then(|j| j.progress.task_mut(task))
+            && !running.checkpoint.is_empty()
+        {
+            t.checkpoint = running.checkpoint.clone();
+        }
+        if is_over || is_stopping {
+            self.stop(task, number, "its job has ended");
+        }
+    }
+
+    /// Takes a run back into the books that was given up and runs after all, if it is its task's
+    /// newest and no other took its place.
+    fn adopt_run(&mut self, id: &EndpointId, task: TaskId, number: RunNumber) -> bool {
+        let born = self.endpoints.get(id).map_or(0, |e| e.born);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return false;
+        };
+        let is_over = job.progress.state.is_final();
+        let Some(t) = job.progress.task_mut(task) else {
+            return false;
+        };
+        if is_over || t.is_done || !t.runs.is_empty() || t.last_run != number {
+            return false;
+        }
+        t.runs.push(Run {
+            number,
+            endpoint: id.clone(),
+            born,
+            view: RunView::default(),
+        });
+        warn!(%task, run = number, endpoint = %id, "given up run is there after all");
+        self.dirty.insert(task.job);
+        self.occupy(task, id, born, number);
+        self.index(task.job);
+        true
+    }
+
+    /// A run that isn't in the books: a start that was carried out after it had been given up.
+    /// Left alone it would be a second run of its task, or take room that is given out again.
+    fn stop_stray(&mut self, id: &EndpointId, task: TaskId, run: RunNumber) {
+        warn!(%task, run, endpoint = %id, "stray run stopped");
+        if let Some(target) = self.target(id) {
+            self.outbox.push(Action::Order {
+                target,
+                order: Order::Stop { task, run },
+                epoch: self.epoch,
+                at: self.now.steady,
+            });
+        }
+    }
+
+    /// Settles runs that a look doesn't list.
+    fn settle_missing(&mut self, id: &EndpointId, look: &Look) {
+        if look.ended.len() >= ENDS_LISTED {
+            return;
+        }
+        let listed: BTreeSet<_> = look.running.iter().map(|r| (r.task, r.number)).collect();
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return;
+        };
+        let missing: Vec<_> = endpoint
+            .runs
+            .keys()
+            .filter(|key| !listed.contains(key))
+            .copied()
+            .collect();
+        for (task, number) in missing {
+            self.settle(task, number, look);
+        }
+    }
+
+    fn settle(&mut self, task: TaskId, number: RunNumber, look: &Look) {
+        let Some(run) = self.run(task, number) else {
+            return;
+        };
+        let view = run.view;
+        match view.phase {
+            Phase::Recorded => self.run_lost(task, number, "a former leader's, not there"),
+            Phase::Taken { at } if look.sent_at > at => {
+                self.run_lost(task, number, "taken, but not there");
+            }
+            Phase::Ordered | Phase::Taken { .. } => {}
+            Phase::Unanswered => {
+                let is_rejected = view.stop_acked_at.is_some_and(|at| look.sent_at > at);
+                if is_rejected {
+                    self.run_lost(task, number, "its start was not carried out");
+                } else {
+                    self.stop(task, number, "its start was not answered");
+                }
+            }
+        }
+    }
+
+    /// Takes in how an order ended.
+    pub fn ordered(&mut self, target: &Target, order: &Order, outcome: &Outcome) {
+        if *outcome == Outcome::Refused(Refusal::Fenced) {
+            warn!(endpoint = %target.id, ?order, "order fenced");
+            self.is_fenced = true;
+        }
+        match order {
+            Order::Start { task, run, .. } => self.started(target, *task, *run, outcome),
+            Order::Stop { task, run } => self.stopped(target, *task, *run, outcome),
+            Order::Pace { .. } => {}
+        }
+    }
+
+    fn started(&mut self, target: &Target, task: TaskId, run: RunNumber, outcome: &Outcome) {
+        let now = self.now.steady;
+        let Some(r) = self.run_mut(task, run) else {
+            return;
+        };
+        match outcome {
+            Outcome::Taken => {
+                if r.view.phase == Phase::Ordered {
+                    r.view.phase = Phase::Taken { at: now };
+                }
+            }
+            Outcome::Unanswered => {
+                warn!(%task, run, endpoint = %target.id, "start not answered");
+                if r.view.phase == Phase::Ordered {
+                    r.view.phase = Phase::Unanswered;
+                }
+                self.shun(&target.id, SILENT_SHUN);
+                self.stop(task, run, "its start was not answered");
+            }
+            Outcome::Refused(refusal) => {
+                info!(%task, run, endpoint = %target.id, ?refusal, "start refused");
+                let shun = match refusal {
+                    Refusal::Unwell => UNWELL_SHUN,
+                    Refusal::Room | Refusal::Elsewhere => BRIEF_SHUN,
+                    _ => Duration::ZERO,
+                };
+                self.shun(&target.id, shun);
+                if *refusal == Refusal::Ticket {
+                    self.advice.remove(&TaskId { index: 0, ..task });
+                }
+                self.run_lost(task, run, "its start was refused");
+            }
+        }
+        self.looks.entry(target.id.clone()).or_default().hurry(now);
+    }
+
+    fn stopped(&mut self, target: &Target, task: TaskId, run: RunNumber, outcome: &Outcome) {
+        let now = self.now.steady;
+        if let Some(r) = self.run_mut(task, run)
+            && *outcome == Outcome::Taken
+        {
+            r.view.stop_acked_at = Some(now);
+        }
+        self.looks.entry(target.id.clone()).or_default().hurry(now);
+    }
+
+    fn shun(&mut self, id: &EndpointId, time: Duration) {
+        let until = self.now.steady + time;
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.shunned_until = endpoint.shunned_until.max(until);
+        }
+    }
+
+    /// An endpoint's life has surely ended: its instance was taken down, or lives another one.
+    pub(super) fn endpoint_gone(&mut self, id: &EndpointId, why: &'static str) {
+        let Some(endpoint) = self.endpoints.remove(id) else {
+            return;
+        };
+        warn!(endpoint = %id, runs = endpoint.runs.len(), why, "endpoint gone");
+        self.looks.remove(id);
+        for (task, run) in endpoint.runs.into_keys() {
+            self.run_lost(task, run, why);
+        }
+    }
+
+    /// Gives up runs at endpoints whose leases have surely run out.
+    pub(super) fn release_lapsed(&mut self) {
+        let now = self.now.steady;
+        let unread_until = self.began + self.settings.unread_lapse;
+        let fresh = self.settings.fresh;
+        let lapsed: Vec<_> = self
+            .endpoints
+            .iter()
+            .filter(|(_, e)| !e.is_fresh(now, fresh) && e.is_lapsed(now, unread_until))
+            .map(|(id, e)| (id.clone(), e.is_listed, e.runs.keys().copied().collect()))
+            .collect();
+        for (id, is_listed, runs) in lapsed {
+            let runs: Vec<(TaskId, RunNumber)> = runs;
+            for (task, run) in runs {
+                self.run_lost(task, run, "its lease has lapsed");
+            }
+            if !is_listed {
+                self.endpoints.remove(&id);
+                self.looks.remove(&id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -0,0 +1,257 @@
+//! What is known of one endpoint, its clock and its lease.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::Steady;
+use crate::id::{EndpointId, InstanceId, RunNumber, ServiceName, TaskId};
+use crate::resources::Resources;
+
+/// How much slower than ours an endpoint's clock may run; the platform's own bound.
+const SLOW_CLOCK: f64 = 0.02;
+/// A lease counts as lapsed only so long after its end, for the endpoint's own timers.
+const LAPSE_MARGIN: Duration = Duration::from_millis(200);
+
+/// What an endpoint says of itself in the platform's list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// Which endpoint.
+    pub id: EndpointId,
+    /// Which life of it, milliseconds since 1970.
+    pub born: u64,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it takes calls, IP:PORT.
+    pub addr: std::net::SocketAddr,
+    /// Its availability zone.
+    pub zone: Box<str>,
+    /// Whether it is about to leave.
+    pub is_draining: bool,
+    /// Room for tasks.
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    pub labels: Vec<Box<str>>,
+}
+
+/// What an endpoint answered to a look.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Look {
+    /// Which life of it answered.
+    pub born: u64,
+    /// Its clock.
+    pub clock: Duration,
+    /// What runs.
+    pub running: Vec<Running>,
+    /// What has ended and isn't acknowledged yet.
+    pub ended: Vec<Ended>,
+    /// When the call went out.
+    pub sent_at: Steady,
+    /// When the answer came.
+    pub answered_at: Steady,
+}
+
+/// A run that is at work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Running {
+    /// Whose run.
+    pub task: TaskId,
+    /// Which run.
+    pub number: RunNumber,
+    /// The newest checkpoint.
+    pub checkpoint: Box<str>,
+    /// How far it is; a lasting task is at work at 100.
+    pub percent: u32,
+    /// Of a task with a target its tail latency in milliseconds, of others the processors in use.
+    pub load: u32,
+}
+
+/// A run that ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ended {
+    /// Counts the ends of this life of the endpoint.
+    pub number: u64,
+    /// Whose run.
+    pub task: TaskId,
+    /// Which run.
+    pub run: RunNumber,
+    /// How it ended.
+    pub how: How,
+    /// Where a next run can go on.
+    pub checkpoint: Box<str>,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum How {
+    /// Well.
+    Done,
+    /// By its own fault or the endpoint's.
+    Failed,
+    /// By an order.
+    Stopped,
+    /// The lease ran out.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// The other members of its gang didn't come.
+    Alone,
+}
+
+/// A reading of the endpoint's clock.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Reading {
+    clock: Duration,
+    sent_at: Steady,
+    answered_at: Steady,
+}
+
+/// One endpoint.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    /// Its newest entry in the platform's list, if it ever had one.
+    pub report: Option<Report>,
+    /// Which life of it is meant.
+    pub born: u64,
+    /// Whether the list holds it now.
+    pub is_listed: bool,
+    /// The instance it lives on, once the platform has told it.
+    pub instance: Option<InstanceId>,
+    /// Room taken, also by what is being stopped or may be running.
+    pub used: Resources,
+    /// Runs that may be there, with the room that each takes.
+    pub runs: BTreeMap<(TaskId, RunNumber), Resources>,
+    /// The last end that was taken in.
+    pub noted: u64,
+    /// The last end that is durably noted, and so may be acknowledged.
+    pub noted_durably: u64,
+    /// When the newest look that was answered went out.
+    pub looked_at: Option<Steady>,
+    /// Not used for new work until then.
+    pub shunned_until: Steady,
+    /// Failed and done runs of late, for telling a broken endpoint; fades.
+    pub failures: f64,
+    /// Runs that ended well of late; fades.
+    pub successes: f64,
+    /// Kept free because its instance is to move or to be maintained.
+    pub is_reserved: bool,
+    /// The share that fillers work at there, percent.
+    pub filler_pace: u32,
+    /// When that share was last changed.
+    pub paced_at: Steady,
+    reading: Option<Reading>,
+    /// The latest end of a lease that was ever asked for, on the endpoint's clock.
+    lease_end: Duration,
+}
+
+impl Endpoint {
+    /// An endpoint of which only its id and life are known.
+    #[must_use]
+    pub fn new(born: u64) -> Endpoint {
+        Endpoint {
+            report: None,
+            born,
+            is_listed: false,
+            instance: None,
+            used: Resources::default(),
+            runs: BTreeMap::new(),
+            noted: 0,
+            noted_durably: 0,
+            looked_at: None,
+            shunned_until: Steady::ZERO,
+            failures: 0.0,
+            successes: 0.0,
+            is_reserved: false,
+            filler_pace: 100,
+            paced_at: Steady::ZERO,
+            reading: None,
+            lease_end: Duration::ZERO,
+        }
+    }
+
+    /// Takes in a reading of the endpoint's clock.
+    pub fn read_clock(&mut self, look: &Look) {
+        self.reading = Some(Reading {
+            clock: look.clock,
+            sent_at: look.sent_at,
+            answered_at: look.answered_at,
+        });
+    }
+
+    /// The least that the endpoint's clock can show by now.
+    #[must_use]
+    pub fn clock_at_least(&self, now: Steady) -> Option<Duration> {
+        let reading = self.reading?;
+        let passed = now.saturating_sub(reading.answered_at);
+        Some(reading.clock + passed.mul_f64(1.0 - SLOW_CLOCK))
+    }
+
+    /// A point `ahead` of the endpoint's clock, by the best guess.
+    #[must_use]
+    pub fn clock_ahead(&self, now: Steady, ahead: Duration) -> Option<Duration> {
+        let reading = self.reading?;
+        let middle = reading.sent_at + reading.answered_at.saturating_sub(reading.sent_at) / 2;
+        Some(reading.clock + now.saturating_sub(middle) + ahead)
+    }
+
+    /// Remembers that a lease up to `end` may be in force, whether the call is answered or not.
+    pub fn lease_asked(&mut self, end: Duration) {
+        self.lease_end = self.lease_end.max(end);
+    }
+
+    /// Whether every lease has surely run out, so that nothing runs there.
+    ///
+    /// `unread_until` stands in where the clock was never read: a former leader may have asked
+    /// for leases that this one doesn't know.
+    #[must_use]
+    pub fn is_lapsed(&self, now: Steady, unread_until: Steady) -> bool {
+        match self.clock_at_least(now) {
+            Some(clock) => clock > self.lease_end + LAPSE_MARGIN,
+            None => now > unread_until,
+        }
+    }
+
+    /// Whether a look was answered within `window`.
+    #[must_use]
+    pub fn is_fresh(&self, now: Steady, window: Duration) -> bool {
+        self.looked_at
+            .is_some_and(|at| now.saturating_sub(at) <= window)
+    }
+
+    /// Its rack: the label that isn't its kind.
+    #[must_use]
+    pub fn rack(&self) -> Option<&str> {
+        self.report.as_ref()?.labels.get(1).map(|l| &**l)
+    }
+
+    /// Whether it carries `label`.
+    #[must_use]
+    pub fn has_label(&self, label: &str) -> bool {
+        self.report
+            .as_ref()
+            .is_some_and(|r| r.labels.iter().any(|l| &**l == label))
+    }
+
+    /// Room that is left.
+    #[must_use]
+    pub fn free(&self) -> Resources {
+        self.report
+            .as_ref()
+            .map_or_else(Resources::default, |r| r.capacity.less(&self.used))
+    }
+
+    /// Takes room for a run.
+    pub fn occupy(&mut self, task: TaskId, number: RunNumber, room: Resources) {
+        if self.runs.insert((task, number), room).is_none() {
+            self.used += &room;
+        }
+    }
+
+    /// Gives back a run's room; whether there was such a run.
+    pub fn vacate(&mut self, task: TaskId, number: RunNumber) -> bool {
+        let Some(room) = self.runs.remove(&(task, number)) else {
+            return false;
+        };
+        self.used -= &room;
+        true
+    }
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -0,0 +1,49 @@
+//! Schedules jobs of steps on endpoints.
+//!
+//! Pure: facts in, records and orders out; no I/O and no clock of its own. Whoever drives a
+//! [`Cell`] tells it what happened and when, makes its records durable, and only then carries out
+//! the orders that came with them.
+//!
+//! * [`id`]: names of jobs, tasks, endpoints and instances.
+//! * [`resources`]: processors, memory and accelerators.
+//! * [`config`]: queues, services and workspaces in force.
+//! * [`job`]: what a caller asks for, and the check of it.
+//! * [`progress`]: how far a job is; the durable records.
+//! * [`endpoint`]: what is known of one endpoint, its clock and its lease.
+//! * [`order`]: what goes out and how it ended.
+//! * [`place`]: which endpoint takes a task.
+//! * [`urgency`]: which job goes first.
+//! * [`instances`]: moves between pools and upkeep in waves.
+//! * [`cell`]: the state that ties them together.
+#![forbid(unsafe_code)]
+
+pub mod cell;
+pub mod config;
+pub mod endpoint;
+pub mod id;
+pub mod instances;
+pub mod job;
+pub mod order;
+pub mod place;
+pub mod progress;
+pub mod resources;
+pub mod urgency;
+
+pub use cell::{Cell, Settings};
+pub use id::{EndpointId, Epoch, InstanceId, JobId, QueueName, ServiceName, TaskId, WorkspaceName};
+pub use resources::Resources;
+
+/// A point of time on the steady clock that also counts while the machine is suspended.
+pub type Steady = std::time::Duration;
+
+/// Milliseconds since 1970.
+pub type UnixMs = u64;
+
+/// Both clocks, read together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Now {
+    /// Time on the steady clock.
+    pub steady: Steady,
+    /// Time of day.
+    pub unix_ms: UnixMs,
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/src/place.rs
@@ -0,0 +1,85 @@
+//! Which endpoint takes a task.
+
+use crate::endpoint::Endpoint;
+use crate::id::EndpointId;
+use crate::job::StepSpec;
+use crate::resources::Resources;
+
+/// One endpoint as placing sees it.
+#[derive(Debug, Clone)]
+pub struct Candidate<'a> {
+    /// Which endpoint.
+    pub id: &'a EndpointId,
+    /// What is known of it.
+    pub endpoint: &'a Endpoint,
+    /// Tasks of the same step that it has already.
+    pub siblings: u32,
+    /// Whether the task failed there before.
+    pub failed_before: bool,
+}
+
+/// Lower is better, compared from the first field on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Cost {
+    failed_before: bool,
+    is_doubtful: bool,
+    is_far: bool,
+    packing: u64,
+    siblings: u32,
+}
+
+/// The best endpoint for one task of `step`, if any can take it.
+///
+/// Lasting tasks are packed onto the fullest endpoints, so that others stay empty and their
+/// instances can move or be maintained. Other tasks go where most processors are free, which
+/// keeps one bad endpoint from holding many tasks of a job.
+#[must_use]
+pub fn choose<'a>(
+    step: &StepSpec,
+    candidates: impl Iterator<Item = Candidate<'a>>,
+) -> Option<&'a EndpointId> {
+    let room = step.room();
+    candidates
+        .filter(|c| may_take(step, &room, c))
+        .min_by_key(|c| cost(step, c))
+        .map(|c| c.id)
+}
+
+fn may_take(step: &StepSpec, room: &Resources, candidate: &Candidate<'_>) -> bool {
+    let is_spread = step.per_endpoint == 0 || candidate.siblings < step.per_endpoint;
+    let has_label = step
+        .requires
+        .as_deref()
+        .is_none_or(|l| candidate.endpoint.has_label(l));
+    is_spread && has_label && candidate.endpoint.free().holds(room)
+}
+
+fn cost(step: &StepSpec, candidate: &Candidate<'_>) -> Cost {
+    let endpoint = candidate.endpoint;
+    let free = endpoint.free().cpu;
+    let is_far = step
+        .near
+        .as_deref()
+        .is_some_and(|rack| endpoint.rack() != Some(rack));
+    Cost {
+        failed_before: candidate.failed_before,
+        is_doubtful: is_doubtful(endpoint),
+        is_far,
+        packing: if step.is_lasting && !step.is_filler {
+            free
+        } else {
+            u64::MAX - free
+        },
+        siblings: candidate.siblings,
+    }
+}
+
+/// An endpoint is doubtful when more than half of several runs of late failed there.
+///
+/// Tasks fail by their own fault in a few cases of a hundred, so three failures beside fewer
+/// successes point at the endpoint.
+#[must_use]
+pub fn is_doubtful(endpoint: &Endpoint) -> bool {
+    const FEWEST: f64 = 2.5;
+    endpoint.failures > FEWEST && endpoint.failures > endpoint.successes
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -0,0 +1,294 @@
+//! How far a job is, and the durable records of it.
+//!
+//! A job has two records: what was asked for, written once, and its [`Progress`], written anew
+//! at each change. A start stands in the progress before its order goes out, and an end before
+//! it is acknowledged, so that whoever takes over knows every run that may exist.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use snafu::{ResultExt, Snafu};
+
+use crate::id::{EndpointId, JobId, RunNumber, TaskId, job_text};
+use crate::job::{JobSpec, StepSpec};
+use crate::{Steady, UnixMs};
+
+/// What callers are told of a job.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum JobState {
+    /// No task has begun.
+    #[default]
+    Queued,
+    /// Some task has begun.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task has failed too often.
+    Failed,
+    /// The caller has cancelled it.
+    Cancelled,
+}
+
+impl JobState {
+    /// Whether nothing of the job will start any more.
+    #[must_use]
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// How far a job is.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Progress {
+    /// What it comes to.
+    pub state: JobState,
+    /// When the state became final; 0 before.
+    pub ended_ms: UnixMs,
+    /// Occurrences that have begun and aren't done.
+    pub open: BTreeMap<u32, Occurrence>,
+    /// The next one that is to begin.
+    pub next: u32,
+}
+
+/// One repetition of a job's steps.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Occurrence {
+    /// Tasks by step.
+    pub steps: Vec<Vec<Task>>,
+}
+
+/// One task.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Task {
+    /// Whether a run of it ended well.
+    pub is_done: bool,
+    /// The number of its newest run; 0 before the first.
+    pub last_run: RunNumber,
+    /// Runs that failed.
+    pub failures: u32,
+    /// Where the next run goes on; empty at the start.
+    pub checkpoint: Box<str>,
+    /// Runs that may exist: at most one, but for copies.
+    pub runs: Vec<Run>,
+    /// Where it failed, so that it is tried elsewhere.
+    #[serde(skip)]
+    pub failed_at: Vec<EndpointId>,
+}
+
+/// A run that may exist at an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// Its number.
+    pub number: RunNumber,
+    /// Where it is.
+    pub endpoint: EndpointId,
+    /// Which life of the endpoint.
+    pub born: u64,
+    /// What is believed of it; not durable.
+    #[serde(skip)]
+    pub view: RunView,
+}
+
+/// What is believed of a run.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct RunView {
+    /// How far its start is.
+    pub phase: Phase,
+    /// When its start was decided.
+    pub ordered_at: Steady,
+    /// When it was first seen at work.
+    pub seen_at: Option<Steady>,
+    /// The percentage the endpoint gave last.
+    pub percent: u32,
+    /// When that percentage last changed.
+    pub moved_at: Steady,
+    /// When a stop was last ordered.
+    pub stop_sent_at: Option<Steady>,
+    /// When a stop was last acknowledged.
+    pub stop_acked_at: Option<Steady>,
+    /// The share that it is paced to; `None` for all.
+    pub pace: Option<u32>,
+}
+
+/// How far a start is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Phase {
+    /// Known from the records only: a look decides.
+    #[default]
+    Recorded,
+    /// The order is on its way.
+    Ordered,
+    /// The order's answer was lost.
+    Unanswered,
+    /// The endpoint has taken it.
+    Taken {
+        /// When its answer came.
+        at: Steady,
+    },
+}
+
+impl RunView {
+    /// Whether a stop was ordered.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stop_sent_at.is_some()
+    }
+}
+
+impl Occurrence {
+    /// A fresh occurrence of `steps`.
+    #[must_use]
+    pub fn new(steps: &[StepSpec]) -> Occurrence {
+        let tasks = |s: &StepSpec| vec![Task::default(); s.count as usize];
+        Occurrence {
+            steps: steps.iter().map(tasks).collect(),
+        }
+    }
+
+    /// Whether every task of a step is done.
+    #[must_use]
+    pub fn is_step_done(&self, step: u16) -> bool {
+        self.steps[usize::from(step)].iter().all(|t| t.is_done)
+    }
+
+    /// Whether a step's turn has come.
+    #[must_use]
+    pub fn is_step_ready(&self, spec: &StepSpec) -> bool {
+        spec.after.iter().all(|&a| self.is_step_done(a))
+    }
+
+    /// Whether all is done.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().flatten().all(|t| t.is_done)
+    }
+
+    /// The longest chain of estimates that is left.
+    #[must_use]
+    pub fn chain_left(&self, steps: &[StepSpec]) -> Duration {
+        let mut ends = Vec::with_capacity(steps.len());
+        for (step, spec) in steps.iter().enumerate() {
+            let begins = spec.after.iter().map(|&a| ends[usize::from(a)]).max();
+            let is_done = self.steps[step].iter().all(|t| t.is_done);
+            let own = if is_done {
+                Duration::ZERO
+            } else {
+                spec.estimate
+            };
+            ends.push(begins.unwrap_or_default() + own);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+}
+
+impl Progress {
+    /// A task, if its occurrence is open.
+    #[must_use]
+    pub fn task(&self, id: TaskId) -> Option<&Task> {
+        let steps = &self.open.get(&id.occurrence)?.steps;
+        steps.get(usize::from(id.step))?.get(id.index as usize)
+    }
+
+    /// A task to change, if its occurrence is open.
+    pub fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let steps = &mut self.open.get_mut(&id.occurrence)?.steps;
+        steps
+            .get_mut(usize::from(id.step))?
+            .get_mut(id.index as usize)
+    }
+
+    /// Every run that may exist, with its task.
+    pub fn runs(&self, job: JobId) -> impl Iterator<Item = (TaskId, &Run)> {
+        self.open.iter().flat_map(move |(&occurrence, o)| {
+            o.steps.iter().enumerate().flat_map(move |(step, tasks)| {
+                tasks.iter().enumerate().flat_map(move |(index, task)| {
+                    let id = TaskId {
+                        job,
+                        occurrence,
+                        step: u16::try_from(step).unwrap_or(u16::MAX),
+                        index: u32::try_from(index).unwrap_or(u32::MAX),
+                    };
+                    task.runs.iter().map(move |r| (id, r))
+                })
+            })
+        })
+    }
+}
+
+/// A record that can't be read or written.
+#[derive(Debug, Snafu)]
+#[snafu(display("record {key}: {source}"))]
+pub struct Error {
+    key: Box<str>,
+    source: postcard::Error,
+}
+
+/// The result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// A durable record: the newest one of a key counts, and one without a value drops the key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// What it is about.
+    pub key: Box<str>,
+    /// What is so now.
+    pub value: Option<Box<[u8]>>,
+}
+
+/// The key of what was asked for.
+#[must_use]
+pub fn spec_key(id: JobId) -> Box<str> {
+    format!("j{}", job_text(id)).into()
+}
+
+/// The key of how far it is.
+#[must_use]
+pub fn progress_key(id: JobId) -> Box<str> {
+    format!("p{}", job_text(id)).into()
+}
+
+/// Makes a record of `value`.
+///
+/// # Errors
+/// If it can't be encoded, which for these types doesn't happen.
+pub fn encode(key: Box<str>, value: &impl Serialize) -> Result<Record> {
+    let bytes = postcard::to_allocvec(value).context(Snafu { key: key.clone() })?;
+    Ok(Record {
+        key,
+        value: Some(bytes.into()),
+    })
+}
+
+/// A record as read.
+#[derive(Debug)]
+pub enum Entry {
+    /// What was asked for.
+    Spec(Arc<JobSpec>),
+    /// How far it is.
+    Progress(JobId, Progress),
+}
+
+/// Reads a record.
+///
+/// # Errors
+/// If key or value aren't ones of a job.
+pub fn decode(key: &str, value: &[u8]) -> Result<Entry> {
+    let failed = || Snafu { key };
+    let (kind, id) = key.split_at_checked(1).unwrap_or_default();
+    let id = crate::id::parse_job(id)
+        .map_err(|_| postcard::Error::DeserializeBadEncoding)
+        .context(failed())?;
+    match kind {
+        "j" => {
+            let spec = postcard::from_bytes(value).context(failed())?;
+            Ok(Entry::Spec(Arc::new(spec)))
+        }
+        "p" => {
+            let progress = postcard::from_bytes(value).context(failed())?;
+            Ok(Entry::Progress(id, progress))
+        }
+        _ => Err(postcard::Error::DeserializeBadEncoding).context(failed()),
+    }
+}
--- /dev/null
+++ b/pomelohitchd/src/fleet/internal.rs
@@ -0,0 +1,112 @@
+//! Serves other entry instances.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pomelohitch_adapter::store::{Store, Topic};
+use pomelohitch_sched::Steady;
+use rouille::Response;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tracing::warn;
+
+use super::shared::Shared;
+use super::wire::{self, Beat, BeatReply, Probe, ProbeReply};
+use super::{callers, clock};
+use crate::front::{Incoming, Limits, Service};
+
+/// Limits for the few connections of other entry instances.
+#[must_use]
+pub fn limits() -> Limits {
+    Limits {
+        idle: Duration::from_mins(1),
+        idle_tick: Duration::from_secs(1),
+        leaving_tick: Duration::from_millis(100),
+        leaving_grace: Duration::ZERO,
+        ..Limits::default()
+    }
+}
+
+/// How requests of other entry instances are answered.
+#[must_use]
+pub fn service(shared: &Arc<Shared>) -> Service {
+    let leaving = shared.clone();
+    let shared = shared.clone();
+    Service {
+        is_leaving: Box::new(move || leaving.is_leaving()),
+        answer: Box::new(move |incoming| answer(&shared, &incoming)),
+    }
+}
+
+fn answer(shared: &Shared, incoming: &Incoming) -> Response {
+    let target = &*incoming.head.target;
+    match target {
+        wire::BEAT => reply(&incoming.body, |beat: Beat| take_beat(shared, &beat)),
+        wire::PROBE => reply(&incoming.body, |probe: Probe| take_probe(shared, &probe)),
+        wire::CLAIM => {
+            shared.ask_claim();
+            message(&())
+        }
+        _ => match target.strip_prefix(wire::CALL) {
+            Some(path) => callers::answer_passed_on(shared, incoming, path),
+            None => Response::empty_404(),
+        },
+    }
+}
+
+fn take_beat(shared: &Shared, beat: &Beat) -> BeatReply {
+    let is_current = shared.follow(&beat.leader);
+    if is_current {
+        let now = clock::steady();
+        shared.update(|view| {
+            view.heard_at = now;
+            view.alive_at = now;
+        });
+    }
+    BeatReply {
+        epoch: known_epoch(shared),
+    }
+}
+
+fn take_probe(shared: &Shared, probe: &Probe) -> ProbeReply {
+    let view = shared.view();
+    let silent_for: Steady = clock::steady().saturating_sub(view.heard_at);
+    let heard_ms = match shared.leading() {
+        Some(_) => 0,
+        None => u64::try_from(silent_for.as_millis()).unwrap_or(u64::MAX),
+    };
+    ProbeReply {
+        epoch: known_epoch(shared),
+        heard_ms,
+        has_store: probe.with_store && reaches_store(&shared.store(), view.members_end),
+        is_leaving: shared.is_leaving(),
+    }
+}
+
+fn known_epoch(shared: &Shared) -> u64 {
+    shared.view().leader.map_or(0, |l| l.epoch)
+}
+
+fn reaches_store(store: &Store, from: u64) -> bool {
+    store.read(Topic::Members, from, Duration::ZERO).is_ok()
+}
+
+fn reply<Q: DeserializeOwned, A: Serialize>(body: &[u8], answer: impl FnOnce(Q) -> A) -> Response {
+    match postcard::from_bytes(body) {
+        Ok(question) => message(&answer(question)),
+        Err(error) => {
+            warn!(%error, "message of an entry instance can't be read");
+            Response::text("unreadable").with_status_code(400)
+        }
+    }
+}
+
+fn message(message: &impl Serialize) -> Response {
+    match postcard::to_allocvec(message) {
+        Ok(body) => Response::from_data("application/octet-stream", body),
+        Err(error) => {
+            warn!(%error, "message can't be written");
+            Response::text("unwritable").with_status_code(500)
+        }
+    }
+}
--- /dev/null
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -0,0 +1,248 @@
+//! The work of the leader.
+//!
+//! * [`core`]: the one thread that holds the state of all jobs and decides.
+//! * [`journal`]: makes records durable.
+//! * [`lanes`]: calls endpoints, in order for each.
+//! * [`watch`]: reads what operators and endpoints write into the store.
+//! * [`duties`]: calls of instances and policy, and the status of waves.
+//! * [`heartbeats`]: tells the other members who leads.
+
+use std::sync::Arc;
+use std::sync::mpsc::{self, RecvTimeoutError};
+use std::time::Duration;
+
+use pomelohitch_adapter::records::{self, OperatorRecord};
+use pomelohitch_adapter::store::{Appended, Guard, Newest, Store, Topic};
+use pomelohitch_sched::progress;
+use pomelohitch_sched::{Cell, Epoch, Settings};
+use snafu::{ResultExt, Snafu, ensure};
+use tracing::{info, warn};
+
+use super::clock;
+use super::shared::{Leading, Shared, spawn, spawn_with};
+use super::wire::{self, Beat, BeatReply, Leader};
+use super::{members, peers};
+
+pub mod core;
+pub mod duties;
+pub mod heartbeats;
+pub mod journal;
+pub mod lanes;
+pub mod watch;
+
+/// Time for one call of a take-over.
+const WITHIN: Duration = Duration::from_millis(800);
+/// A step of a take-over that fails is tried so often; the claim is made by then, and nobody
+/// else leads until another member suspects this one.
+const TRIES: u32 = 4;
+/// Pause between these tries.
+const AGAIN_AFTER: Duration = Duration::from_millis(60);
+
+/// Why the leadership wasn't taken over.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The store didn't do its part.
+    #[snafu(display("{source}"))]
+    Store {
+        /// What went wrong.
+        source: pomelohitch_adapter::Error,
+    },
+    /// Another member was first.
+    #[snafu(display("another member claimed the leadership first"))]
+    Raced,
+    /// A later leader has written already.
+    #[snafu(display("fenced by a later leader"))]
+    Fenced,
+    /// A record that can't be written.
+    #[snafu(display("{source}"))]
+    Record {
+        /// What is wrong with it.
+        source: progress::Error,
+    },
+    /// No thread could be started.
+    #[snafu(display("start a thread: {source}"))]
+    Thread {
+        /// Why.
+        source: std::io::Error,
+    },
+}
+
+/// The result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// What a leader begins with.
+struct Records {
+    jobs: Newest,
+    operators: Newest,
+    endpoints: Newest,
+}
+
+/// Tries to become the leader. Whoever fails waits for the next silence.
+pub fn claim(shared: &Arc<Shared>) {
+    if let Err(error) = take_over(shared) {
+        info!(%error, "leadership not taken over");
+        let now = clock::steady();
+        shared.update(|view| view.heard_at = view.heard_at.max(now.saturating_sub(PAUSE)));
+    }
+}
+
+/// After a failed claim the leader counts as heard so long ago, so that the next try comes soon
+/// but not at once.
+const PAUSE: Duration = Duration::from_millis(500);
+
+fn take_over(shared: &Arc<Shared>) -> Result<()> {
+    let began = clock::steady();
+    let store = shared.store();
+    let leader = claim_record(shared, &store)?;
+    let epoch = leader.epoch;
+    let _announcing = announce(shared, &leader)?;
+    let fenced = again(|| store.append(Topic::Jobs, &[], epoch_guard(epoch, 0), WITHIN))?;
+    ensure!(matches!(fenced, Appended::Done { .. }), FencedSnafu);
+    let records = Records {
+        jobs: again(|| store.newest(Topic::Jobs))?,
+        operators: again(|| store.newest(Topic::Operators))?,
+        endpoints: again(|| store.newest(Topic::Endpoints))?,
+    };
+    let site = shared.site.load();
+    let settings = Settings {
+        lease: LEASE.min(site.bounds.longest_lease),
+        keep_ended: site.bounds.keep_ended + KEEP_MARGIN,
+        holder_gap: site.bounds.holder_gap + HOLDER_MARGIN,
+        ..Settings::default()
+    };
+    let (mut cell, faults) = Cell::restore(settings, epoch, clock::now(), &records.jobs.records);
+    for fault in &faults {
+        warn!(%fault, "record passed over");
+    }
+    let (tx, rx) = mpsc::channel();
+    fill(&mut cell, &records);
+    let took_ms = clock::steady().saturating_sub(began).as_millis();
+    info!(
+        epoch,
+        jobs = cell.job_count(),
+        endpoints = cell.endpoints().len(),
+        config = cell.config().map(|c| c.version),
+        took_ms,
+        "leadership taken over"
+    );
+    shared.follow(&leader);
+    shared.set_leading(Some(Leading {
+        epoch,
+        events: tx.clone(),
+    }));
+    let offsets = (records.operators.end, records.endpoints.end);
+    let parts = core::Parts {
+        cell,
+        tx,
+        rx,
+        leader,
+        offsets,
+    };
+    let running = spawn_with("leader", shared, move |shared| core::run(shared, parts));
+    running.map(drop).context(ThreadSnafu)
+}
+
+/// Tells the other members at once who leads: while the store is slow, reading all records takes
+/// seconds, in which they would suspect the silent leader and claim in turn.
+///
+/// Goes on until the returned guard is dropped, when the leader's own heartbeats have begun or the
+/// take-over has failed.
+fn announce(shared: &Shared, leader: &Leader) -> Result<mpsc::Sender<()>> {
+    let (guard, ended) = mpsc::channel::<()>();
+    let beat = Beat {
+        leader: leader.clone(),
+    };
+    let members = shared.view().members;
+    let others: Vec<_> = members
+        .into_values()
+        .filter(|a| *a != leader.addr)
+        .collect();
+    info!(
+        epoch = leader.epoch,
+        members = others.len(),
+        "leadership claimed"
+    );
+    let telling = spawn("announce", move || {
+        loop {
+            peers::ask_all::<BeatReply>(&others, wire::BEAT, &beat);
+            if ended.recv_timeout(heartbeats::EVERY) == Err(RecvTimeoutError::Disconnected) {
+                return;
+            }
+        }
+    });
+    telling.map(|_| guard).context(ThreadSnafu)
+}
+
+/// Long enough to outlive a change of leader; see [`Settings::lease`].
+const LEASE: Duration = Duration::from_secs(6);
+/// States of jobs are kept a little longer than promised.
+const KEEP_MARGIN: Duration = Duration::from_secs(20);
+/// Operations of a former holder stay away a little longer than they have to.
+const HOLDER_MARGIN: Duration = Duration::from_millis(400);
+
+/// The guard of an append of the leader.
+fn epoch_guard(epoch: Epoch, sequence: u64) -> Guard {
+    Guard::Epoch { epoch, sequence }
+}
+
+/// Writes that this member leads from now on; the store takes one claim for each end of the topic.
+fn claim_record(shared: &Shared, store: &Store) -> Result<Leader> {
+    let end = members::read_all(shared, store).context(StoreSnafu)?;
+    let known = shared.view().leader.map_or(0, |l| l.epoch);
+    let site = shared.site.load();
+    let leader = Leader {
+        epoch: known + 1,
+        member: site.member.clone(),
+        addr: site.internal,
+    };
+    let record = progress::encode(wire::LEADER_KEY.into(), &leader).context(RecordSnafu)?;
+    let guard = Guard::At(end.unwrap_or_default());
+    match store.append(Topic::Members, &[record], guard, WITHIN) {
+        Ok(Appended::Done { .. }) => Ok(leader),
+        Ok(_) => RacedSnafu.fail(),
+        Err(source) => confirm_claim(shared, store, leader, source),
+    }
+}
+
+/// The answer to a claim was lost: whether it was taken stands in the store.
+fn confirm_claim(
+    shared: &Shared,
+    store: &Store,
+    leader: Leader,
+    source: pomelohitch_adapter::Error,
+) -> Result<Leader> {
+    again(|| members::read_all(shared, store))?;
+    if shared.view().leader.as_ref() == Some(&leader) {
+        return Ok(leader);
+    }
+    Err(source).context(StoreSnafu)
+}
+
+fn again<T>(call: impl Fn() -> std::result::Result<T, pomelohitch_adapter::Error>) -> Result<T> {
+    for _ in 1..TRIES {
+        match call() {
+            Ok(done) => return Ok(done),
+            Err(error) => info!(%error, "step of taking over tried again"),
+        }
+        std::thread::sleep(AGAIN_AFTER);
+    }
+    call().context(StoreSnafu)
+}
+
+/// Tells a cell what operators and endpoints have written.
+fn fill(cell: &mut Cell, records: &Records) {
+    for (key, value) in &records.operators.records {
+        match records::operator_record(key, value) {
+            Ok(OperatorRecord::Config(cfg)) => cell.configure(Arc::new(cfg)),
+            Ok(OperatorRecord::Wave(wave)) => cell.wave(wave),
+            Ok(OperatorRecord::Other) => {}
+            Err(error) => warn!(%error, "record passed over"),
+        }
+    }
+    for (id, value) in &records.endpoints.records {
+        match records::endpoint_report(id, value) {
+            Ok(report) => cell.endpoint_listed(report),
+            Err(error) => info!(%error, "entry passed over"),
+        }
+    }
+}
--- /dev/null
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -0,0 +1,450 @@
+//! The one thread that holds the state of all jobs and decides.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, SyncSender};
+use std::time::Duration;
+
+use pomelohitch_sched::cell::Batch;
+use pomelohitch_sched::cell::calls::{Call, Verb};
+use pomelohitch_sched::config::FleetConfig;
+use pomelohitch_sched::endpoint::{Look, Report};
+use pomelohitch_sched::instances::{Instance, Wave};
+use pomelohitch_sched::order::{
+    Action, Answer, CallId, LookFailure, Operation, OperationOutcome, Order, Outcome, Target,
+};
+use pomelohitch_sched::{Cell, EndpointId, Epoch, InstanceId, Steady, TaskId};
+use tracing::{error, info, warn};
+
+use super::super::clock;
+use super::super::peers;
+use super::super::shared::{Shared, spawn, spawn_with};
+use super::super::wire::{self, Leader, Probe, ProbeReply};
+use super::duties::Duties;
+use super::journal::Journal;
+use super::lanes::Lanes;
+use super::{heartbeats, watch};
+
+/// Without any event the state is looked at this often: starts that became due, leases, waves.
+const TICK: Duration = Duration::from_millis(25);
+/// Events that come within this time are decided on together, which costs a request that much
+/// latency at most and saves a pass over the queues for each event.
+const GATHER: Duration = Duration::from_millis(5);
+/// Batches begin at least so far apart: each append is priced, and 15 ms beside work of half a
+/// second don't show.
+const BATCH_GAP: Duration = Duration::from_millis(15);
+/// Most events taken in before the state is looked at.
+const EVENTS_AT_ONCE: usize = 1_000;
+/// The store is taken for lost after so long without an answer: the other members are asked then.
+const STORE_LOST_AFTER: Duration = Duration::from_millis(500);
+/// How often they are asked.
+const ASK_EVERY: Duration = Duration::from_millis(600);
+/// Without the store and without any answer of other members this process stops leading: the
+/// others may have elected another leader, which counts on leases not being renewed for longer.
+const ISOLATED_AFTER: Duration = Duration::from_secs(2);
+
+/// A caller's request, and where its answer goes.
+#[derive(Debug)]
+pub struct Incoming {
+    /// The host that was named.
+    pub host: Box<str>,
+    /// The path, without query.
+    pub path: Box<str>,
+    /// The key that came along.
+    pub key: Option<Box<str>>,
+    /// What is asked.
+    pub verb: Verb,
+    /// Where the answer goes.
+    pub reply: SyncSender<Answer>,
+}
+
+/// What happens to a leader.
+#[derive(Debug)]
+pub enum Event {
+    /// A caller asks.
+    Call(Incoming),
+    /// A configuration was read.
+    Config(Arc<FleetConfig>),
+    /// A wave was read.
+    Wave(Wave),
+    /// An endpoint's entry was read.
+    EndpointListed(Report),
+    /// An endpoint's entry was removed.
+    EndpointUnlisted(EndpointId),
+    /// All entries were read anew; endpoints without one aren't listed any more.
+    EndpointsRead(Vec<Report>),
+    /// A look ended.
+    Looked(Target, Result<Look, LookFailure>),
+    /// An order ended.
+    Ordered(Target, Order, Outcome),
+    /// The list of instances was read, asked for at that time.
+    Instances(Option<Vec<Instance>>, Steady),
+    /// An operation on an instance ended.
+    Operated(InstanceId, Operation, OperationOutcome),
+    /// The policy answered.
+    Advised(TaskId, Vec<(EndpointId, Box<str>)>, Duration),
+    /// A batch is durable.
+    Committed(Batch),
+    /// The store answers, or doesn't, to appends.
+    Appends(bool),
+    /// The store answers, or doesn't, to reads of what operators write.
+    Reads(bool),
+    /// What the other members answered about the store.
+    Probed(Vec<(SocketAddr, ProbeReply)>),
+    /// A later leader is known.
+    Deposed(&'static str),
+    /// The process shuts down.
+    Leave,
+}
+
+/// What a leadership begins with.
+#[derive(Debug)]
+pub struct Parts {
+    /// The state.
+    pub cell: Cell,
+    /// Takes events.
+    pub tx: Sender<Event>,
+    /// Gives events.
+    pub rx: Receiver<Event>,
+    /// Who leads: this process.
+    pub leader: Leader,
+    /// Where to read on from: what operators write, and what endpoints write.
+    pub offsets: (u64, u64),
+}
+
+/// How a leadership ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct End {
+    why: &'static str,
+    successor: Option<SocketAddr>,
+}
+
+struct Core<'a> {
+    shared: &'a Arc<Shared>,
+    cell: Cell,
+    epoch: Epoch,
+    tx: Sender<Event>,
+    lanes: Lanes,
+    journal: Journal,
+    duties: Duties,
+    calls: HashMap<CallId, SyncSender<Answer>>,
+    next_call: CallId,
+    is_committing: bool,
+    committed_at: Steady,
+    appends_lost: Option<Steady>,
+    reads_lost: Option<Steady>,
+    asked_at: Steady,
+    end: Option<End>,
+}
+
+/// Leads until a later leader is known, the store is lost to this process alone, or the process
+/// shuts down.
+pub fn run(shared: &Arc<Shared>, parts: Parts) {
+    let epoch = parts.leader.epoch;
+    let confirmed = Arc::new(AtomicU64::new(millis(clock::steady())));
+    let tx = parts.tx;
+    let started =
+        Journal::start(shared, epoch, tx.clone(), confirmed.clone()).and_then(|journal| {
+            let duties = Duties::start(shared, epoch, &tx, confirmed)?;
+            watch::start(shared, epoch, &tx, parts.offsets)?;
+            heartbeats::start(shared, &parts.leader, &tx)?;
+            Ok((journal, duties))
+        });
+    let (journal, duties) = match started {
+        Ok(started) => started,
+        Err(error) => {
+            error!(%error, "threads of the leader can't be started");
+            shared.set_leading(None);
+            return;
+        }
+    };
+    let mut core = Core {
+        shared,
+        cell: parts.cell,
+        epoch,
+        lanes: Lanes::new(tx.clone()),
+        tx,
+        journal,
+        duties,
+        calls: HashMap::new(),
+        next_call: 0,
+        is_committing: false,
+        committed_at: Steady::ZERO,
+        appends_lost: None,
+        reads_lost: None,
+        asked_at: Steady::ZERO,
+        end: None,
+    };
+    let end = core.lead(&parts.rx);
+    shared.set_leading(None);
+    info!(
+        epoch,
+        why = end.why,
+        calls = core.calls.len(),
+        "leadership ended"
+    );
+    if let Some(successor) = end.successor {
+        hand_over(successor);
+    }
+}
+
+/// Asks another member to take over, so that nobody has to notice the silence first.
+fn hand_over(successor: SocketAddr) {
+    /// Time for the request.
+    const WITHIN: Duration = Duration::from_millis(300);
+    let client = peers::client(successor);
+    match peers::ask::<()>(&client, wire::CLAIM, &(), WITHIN) {
+        Ok(()) => info!(%successor, "leadership handed over"),
+        Err(error) => warn!(%error, "leadership not handed over"),
+    }
+}
+
+impl Core<'_> {
+    fn lead(&mut self, rx: &Receiver<Event>) -> End {
+        loop {
+            match rx.recv_timeout(TICK) {
+                Ok(event) => {
+                    std::thread::sleep(GATHER);
+                    self.cell.at(clock::now());
+                    self.take(event);
+                    for event in rx.try_iter().take(EVENTS_AT_ONCE) {
+                        self.take(event);
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => self.stop("no events any more", None),
+            }
+            if self.cell.is_fenced() {
+                self.stop("an endpoint has seen a later leader", None);
+            }
+            if let Some(end) = self.end {
+                return end;
+            }
+            let actions = self.cell.tick(clock::now());
+            self.carry_out(actions);
+            self.commit();
+            self.mind_store();
+            self.lanes.prune(self.cell.endpoints());
+        }
+    }
+
+    fn stop(&mut self, why: &'static str, successor: Option<SocketAddr>) {
+        self.end.get_or_insert(End { why, successor });
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Call(incoming) => self.take_call(incoming),
+            Event::Config(cfg) => {
+                info!(version = cfg.version, "configuration read");
+                self.cell.configure(cfg);
+            }
+            Event::Wave(wave) => self.cell.wave(wave),
+            Event::EndpointListed(report) => self.cell.endpoint_listed(report),
+            Event::EndpointUnlisted(id) => self.cell.endpoint_unlisted(&id),
+            Event::EndpointsRead(reports) => self.take_all(reports),
+            Event::Looked(target, look) => self.cell.looked(&target, look),
+            Event::Ordered(target, order, outcome) => self.cell.ordered(&target, &order, &outcome),
+            Event::Instances(Some(list), asked_at) => self.cell.instances_listed(list, asked_at),
+            Event::Instances(None, _) => self.cell.instances_unlisted(),
+            Event::Operated(id, operation, outcome) => self.cell.operated(&id, &operation, outcome),
+            Event::Advised(step, tickets, valid) => self.cell.advised_of(step, tickets, valid),
+            Event::Committed(batch) => self.take_committed(batch),
+            Event::Appends(is_well) => {
+                self.cell.log_is_down(!is_well);
+                self.appends_lost = lost_since(self.appends_lost, is_well);
+            }
+            Event::Reads(is_well) => self.reads_lost = lost_since(self.reads_lost, is_well),
+            Event::Probed(answers) => self.take_probes(&answers),
+            Event::Deposed(why) => self.stop(why, None),
+            Event::Leave => self.leave(),
+        }
+    }
+
+    fn take_call(&mut self, incoming: Incoming) {
+        let id = self.next_call;
+        self.next_call += 1;
+        self.calls.insert(id, incoming.reply);
+        self.cell.call(&Call {
+            id,
+            host: incoming.host,
+            path: incoming.path,
+            key: incoming.key,
+            verb: incoming.verb,
+        });
+    }
+
+    fn take_all(&mut self, reports: Vec<Report>) {
+        let mut gone = self.cell.listed();
+        for report in reports {
+            gone.remove(&report.id);
+            self.cell.endpoint_listed(report);
+        }
+        for id in gone {
+            self.cell.endpoint_unlisted(&id);
+        }
+    }
+
+    fn take_committed(&mut self, batch: Batch) {
+        self.is_committing = false;
+        let actions = self.cell.committed(batch);
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Order {
+                    target,
+                    order,
+                    epoch,
+                    at,
+                } => self.lanes.order(target, order, epoch, at),
+                Action::Look(look) => self.lanes.look(look),
+                Action::ListInstances => self.duties.list(),
+                Action::Operate {
+                    instance,
+                    operation,
+                } => self.duties.operate(instance, operation),
+                Action::Reply { call, answer } => self.reply(call, answer),
+                Action::WaveStatus { wave, is_completed } => {
+                    self.duties.wave_status(wave, is_completed);
+                }
+                Action::Advise { step, endpoints } => self.duties.advise(step, endpoints),
+            }
+        }
+    }
+
+    fn reply(&mut self, call: CallId, answer: Answer) {
+        if let Some(reply) = self.calls.remove(&call) {
+            // Whoever asked may have given up; the caller asks again then.
+            let _ = reply.try_send(answer);
+        }
+    }
+
+    fn commit(&mut self) {
+        let now = clock::steady();
+        if self.is_committing || now < self.committed_at + BATCH_GAP {
+            return;
+        }
+        match self.cell.take_batch() {
+            Ok(None) => {}
+            Ok(Some(batch)) if batch.records.is_empty() => {
+                let actions = self.cell.committed(batch);
+                self.carry_out(actions);
+            }
+            Ok(Some(batch)) => {
+                self.is_committing = true;
+                self.committed_at = now;
+                self.journal.commit(batch);
+            }
+            Err(error) => {
+                error!(%error, "records can't be encoded");
+                self.stop("records can't be encoded", None);
+            }
+        }
+    }
+
+    /// While the store doesn't answer, asks the other members whether it answers them.
+    fn mind_store(&mut self) {
+        let now = clock::steady();
+        let Some(since) = self.store_lost() else {
+            return;
+        };
+        let is_lost = now.saturating_sub(since) > STORE_LOST_AFTER;
+        if !is_lost || now < self.asked_at + ASK_EVERY {
+            return;
+        }
+        self.asked_at = now;
+        let others = self.others();
+        let tx = self.tx.clone();
+        let asking = spawn("ask about the store", move || {
+            let probe = Probe { with_store: true };
+            let answers = peers::ask_all::<ProbeReply>(&others, wire::PROBE, &probe);
+            let _ = tx.send(Event::Probed(answers));
+        });
+        if let Err(error) = asking {
+            warn!(%error, "other members can't be asked");
+        }
+    }
+
+    fn store_lost(&self) -> Option<Steady> {
+        let lost = [self.appends_lost, self.reads_lost];
+        lost.into_iter().flatten().min()
+    }
+
+    fn others(&self) -> Vec<SocketAddr> {
+        let own = self.shared.site.load().internal;
+        let members = self.shared.view().members;
+        members.into_values().filter(|addr| *addr != own).collect()
+    }
+
+    fn take_probes(&mut self, answers: &[(SocketAddr, ProbeReply)]) {
+        let Some(since) = self.store_lost() else {
+            return;
+        };
+        if answers.iter().any(|(_, a)| a.epoch > self.epoch) {
+            self.stop("another member knows a later leader", None);
+        }
+        let successor = answers.iter().find(|(_, a)| a.has_store && !a.is_leaving);
+        let lost_ms = clock::steady().saturating_sub(since).as_millis();
+        warn!(lost_ms, answers = answers.len(), successor = ?successor.map(|s| s.0), "store lost");
+        if let Some((successor, _)) = successor {
+            self.stop("the store answers others", Some(*successor));
+        }
+        let is_alone = answers.is_empty() && !self.others().is_empty();
+        if is_alone && clock::steady().saturating_sub(since) > ISOLATED_AFTER {
+            self.stop("neither store nor members answer", None);
+        }
+    }
+
+    /// Ends the leadership for a shutdown, with the first member that can take over.
+    fn leave(&mut self) {
+        let probe = Probe { with_store: true };
+        let answers = peers::ask_all::<ProbeReply>(&self.others(), wire::PROBE, &probe);
+        let successor = answers.iter().find(|(_, a)| a.has_store && !a.is_leaving);
+        self.stop("shutdown", successor.map(|s| s.0));
+    }
+}
+
+fn lost_since(since: Option<Steady>, is_well: bool) -> Option<Steady> {
+    (!is_well).then(|| since.unwrap_or_else(clock::steady))
+}
+
+/// Milliseconds of a point of time.
+#[must_use]
+pub fn millis(time: Steady) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Records that leadership was confirmed by the store now.
+pub fn confirm(confirmed: &AtomicU64) {
+    confirmed.store(millis(clock::steady()), Ordering::Release);
+}
+
+/// How long ago the store last confirmed the leadership.
+#[must_use]
+pub fn confirmed_ago(confirmed: &AtomicU64) -> Duration {
+    let at = Duration::from_millis(confirmed.load(Ordering::Acquire));
+    clock::steady().saturating_sub(at)
+}
+
+/// Starts a thread that ends with the leadership: by its channel, or by looking.
+///
+/// # Errors
+/// If the system has no room for another thread.
+pub fn spawn_for(
+    name: &str,
+    shared: &Arc<Shared>,
+    epoch: Epoch,
+    mut step: impl FnMut(&Arc<Shared>) + Send + 'static,
+) -> std::io::Result<()> {
+    let running = spawn_with(name, shared, move |shared| {
+        while shared.leading().is_some_and(|l| l.epoch == epoch) {
+            step(shared);
+        }
+    });
+    running.map(drop)
+}
--- /dev/null
+++ b/pomelohitchd/src/fleet/leader/watch.rs
@@ -0,0 +1,137 @@
+//! Reads what operators and endpoints write into the store.
+
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use pomelohitch_adapter::records::{self, OperatorRecord};
+use pomelohitch_adapter::store::{Read, Store, Topic};
+use pomelohitch_sched::Epoch;
+use pomelohitch_sched::progress::Record;
+use tracing::{info, warn};
+
+use super::core::{Event, spawn_for};
+use crate::fleet::shared::Shared;
+
+/// A read of what operators write waits so long. Short, since a connection that went silent shows
+/// only when the wait is over, and a withdrawn key must not be taken for longer than about 2 s.
+const OPERATORS_WAIT: Duration = Duration::from_millis(500);
+/// The same for what endpoints write.
+const ENDPOINTS_WAIT: Duration = Duration::from_secs(1);
+/// Entries of endpoints are gathered for so long, as each read is priced.
+const ENDPOINTS_GAP: Duration = Duration::from_millis(200);
+/// Pause after a read that failed.
+const AGAIN_AFTER: Duration = Duration::from_millis(150);
+
+/// Starts both readers; they end with the leadership.
+///
+/// # Errors
+/// If the system has no room for another thread.
+pub fn start(
+    shared: &Arc<Shared>,
+    epoch: Epoch,
+    events: &Sender<Event>,
+    (operators, endpoints): (u64, u64),
+) -> std::io::Result<()> {
+    let store = shared.store();
+    let tx = events.clone();
+    let mut from = Some(operators);
+    spawn_for("operators", shared, epoch, move |_| {
+        let read = read_operators(&store, from, &tx);
+        let _ = tx.send(Event::Reads(read.is_ok()));
+        from = next(read, from);
+    })?;
+    let store = shared.store();
+    let tx = events.clone();
+    let mut from = Some(endpoints);
+    spawn_for("endpoints", shared, epoch, move |_| {
+        let read = read_endpoints(&store, from, &tx);
+        from = next(read, from);
+        std::thread::sleep(ENDPOINTS_GAP);
+    })
+}
+
+type Outcome = Result<Option<u64>, pomelohitch_adapter::Error>;
+
+/// Where to read on from; after a failure from the same place.
+fn next(read: Outcome, from: Option<u64>) -> Option<u64> {
+    match read {
+        Ok(next) => next,
+        Err(error) => {
+            info!(%error, "read tried again");
+            std::thread::sleep(AGAIN_AFTER);
+            from
+        }
+    }
+}
+
+fn read_operators(store: &Store, from: Option<u64>, tx: &Sender<Event>) -> Outcome {
+    let Some(from) = from else {
+        let newest = store.newest(Topic::Operators)?;
+        for (key, value) in &newest.records {
+            take_operator(key, value, tx);
+        }
+        return Ok(Some(newest.end));
+    };
+    match store.read(Topic::Operators, from, OPERATORS_WAIT)? {
+        Read::Dropped => Ok(None),
+        Read::Records { records, next } => {
+            for Record { key, value } in &records {
+                if let Some(value) = value {
+                    take_operator(key, value, tx);
+                }
+            }
+            Ok(Some(next))
+        }
+    }
+}
+
+fn take_operator(key: &str, value: &[u8], tx: &Sender<Event>) {
+    let event = match records::operator_record(key, value) {
+        Ok(OperatorRecord::Config(cfg)) => Event::Config(Arc::new(cfg)),
+        Ok(OperatorRecord::Wave(wave)) => Event::Wave(wave),
+        Ok(OperatorRecord::Other) => return,
+        Err(error) => {
+            warn!(%error, "record of an operator passed over");
+            return;
+        }
+    };
+    // The receiver is gone only when the leadership is over, and then so is this thread.
+    let _ = tx.send(event);
+}
+
+fn read_endpoints(store: &Store, from: Option<u64>, tx: &Sender<Event>) -> Outcome {
+    let Some(from) = from else {
+        let newest = store.newest(Topic::Endpoints)?;
+        let reports = newest.records.iter().filter_map(|(id, value)| {
+            let report = records::endpoint_report(id, value);
+            report
+                .map_err(|error| info!(%error, "entry passed over"))
+                .ok()
+        });
+        let _ = tx.send(Event::EndpointsRead(reports.collect()));
+        return Ok(Some(newest.end));
+    };
+    match store.read(Topic::Endpoints, from, ENDPOINTS_WAIT)? {
+        Read::Dropped => Ok(None),
+        Read::Records { records, next } => {
+            for record in records {
+                take_endpoint(&record, tx);
+            }
+            Ok(Some(next))
+        }
+    }
+}
+
+fn take_endpoint(record: &Record, tx: &Sender<Event>) {
+    let Some(value) = &record.value else {
+        let _ = tx.send(Event::EndpointUnlisted(Arc::from(&*record.key)));
+        return;
+    };
+    match records::endpoint_report(&record.key, value) {
+        Ok(report) => {
+            let _ = tx.send(Event::EndpointListed(report));
+        }
+        Err(error) => info!(%error, "entry passed over"),
+    }
+}
--- /dev/null
+++ b/pomelohitchd/src/fleet/members.rs
@@ -0,0 +1,132 @@
+//! Follows the members and their leader in the store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pomelohitch_adapter::store::{Guard, Read, Store, Topic};
+use pomelohitch_sched::progress::{self, Record};
+use tracing::{info, warn};
+
+use super::clock;
+use super::shared::Shared;
+use super::wire::{self, Alive, Leader, Member};
+
+/// A read waits so long for news. Shorter, and every member reads more often; longer, and a
+/// connection that went silent is noticed later.
+const WAIT: Duration = Duration::from_secs(2);
+/// Time for the own record to be written.
+const REGISTER_WITHIN: Duration = Duration::from_secs(1);
+/// Pause after a call that failed.
+const AGAIN_AFTER: Duration = Duration::from_millis(250);
+
+/// Follows the topic of members until the process shuts down.
+pub fn run(shared: &Arc<Shared>) {
+    let store = shared.store();
+    let mut is_reachable = true;
+    let mut from = None;
+    while !shared.is_leaving() {
+        let outcome = match from {
+            None => read_all(shared, &store),
+            Some(from) => read_on(shared, &store, from),
+        };
+        match outcome {
+            Ok(next) => {
+                if !is_reachable {
+                    info!("store regained");
+                }
+                is_reachable = true;
+                from = next;
+                register(shared, &store);
+            }
+            Err(error) => {
+                if is_reachable {
+                    warn!(%error, "store lost");
+                }
+                is_reachable = false;
+                std::thread::sleep(AGAIN_AFTER);
+            }
+        }
+    }
+}
+
+type Outcome = Result<Option<u64>, pomelohitch_adapter::Error>;
+
+/// Reads every member's newest record.
+///
+/// # Errors
+/// If the store cannot be reached, refuses or answers unreadably.
+pub fn read_all(shared: &Shared, store: &Store) -> Outcome {
+    let newest = store.newest(Topic::Members)?;
+    shared.update(|view| {
+        view.members.clear();
+        view.store_at = clock::steady();
+        view.members_end = newest.end;
+        view.is_read = true;
+    });
+    for (key, value) in &newest.records {
+        take(shared, key, Some(value));
+    }
+    Ok(Some(newest.end))
+}
+
+fn read_on(shared: &Shared, store: &Store, from: u64) -> Outcome {
+    match store.read(Topic::Members, from, WAIT)? {
+        Read::Dropped => Ok(None),
+        Read::Records { records, next } => {
+            shared.update(|view| {
+                view.store_at = clock::steady();
+                view.members_end = next;
+            });
+            for Record { key, value } in &records {
+                take(shared, key, value.as_deref());
+            }
+            Ok(Some(next))
+        }
+    }
+}
+
+/// Takes in one record. One that can't be read names nobody.
+fn take(shared: &Shared, key: &str, value: Option<&[u8]>) {
+    if let Some(name) = wire::member_of(key) {
+        let member = value.and_then(|v| postcard::from_bytes::<Member>(v).ok());
+        shared.update(|view| match member {
+            Some(member) => {
+                view.members.insert(name.into(), member.addr);
+            }
+            None => {
+                view.members.remove(name);
+            }
+        });
+    } else if key == wire::LEADER_KEY {
+        if let Some(leader) = value.and_then(|v| postcard::from_bytes::<Leader>(v).ok()) {
+            shared.follow(&leader);
+        }
+    } else if key == wire::ALIVE_KEY
+        && let Some(alive) = value.and_then(|v| postcard::from_bytes::<Alive>(v).ok())
+    {
+        shared.update(|view| {
+            if view.leader.as_ref().is_some_and(|l| l.epoch == alive.epoch) {
+                view.alive_at = clock::steady();
+            }
+        });
+    }
+}
+
+/// Writes the own record if it isn't there as it should be.
+fn register(shared: &Shared, store: &Store) {
+    let site = shared.site.load();
+    let is_registered = shared.view().members.get(&site.member) == Some(&site.internal);
+    if is_registered {
+        return;
+    }
+    let member = Member {
+        addr: site.internal,
+    };
+    let record = progress::encode(wire::member_key(&site.member), &member);
+    let written = record.map(|r| store.append(Topic::Members, &[r], Guard::Free, REGISTER_WITHIN));
+    match written {
+        Ok(Ok(_)) => info!(member = %site.member, addr = %site.internal, "member registered"),
+        Ok(Err(error)) => warn!(%error, "member not registered"),
+        Err(error) => warn!(%error, "member not registered"),
+    }
+}
--- /dev/null
+++ b/pomelohitchd/src/fleet/peers.rs
@@ -0,0 +1,95 @@
+//! Calls to other entry instances.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pomelohitch_adapter::call::{self, Client, Request};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu};
+
+/// An entry instance answers heartbeats and probes within a few milliseconds.
+const WITHIN: Duration = Duration::from_millis(350);
+/// A connection that isn't made by then won't be.
+const CONNECT: Duration = Duration::from_millis(200);
+
+/// Stack of a thread that makes one call, bytes.
+const STACK: usize = 256 * 1024;
+
+/// A call to another entry instance that failed.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// No answer, or a refusal.
+    #[snafu(display("{source}"))]
+    Call {
+        /// What went wrong.
+        source: call::Error,
+    },
+    /// A message that can't be read or written.
+    #[snafu(display("{path} at {peer}: {source}"))]
+    Message {
+        /// What was asked.
+        path: &'static str,
+        /// Whom.
+        peer: SocketAddr,
+        /// What is wrong with it.
+        source: postcard::Error,
+    },
+}
+
+/// The result of this module.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// A client of one entry instance, for one thread.
+#[must_use]
+pub fn client(peer: SocketAddr) -> Client {
+    Client::new(peer, CONNECT)
+}
+
+/// Sends a message and reads the answer.
+///
+/// # Errors
+/// If the peer can't be reached in time, refuses or answers unreadably.
+pub fn ask<T: DeserializeOwned>(
+    client: &Client,
+    path: &'static str,
+    message: &impl Serialize,
+    within: Duration,
+) -> Result<T> {
+    let peer = client.peer();
+    let body = postcard::to_allocvec(message).context(MessageSnafu { path, peer })?;
+    let body = client
+        .get_ok(&Request {
+            step: path,
+            path,
+            body: Some(&body),
+            within,
+            ..Request::default()
+        })
+        .context(CallSnafu)?;
+    postcard::from_bytes(&body).context(MessageSnafu { path, peer })
+}
+
+/// Asks all of `peers` at once, and returns the answers that came in time.
+pub fn ask_all<T: DeserializeOwned + Send + 'static>(
+    peers: &[SocketAddr],
+    path: &'static str,
+    message: &(impl Serialize + Clone + Send + 'static),
+) -> Vec<(SocketAddr, T)> {
+    let asked: Vec<_> = peers
+        .iter()
+        .map(|&peer| {
+            let message = message.clone();
+            std::thread::Builder::new()
+                .name("ask".into())
+                .stack_size(STACK)
+                .spawn(move || ask::<T>(&client(peer), path, &message, WITHIN))
+                .map(|thread| (peer, thread))
+        })
+        .collect();
+    let answers = asked.into_iter().flatten().filter_map(|(peer, thread)| {
+        let answer = thread.join().ok()?.ok()?;
+        Some((peer, answer))
+    });
+    answers.collect()
+}
--- /dev/null
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -0,0 +1,198 @@
+//! What the threads of one process know together.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use pomelohitch_adapter::Client;
+use pomelohitch_adapter::settings::Site;
+use pomelohitch_adapter::store::Store;
+use pomelohitch_sched::{Epoch, Steady};
+use tracing::info;
+
+use super::clock;
+use super::leader::core::Event;
+use super::wire::Leader;
+
+/// A connection to the store that isn't made by then won't be.
+const STORE_CONNECT: Duration = Duration::from_millis(500);
+
+/// What is known of members, leader and store.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Where each member takes calls.
+    pub members: BTreeMap<Box<str>, SocketAddr>,
+    /// The leader of the highest epoch known.
+    pub leader: Option<Leader>,
+    /// When the leader was last heard.
+    pub heard_at: Steady,
+    /// When the leader's sign of life in the store last changed.
+    pub alive_at: Steady,
+    /// When the store last answered.
+    pub store_at: Steady,
+    /// Where the topic of members ended when it was last read.
+    pub members_end: u64,
+    /// Whether the members were read at all.
+    pub is_read: bool,
+}
+
+/// The leadership that this process holds.
+#[derive(Debug, Clone)]
+pub struct Leading {
+    /// Which.
+    pub epoch: Epoch,
+    /// Takes events; closed when the leadership ends.
+    pub events: Sender<Event>,
+}
+
+/// Shared by all threads of one process.
+#[derive(Debug)]
+pub struct Shared {
+    /// The newest settings.
+    pub site: ArcSwap<Site>,
+    view: Mutex<View>,
+    changed: Condvar,
+    leading: Mutex<Option<Leading>>,
+    is_leaving: AtomicBool,
+    claim_asked: AtomicBool,
+}
+
+impl Shared {
+    /// A process that knows nothing yet.
+    #[must_use]
+    pub fn new(site: Site) -> Shared {
+        let now = clock::steady();
+        let view = View {
+            heard_at: now,
+            alive_at: now,
+            ..View::default()
+        };
+        Shared {
+            site: ArcSwap::from_pointee(site),
+            view: Mutex::new(view),
+            changed: Condvar::new(),
+            leading: Mutex::new(None),
+            is_leaving: AtomicBool::new(false),
+            claim_asked: AtomicBool::new(false),
+        }
+    }
+
+    /// A client of the store for one thread.
+    #[must_use]
+    pub fn store(&self) -> Store {
+        Store::new(Client::new(self.site.load().store, STORE_CONNECT))
+    }
+
+    /// What is known now.
+    #[must_use]
+    pub fn view(&self) -> View {
+        self.lock().clone()
+    }
+
+    /// Changes what is known, and wakes who waits for a change.
+    pub fn update(&self, change: impl FnOnce(&mut View)) {
+        change(&mut self.lock());
+        self.changed.notify_all();
+    }
+
+    /// Takes in who leads; an older epoch than the one known changes nothing.
+    pub fn follow(&self, leader: &Leader) -> bool {
+        let mut view = self.lock();
+        let known = view.leader.as_ref().map_or(0, |l| l.epoch);
+        if leader.epoch < known {
+            return false;
+        }
+        if leader.epoch > known {
+            info!(epoch = leader.epoch, leader = %leader.member, addr = %leader.addr, "leader known");
+            view.leader = Some(leader.clone());
+            view.heard_at = clock::steady();
+            view.alive_at = view.heard_at;
+            self.changed.notify_all();
+        }
+        true
+    }
+
+    /// Waits for a change of what is known, at most `time`.
+    pub fn wait(&self, time: Duration) {
+        let view = self.lock();
+        let waited = self.changed.wait_timeout(view, time);
+        drop(waited.unwrap_or_else(PoisonError::into_inner));
+    }
+
+    /// The leadership that this process holds, if any.
+    #[must_use]
+    pub fn leading(&self) -> Option<Leading> {
+        let leading = self.leading.lock();
+        leading.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Begins or ends the leadership of this process.
+    pub fn set_leading(&self, leading: Option<Leading>) {
+        let mut held = self.leading.lock().unwrap_or_else(PoisonError::into_inner);
+        *held = leading;
+        drop(held);
+        self.changed.notify_all();
+    }
+
+    /// Whether the process shuts down.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Acquire)
+    }
+
+    /// Begins the shutdown.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Release);
+        self.changed.notify_all();
+    }
+
+    /// Asks this process to take the leadership over.
+    pub fn ask_claim(&self) {
+        self.claim_asked.store(true, Ordering::Release);
+        self.changed.notify_all();
+    }
+
+    /// Whether this process was asked to take over, once.
+    #[must_use]
+    pub fn take_claim(&self) -> bool {
+        self.claim_asked.swap(false, Ordering::AcqRel)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, View> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Starts a named thread.
+///
+/// # Errors
+/// If the system has no room for another thread.
+pub fn spawn(
+    name: &str,
+    run: impl FnOnce() + Send + 'static,
+) -> std::io::Result<std::thread::JoinHandle<()>> {
+    /// Enough for a call over HTTP with its parsing; the system's default of 8 MiB is reserved
+    /// for each of some hundred threads otherwise.
+    const STACK: usize = 512 * 1024;
+    std::thread::Builder::new()
+        .name(name.into())
+        .stack_size(STACK)
+        .spawn(run)
+}
+
+/// Starts a named thread that works on what is shared.
+///
+/// # Errors
+/// If the system has no room for another thread.
+pub fn spawn_with(
+    name: &str,
+    shared: &Arc<Shared>,
+    run: impl FnOnce(&Arc<Shared>) + Send + 'static,
+) -> std::io::Result<std::thread::JoinHandle<()>> {
+    let shared = shared.clone();
+    spawn(name, move || run(&shared))
+}
--- /dev/null
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -0,0 +1,99 @@
+//! Messages between entry instances, and the records by which they know each other.
+
+use std::net::SocketAddr;
+
+use pomelohitch_sched::Epoch;
+use serde::{Deserialize, Serialize};
+
+/// Path of [`Beat`].
+pub const BEAT: &str = "/beat";
+/// Path of [`Probe`].
+pub const PROBE: &str = "/probe";
+/// Path of a request to take the leadership over now; no body.
+pub const CLAIM: &str = "/claim";
+/// Before the path of a caller's request that is passed on.
+pub const CALL: &str = "/call";
+/// The host that a caller named, on a request that is passed on.
+pub const CALLER_HOST: &str = "X-Caller-Host";
+/// On an answer: the asked process doesn't lead, and did nothing.
+pub const NOT_LEADER: &str = "X-Not-Leader";
+
+/// Who leads.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leader {
+    /// Which leadership.
+    pub epoch: Epoch,
+    /// Whose.
+    pub member: Box<str>,
+    /// Where it takes calls of other entry instances.
+    pub addr: SocketAddr,
+}
+
+/// The leader's heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Who sends it.
+    pub leader: Leader,
+}
+
+/// Answer to a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BeatReply {
+    /// The highest epoch that the member knows.
+    pub epoch: Epoch,
+}
+
+/// Asks a member what it knows of leader and store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Probe {
+    /// Whether to try the store.
+    pub with_store: bool,
+}
+
+/// Answer to a probe.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeReply {
+    /// The highest epoch that the member knows.
+    pub epoch: Epoch,
+    /// How long ago it heard the leader of that epoch, milliseconds.
+    pub heard_ms: u64,
+    /// Whether it reaches the store, if it was to try.
+    pub has_store: bool,
+    /// Whether it is shutting down.
+    pub is_leaving: bool,
+}
+
+/// A member's record; its key is [`member_key`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Where it takes calls of other entry instances.
+    pub addr: SocketAddr,
+}
+
+/// The leader's sign of life in the store, for members that its heartbeats don't reach.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Alive {
+    /// Which leadership.
+    pub epoch: Epoch,
+    /// Counts the signs.
+    pub count: u64,
+}
+
+/// Key of the record of who leads.
+pub const LEADER_KEY: &str = "leader";
+/// Key of the leader's sign of life.
+pub const ALIVE_KEY: &str = "alive";
+/// What the key of a member's record begins with.
+const MEMBER_PREFIX: &str = "member.";
+
+/// Key of a member's record.
+#[must_use]
+pub fn member_key(member: &str) -> Box<str> {
+    format!("{MEMBER_PREFIX}{member}").into()
+}
+
+/// The member that a key names.
+#[must_use]
+pub fn member_of(key: &str) -> Option<&str> {
+    key.strip_prefix(MEMBER_PREFIX)
+}
--- a/pomelohitchd/src/front.rs
+++ b/pomelohitchd/src/front.rs
@@ -9,10 +9,12 @@
 //! accepted here, within limits; `rouille` gives the requests and responses.
 
 use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use pomelohitch_route::Head;
+use rouille::Response;
 use tracing::warn;
 
 use crate::node::Node;
@@ -33,19 +35,42 @@
 /// After an accept that failed, which mostly means that descriptors have run out.
 const ACCEPT_AGAIN_AFTER: Duration = Duration::from_millis(50);
 
-/// What the connections share.
+/// One request as it was read, whole.
 #[derive(Debug)]
+pub struct Incoming {
+    /// Its head.
+    pub head: Head,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Who sent it.
+    pub peer: SocketAddr,
+    /// When its head was complete.
+    pub arrived: Instant,
+}
+
+/// Whose requests are served, and how.
+pub struct Service {
+    /// Whether the process shuts down.
+    pub is_leaving: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Answers a request.
+    pub answer: Box<dyn Fn(Incoming) -> Response + Send + Sync>,
+}
+
+/// What the connections share.
 pub struct Front {
-    /// What the threads of the daemon share.
-    pub node: Arc<Node>,
+    service: Service,
     /// What callers may take up.
     pub limits: Limits,
-    /// How requests are answered.
-    pub exchange: Exchange,
     connections: Gauge,
     body_bytes: Gauge,
 }
 
+impl Front {
+    fn is_leaving(&self) -> bool {
+        (self.service.is_leaving)()
+    }
+}
+
 /// Serves callers until `node` shuts down and the last answer is written.
 pub fn run(node: &Arc<Node>, listener: &TcpListener) {
     serve(node, listener, Limits::default());
@@ -53,9 +78,19 @@
 
 /// Serves callers within `limits` until `node` shuts down and the last answer is written.
 pub fn serve(node: &Arc<Node>, listener: &TcpListener, limits: Limits) {
+    let exchange = Exchange::new(node.clone());
+    let node = node.clone();
+    let service = Service {
+        is_leaving: Box::new(move || node.is_leaving()),
+        answer: Box::new(move |i| exchange.answer(i.head, i.body, i.peer, i.arrived)),
+    };
+    serve_with(service, listener, limits);
+}
+
+/// Serves `service` within `limits` until it leaves and the last answer is written.
+pub fn serve_with(service: Service, listener: &TcpListener, limits: Limits) {
     let front = Arc::new(Front {
-        node: node.clone(),
-        exchange: Exchange::new(node.clone()),
+        service,
         connections: Gauge::new(limits.connections),
         body_bytes: Gauge::new(limits.body_bytes_together),
         limits,
@@ -64,8 +99,8 @@
         Ok(listener) => accept_in_background(&front, listener),
         Err(error) => warn!(%error, "callers can't be accepted"),
     }
-    while !node.is_leaving() {
-        std::thread::sleep(TICK);
+    while !front.is_leaving() {
+        std::thread::sleep(front.limits.leaving_tick);
     }
     shut_down(&front, listener);
 }
@@ -99,7 +134,7 @@
     let mut leaving_since = None;
     loop {
         let accepted = listener.accept();
-        if leaving_since.is_none() && front.node.is_leaving() {
+        if leaving_since.is_none() && front.is_leaving() {
             leaving_since = Some(Instant::now());
         }
         let is_over = leaving_since.is_some_and(|at| at.elapsed() >= front.limits.leaving_grace);
--- a/pomelohitchd/src/front/connection.rs
+++ b/pomelohitchd/src/front/connection.rs
@@ -9,11 +9,9 @@
 use rouille::Response;
 use snafu::Snafu;
 
-use super::Front;
 use super::exchange;
+use super::{Front, Incoming};
 
-/// How often an idle connection looks whether the process shuts down.
-const IDLE_TICK: Duration = Duration::from_millis(250);
 /// Bytes read at a time.
 const CHUNK: usize = 8 * 1024;
 /// After a refusal, what the caller still sends is read and dropped for so long, and so much.
@@ -77,8 +75,13 @@
             Err(error) => return self.refuse(&error),
         };
         let (keep_alive, is_head) = (head.keep_alive, &*head.method == "HEAD");
-        let response = self.front.exchange.answer(head, body, peer, arrived);
-        let is_last = !keep_alive || self.front.node.is_leaving();
+        let response = (self.front.service.answer)(Incoming {
+            head,
+            body,
+            peer,
+            arrived,
+        });
+        let is_last = !keep_alive || self.front.is_leaving();
         self.write(response, is_last, is_head) && !is_last
     }
 
@@ -103,7 +106,7 @@
         let mut deadline = Instant::now() + limits.idle;
         let mut is_leaving = false;
         while self.buf.is_empty() {
-            if !is_leaving && self.front.node.is_leaving() {
+            if !is_leaving && self.front.is_leaving() {
                 is_leaving = true;
                 deadline = deadline.min(Instant::now() + limits.leaving_grace);
             }
@@ -111,7 +114,7 @@
             if now >= deadline {
                 return EndedSnafu.fail();
             }
-            match self.read_until(deadline.min(now + IDLE_TICK)) {
+            match self.read_until(deadline.min(now + limits.idle_tick)) {
                 Ok(()) | Err(Error::Slow) => {}
                 Err(error) => return Err(error),
             }
--- a/pomelohitchd/src/front/limits.rs
+++ b/pomelohitchd/src/front/limits.rs
@@ -26,6 +26,10 @@
     pub write_within: Duration,
     /// How long a connection may be idle between requests.
     pub idle: Duration,
+    /// How often an idle connection looks whether the process shuts down.
+    pub idle_tick: Duration,
+    /// How often the accepting side looks whether the process shuts down.
+    pub leaving_tick: Duration,
     /// How long new connections are served after a graceful shutdown began.
     pub leaving_grace: Duration,
 }
@@ -40,6 +44,8 @@
             body_within: Duration::from_secs(20),
             write_within: Duration::from_secs(20),
             idle: Duration::from_secs(30),
+            idle_tick: Duration::from_millis(250),
+            leaving_tick: Duration::from_millis(10),
             leaving_grace: Duration::from_secs(1),
         }
     }
--- a/pomelohitchd/src/lib.rs
+++ b/pomelohitchd/src/lib.rs
@@ -19,12 +19,14 @@
 //! * [`batch`]: places batch jobs and carries it out, while this member plans.
 //! * [`readiness`]: whether a member that joined has caught up far enough to serve.
 //! * [`withdraw`]: withdraws a key at once, also while the log is down.
+//! * [`fleet`]: the daemon on the users' platform, which takes the place of all of these there.
 //! * [`snapshots`]: writes snapshots while this member plans.
 //! * [`lifecycle`]: start, graceful shutdown, exit codes.
 
 pub mod admin;
 pub mod batch;
 pub mod burn;
+pub mod fleet;
 pub mod freshness;
 pub mod front;
 pub mod group_commit;
--- a/pomelohitchd/src/main.rs
+++ b/pomelohitchd/src/main.rs
@@ -3,10 +3,13 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use pomelohitchd::lifecycle;
 use pomelohitchd::settings::Settings;
+use pomelohitchd::{fleet, lifecycle};
 
 fn main() -> ExitCode {
+    if let Some(path) = std::env::var_os(pomelohitch_adapter::settings::PATH_VARIABLE) {
+        return fleet::lifecycle::run(path.as_ref());
+    }
     let settings = Settings::parse();
     lifecycle::run(settings)
 }
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -177,6 +177,18 @@
         "messages",
         "Messages about permits between entry instances.",
     ),
+    Metric {
+        name: "journal_append_seconds",
+        kind: Kind::Histogram,
+        unit: "seconds",
+        labels: "",
+        about: "How long appends of the leader to the platform's store took.",
+    },
+    counter(
+        "requests_given_up",
+        "requests",
+        "Requests of callers for which no leader answered in time.",
+    ),
     Metric {
         name: "planner_look_seconds",
         kind: Kind::Histogram,
