feat: tests of the scheduler against endpoints and a log in virtual time

A test shows the wave that was told as completed: an instance that crashed is missing for some seconds, the platform refuses the order for it, and the refusal counted as done. Failing first with that, green after: refused orders are made again, and only instances that are listed as up are ordered down.

--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -8,7 +8,7 @@
 use super::Cell;
 use crate::Steady;
 use crate::id::{EndpointId, InstanceId};
-use crate::instances::{Instance, Remaining, Wave};
+use crate::instances::{Instance, InstanceState, Remaining, Wave};
 use crate::order::{Action, Operation, OperationOutcome};
 
 /// How often the list of instances is read while something is under way.
@@ -122,7 +122,12 @@
                 .as_ref()
                 .and_then(|e| self.endpoints.get(e))
                 .is_none_or(|e| e.runs.is_empty());
-            if is_empty && may_begin > 0 && self.may_operate() {
+            let is_up = self
+                .instances
+                .list()
+                .get(id)
+                .is_some_and(|i| i.state == InstanceState::Up);
+            if is_up && is_empty && may_begin > 0 && self.may_operate() {
                 may_begin -= 1;
                 self.maintain(wave.wave, id);
             }
--- a/crates/pomelohitch-sched/src/instances.rs
+++ b/crates/pomelohitch-sched/src/instances.rs
@@ -95,7 +95,7 @@
 
 /// After a call that was taken, a list that was asked for earlier than this may not show it yet.
 const LIST_LAG: Duration = Duration::from_millis(300);
-/// A call without an answer is made again after this.
+/// A call that wasn't taken, or not answered, is made again after this.
 const UNANSWERED_AFTER: Duration = Duration::from_millis(1500);
 /// An instance missing from the list for longer than any crash of today lasts (10 s) is gone.
 const GONE_AFTER: Duration = Duration::from_secs(16);
@@ -265,16 +265,12 @@
                 }
                 wave.map(|w| self.confirm(w, id)).transpose()
             }
-            // Refused for good: the platform knows no such instance in that wave.
-            OperationOutcome::Refused => {
-                self.under_way.remove(id);
-                wave.map(|w| self.confirm(w, id)).transpose()
-            }
-            OperationOutcome::Busy | OperationOutcome::Later => {
-                self.under_way.remove(id);
-                Ok(None)
-            }
-            OperationOutcome::Unanswered => Ok(None),
+            // Ordered again after a while, also when the platform says that there is no such
+            // instance: it may have crashed and come back.
+            OperationOutcome::Refused
+            | OperationOutcome::Busy
+            | OperationOutcome::Later
+            | OperationOutcome::Unanswered => Ok(None),
         }
     }
 
--- /dev/null
+++ b/crates/pomelohitch-sched/tests/cell.rs
@@ -0,0 +1,15 @@
+//! Tests of the scheduler against endpoints, a log and callers in virtual time.
+
+#[path = "cell/fleet.rs"]
+mod fleet;
+
+#[path = "cell/calls.rs"]
+mod calls;
+#[path = "cell/ends.rs"]
+mod ends;
+#[path = "cell/leaders.rs"]
+mod leaders;
+#[path = "cell/random.rs"]
+mod random;
+#[path = "cell/waves.rs"]
+mod waves;
--- /dev/null
+++ b/crates/pomelohitch-sched/tests/cell/calls.rs
@@ -0,0 +1,136 @@
+//! What callers ask and are told.
+
+use pomelohitch_sched::cell::calls::Verb;
+use pomelohitch_sched::job::StepSpec;
+use pomelohitch_sched::order::Answer;
+use pomelohitch_sched::progress::JobState;
+
+use super::fleet::{Fleet, job, step};
+
+const ID: &str = "00000000000000a1";
+
+#[test]
+fn a_job_of_two_steps_runs_in_order_and_is_told_as_completed() {
+    let mut fleet = Fleet::new(3);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(3, 1000, 300)
+    };
+    let call = fleet.submit(ID, job(vec![step(5, 500, 200), second]));
+    fleet.pass(100);
+    assert_eq!(fleet.replies[&call], Answer::Accepted);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    assert_eq!(fleet.starts.len(), 8);
+    fleet.assert_sound();
+}
+
+#[test]
+fn the_same_id_again_is_the_same_job() {
+    let mut fleet = Fleet::new(2);
+    let first = fleet.submit(ID, job(vec![step(2, 500, 100)]));
+    let second = fleet.submit(ID, job(vec![step(2, 500, 100)]));
+    fleet.pass(60);
+    assert_eq!(fleet.replies[&first], Answer::Accepted);
+    assert_eq!(fleet.replies[&second], Answer::Accepted);
+    assert_eq!(fleet.starts.len(), 2);
+}
+
+/// A job is accepted only once its record is durable. Were it told earlier, a caller would think
+/// it safe while nobody knows of it after all entry instances lose power.
+#[test]
+fn a_job_is_not_accepted_before_its_record_is_durable() {
+    let mut fleet = Fleet::new(2);
+    fleet.is_log_up = false;
+    let call = fleet.submit(ID, job(vec![step(1, 500, 100)]));
+    fleet.pass(50);
+    assert!(!fleet.replies.contains_key(&call));
+    assert!(fleet.starts.is_empty());
+    fleet.is_log_up = true;
+    fleet.pass(5);
+    assert_eq!(fleet.replies[&call], Answer::Accepted);
+}
+
+#[test]
+fn while_the_log_is_known_to_be_down_callers_are_told_to_come_back() {
+    let mut fleet = Fleet::new(2);
+    fleet.cell.log_is_down(true);
+    let submitted = fleet.submit(ID, job(vec![step(1, 500, 100)]));
+    fleet.pass(2);
+    assert!(matches!(fleet.replies[&submitted], Answer::Refused { .. }));
+}
+
+#[test]
+fn calls_that_no_job_or_queue_answers_are_told_so() {
+    let mut fleet = Fleet::new(1);
+    let cases = [
+        ("/q/00000000000000ff", Some("key"), Verb::Read),
+        ("/q/00000000000000ff", Some("key"), Verb::Cancel),
+        ("/q/not-an-id", Some("key"), Verb::Read),
+        (
+            "/q/00000000000000FF",
+            Some("key"),
+            Verb::Submit(Ok(job(vec![step(1, 1, 1)]))),
+        ),
+        ("/none/00000000000000ff", Some("key"), Verb::Read),
+        ("/q/00000000000000ff", Some("withdrawn"), Verb::Read),
+        ("/q/00000000000000ff", None, Verb::Read),
+        ("/q/", Some("key"), Verb::Read),
+    ];
+    let calls: Vec<_> = cases
+        .into_iter()
+        .map(|(path, key, verb)| fleet.call_with(path, key, verb))
+        .collect();
+    fleet.pass(2);
+    let answers: Vec<_> = calls.iter().map(|c| fleet.replies[c].clone()).collect();
+    insta::assert_debug_snapshot!(answers);
+}
+
+/// What isn't a job is refused and starts nothing: no steps, a step that waits for itself or a
+/// later one, no tasks, more tasks than memory allows.
+#[test]
+fn what_is_not_a_job_is_refused() {
+    let mut fleet = Fleet::new(1);
+    let circle = StepSpec {
+        after: vec![0],
+        ..step(1, 1, 1)
+    };
+    let drafts = [
+        job(vec![]),
+        job(vec![circle]),
+        job(vec![step(0, 1, 1)]),
+        job(vec![step(u32::MAX, 1, 1)]),
+    ];
+    let calls: Vec<_> = drafts.into_iter().map(|d| fleet.submit(ID, d)).collect();
+    fleet.pass(10);
+    for call in calls {
+        assert!(matches!(fleet.replies[&call], Answer::Malformed(_)));
+    }
+    assert!(fleet.starts.is_empty());
+}
+
+#[test]
+fn a_cancelled_job_stops_and_starts_nothing_more() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(ID, job(vec![step(20, 1000, 10_000)]));
+    fleet.pass(20);
+    assert_eq!(fleet.endpoint("e0").running().len(), 4);
+    let call = fleet.call(&format!("/q/{ID}"), Verb::Cancel);
+    fleet.pass(5);
+    assert_eq!(fleet.replies[&call], Answer::Cancelled);
+    fleet.pass(50);
+    assert!(fleet.endpoint("e0").running().is_empty());
+    assert_eq!(fleet.starts.len(), 4);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Cancelled));
+}
+
+#[test]
+fn jobs_that_have_not_begun_are_counted_as_waiting() {
+    let mut fleet = Fleet::new(1);
+    for id in 1..=3 {
+        fleet.submit(&format!("{id:016x}"), job(vec![step(1, 4000, 5_000)]));
+    }
+    fleet.pass(20);
+    let call = fleet.call("/q/", Verb::Read);
+    fleet.pass(1);
+    assert_eq!(fleet.replies[&call], Answer::Waiting(2));
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/tests/cell/ends.rs
@@ -0,0 +1,147 @@
+//! Ends of runs, and endpoints that fail.
+
+use pomelohitch_sched::cell::calls::Verb;
+use pomelohitch_sched::order::Answer;
+use pomelohitch_sched::progress::JobState;
+
+use super::fleet::{Fleet, job, step};
+
+const ID: &str = "00000000000000a1";
+
+#[test]
+fn a_task_that_fails_too_often_fails_its_job() {
+    let mut fleet = Fleet::new(1);
+    fleet.endpoint("e0").fails = true;
+    fleet.submit(ID, job(vec![step(1, 500, 50)]));
+    fleet.pass(200);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Failed));
+    assert_eq!(fleet.starts.len(), 3);
+}
+
+#[test]
+fn a_task_that_failed_is_tried_elsewhere() {
+    let mut fleet = Fleet::new(2);
+    fleet.endpoint("e0").fails = true;
+    fleet.submit(ID, job(vec![step(4, 500, 50)]));
+    fleet.pass(200);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+}
+
+/// Ends are acknowledged to the endpoint only once they are durable. Acknowledged earlier, an end
+/// would be forgotten by the endpoint and unknown to a new leader, and the task would run twice.
+#[test]
+fn ends_are_acknowledged_only_when_durable() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(ID, job(vec![step(1, 500, 100)]));
+    fleet.pass(8);
+    fleet.is_log_up = false;
+    fleet.pass(100);
+    assert_eq!(fleet.endpoint("e0").unacknowledged(), 1);
+    fleet.is_log_up = true;
+    fleet.pass(60);
+    assert_eq!(fleet.endpoint("e0").unacknowledged(), 0);
+}
+
+/// An endpoint stops answering while it runs a task. The task must not start elsewhere before the
+/// lease has surely run out, and must then, or the caller waits for ever.
+#[test]
+fn what_a_silent_endpoint_ran_starts_elsewhere_after_its_lease() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(ID, job(vec![step(1, 500, 20_000)]));
+    fleet.pass(20);
+    let (_, _, at) = fleet.starts[0].clone();
+    fleet.endpoint(&at).is_silent = true;
+    fleet.pass(500);
+    assert_eq!(fleet.starts.len(), 1);
+    fleet.pass(400);
+    assert_eq!(fleet.starts.len(), 2);
+    assert_ne!(fleet.starts[1].2, at);
+    fleet.assert_sound();
+}
+
+#[test]
+fn what_ran_on_a_restarted_endpoint_starts_again() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(ID, job(vec![step(1, 500, 1_000)]));
+    fleet.pass(20);
+    fleet.restart("e0");
+    fleet.list();
+    fleet.pass(300);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    assert_eq!(fleet.starts.len(), 2);
+    fleet.assert_sound();
+}
+
+/// The endpoint carries out a start, but its answer is lost. The run is found by a look or
+/// stopped; in no case do two run at once.
+#[test]
+fn a_start_whose_answer_is_lost_runs_once() {
+    let mut fleet = Fleet::new(3);
+    fleet.endpoint("e0").loses_answers = true;
+    fleet.submit(ID, job(vec![step(9, 1000, 300)]));
+    fleet.pass(400);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    fleet.assert_sound();
+}
+
+#[test]
+fn a_lasting_task_comes_back_however_it_ends() {
+    let mut fleet = Fleet::new(2);
+    let mut lasting = step(2, 500, 100);
+    lasting.is_lasting = true;
+    fleet.submit(ID, job(vec![lasting]));
+    fleet.pass(30);
+    for endpoint in fleet.endpoints.values_mut() {
+        endpoint.fails = true;
+    }
+    fleet.pass(10);
+    for endpoint in fleet.endpoints.values_mut() {
+        endpoint.fails = false;
+    }
+    fleet.pass(100);
+    let running: usize = fleet.endpoints.values().map(|e| e.running().len()).sum();
+    assert_eq!(running, 2);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Running));
+    fleet.assert_sound();
+}
+
+#[test]
+fn nothing_starts_on_an_endpoint_that_drains() {
+    let mut fleet = Fleet::new(2);
+    fleet.endpoint("e0").report.is_draining = true;
+    fleet.list();
+    fleet.submit(ID, job(vec![step(4, 1000, 300)]));
+    fleet.pass(30);
+    assert!(fleet.starts.iter().all(|(_, _, at)| &**at == "e1"));
+}
+
+#[test]
+fn a_lasting_task_leaves_an_endpoint_that_drains() {
+    let mut fleet = Fleet::new(2);
+    let mut lasting = step(1, 500, 100);
+    lasting.is_lasting = true;
+    fleet.submit(ID, job(vec![lasting]));
+    fleet.pass(30);
+    let (_, _, at) = fleet.starts[0].clone();
+    fleet.endpoint(&at).report.is_draining = true;
+    fleet.list();
+    fleet.pass(150);
+    assert!(fleet.endpoint(&at).running().is_empty());
+    assert_eq!(fleet.starts.len(), 2);
+    fleet.assert_sound();
+}
+
+#[test]
+fn no_more_than_a_workspaces_bound_runs() {
+    let mut fleet = Fleet::new(3);
+    let mut cfg = super::fleet::config(2);
+    cfg.workspaces[0].bound.cpu = 2500;
+    fleet.cell.configure(cfg.into());
+    fleet.submit(ID, job(vec![step(9, 1000, 2_000)]));
+    fleet.pass(100);
+    let running: usize = fleet.endpoints.values().map(|e| e.running().len()).sum();
+    assert_eq!(running, 2);
+    let cancelled = fleet.call(&format!("/q/{ID}"), Verb::Cancel);
+    fleet.pass(50);
+    assert_eq!(fleet.replies[&cancelled], Answer::Cancelled);
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -0,0 +1,74 @@
+//! Maintenance in waves.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pomelohitch_sched::instances::Wave;
+
+use super::fleet::{Fleet, job, step};
+
+fn wave(instances: &[&str], at_once: usize) -> Wave {
+    Wave {
+        number: 1,
+        instances: instances.iter().map(|i| Arc::from(*i)).collect(),
+        within: Duration::from_secs(20),
+        at_once,
+    }
+}
+
+fn operated(fleet: &Fleet) -> Vec<&str> {
+    fleet.operations.iter().map(|(id, _)| &**id).collect()
+}
+
+#[test]
+fn a_wave_takes_down_no_more_at_once_than_it_may() {
+    let mut fleet = Fleet::new(4);
+    fleet.cell.wave(wave(&["m0", "m1", "m2", "m3"], 2));
+    fleet.pass(400);
+    assert_eq!(operated(&fleet).len(), 2);
+}
+
+#[test]
+fn a_wave_waits_until_nothing_runs_on_an_instance() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit("00000000000000a1", job(vec![step(1, 500, 6_000)]));
+    fleet.pass(20);
+    fleet.cell.wave(wave(&["m0"], 1));
+    fleet.pass(500);
+    assert!(fleet.operations.is_empty());
+    fleet.pass(200);
+    assert_eq!(operated(&fleet), ["m0"]);
+}
+
+/// An order to take an instance down is lost, and its leader ends before it knows. Counted as
+/// done, the instance would be left out while the wave is told as completed.
+#[test]
+fn an_order_that_was_lost_with_its_leader_is_made_again() {
+    let mut fleet = Fleet::new(1);
+    fleet.cell.wave(wave(&["m0"], 1));
+    fleet.loses_operations = true;
+    fleet.pass(380);
+    assert_eq!(operated(&fleet), ["m0"]);
+    fleet.change_leader();
+    fleet.loses_operations = false;
+    fleet.cell.wave(wave(&["m0"], 1));
+    fleet.pass(100);
+    assert!(!fleet.statuses.contains(&(1, true)));
+    fleet.pass(500);
+    assert_eq!(operated(&fleet), ["m0", "m0"]);
+    assert!(fleet.statuses.contains(&(1, true)));
+}
+
+/// An instance that crashed is missing from the list for some seconds. It stays due.
+#[test]
+fn an_instance_that_is_missing_for_a_while_stays_due() {
+    let mut fleet = Fleet::new(1);
+    let instance = fleet.instances.remove("m0").expect("it is there");
+    fleet.cell.wave(wave(&["m0"], 1));
+    fleet.pass(1_000);
+    assert!(!fleet.statuses.contains(&(1, true)));
+    fleet.instances.insert("m0".into(), instance);
+    fleet.pass(500);
+    assert_eq!(operated(&fleet), ["m0"]);
+    assert!(fleet.statuses.contains(&(1, true)));
+}
