fix: an instance counts as empty only when it is known to be

Cause: a wave came before the list of instances was read, so that no endpoint was known for its instances, which was taken for empty, and they were taken down with lasting tasks at work. Ruled out: the count of tasks away beside the one that is stopped.

--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -118,16 +118,7 @@
         let mut may_begin = wave.may_begin;
         for id in left.into_iter().take(ahead) {
             let endpoint = self.endpoint_on(id);
-            let is_empty = endpoint
-                .as_ref()
-                .and_then(|e| self.endpoints.get(e))
-                .is_none_or(|e| e.runs.is_empty());
-            let is_up = self
-                .instances
-                .list()
-                .get(id)
-                .is_some_and(|i| i.state == InstanceState::Up);
-            if is_up && is_empty && may_begin > 0 && self.may_operate() {
+            if may_begin > 0 && self.may_operate() && self.is_known_empty(id) {
                 may_begin -= 1;
                 self.maintain(wave.wave, id);
             }
@@ -135,6 +126,17 @@
         }
     }
 
+    /// Whether an instance is up and surely runs nothing. Before the list of instances was read, or
+    /// while its endpoint isn't known, nothing is sure.
+    fn is_known_empty(&self, id: &InstanceId) -> bool {
+        let instance = self.instances.list().get(id);
+        let instance = instance.filter(|i| i.state == InstanceState::Up);
+        let endpoint = instance.and_then(|i| i.endpoint.as_ref());
+        endpoint
+            .and_then(|e| self.endpoints.get(e))
+            .is_some_and(|e| e.runs.is_empty())
+    }
+
     /// Instances that are being emptied stay first, then those with least on them.
     fn emptying_effort(&self, id: &InstanceId) -> (bool, usize, u64) {
         let endpoint = self.endpoint_on(id);
--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -40,6 +40,20 @@
     assert_eq!(operated(&fleet), ["m0"]);
 }
 
+/// A wave comes before the list of instances was ever read, while a lasting task is at work. Taken
+/// for empty, its instance would be taken down under it, beyond what its step may miss.
+#[test]
+fn before_the_list_is_known_no_instance_counts_as_empty() {
+    let mut fleet = Fleet::new(1);
+    let mut lasting = step(1, 500, 100);
+    lasting.is_lasting = true;
+    fleet.submit("00000000000000a1", job(vec![lasting]));
+    fleet.pass(400);
+    fleet.cell.wave(wave(&["m0"], 1));
+    fleet.pass(100);
+    assert!(fleet.operations.is_empty());
+}
+
 /// An order to take an instance down is lost, and its leader ends before it knows. Counted as
 /// done, the instance would be left out while the wave is told as completed.
 #[test]
