feat: pools follow demand

Cause: a queue in its turn asks for up to 17 instances where its pool holds 8 to 12, so that half of its jobs were late, while the other pools stood idle. What arrived work will take, and from the second round what the same time of the last round took, decides what a pool wants; the emptiest instances of pools that have more move there. Tasks are packed so that instances are empty.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -5,7 +5,8 @@
 //! * [`looks`]: what endpoints say.
 //! * [`schedule`]: which tasks start where.
 //! * [`evict`]: lasting tasks that have to go elsewhere, and pacing of fillers.
-//! * [`upkeep`]: instances that are maintained or moved.
+//! * [`follow`]: pools follow demand.
+//! * [`upkeep`]: instances that are maintained.
 //!
 //! A [`Batch`] holds the records of what was decided since the last one, and the actions that may
 //! be carried out once these records are durable. Batches are made durable one after another.
@@ -15,6 +16,7 @@
 use std::time::Duration;
 
 use crate::config::FleetConfig;
+use crate::demand::Demand;
 use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, Epoch, JobId, QueueName, ServiceName, WorkspaceName};
 use crate::instances::Instances;
@@ -27,6 +29,7 @@
 pub mod books;
 pub mod calls;
 pub mod evict;
+pub mod follow;
 pub mod looks;
 pub mod schedule;
 pub mod upkeep;
@@ -122,6 +125,9 @@
     due: BTreeSet<Due>,
     ended: BTreeSet<Due>,
     instances: Instances,
+    demand: Demand,
+    emptying: BTreeSet<EndpointId>,
+    followed_at: Steady,
     advice: BTreeMap<crate::TaskId, schedule::Advice>,
     dirty: BTreeSet<JobId>,
     fresh_specs: BTreeSet<JobId>,
@@ -190,6 +196,9 @@
             due: BTreeSet::new(),
             ended: BTreeSet::new(),
             instances: Instances::default(),
+            demand: Demand::default(),
+            emptying: BTreeSet::new(),
+            followed_at: Steady::ZERO,
             advice: BTreeMap::new(),
             dirty: BTreeSet::new(),
             fresh_specs: BTreeSet::new(),
--- a/crates/pomelohitch-sched/src/cell/books.rs
+++ b/crates/pomelohitch-sched/src/cell/books.rs
@@ -6,7 +6,7 @@
 use tracing::{info, warn};
 
 use super::{Cell, Job};
-use crate::endpoint::{Endpoint, How};
+use crate::endpoint::{Booked, Endpoint, How};
 use crate::id::{EndpointId, JobId, RunNumber, ServiceName, TaskId, job_text};
 use crate::job::{JobSpec, StepSpec};
 use crate::order::{Action, Due, Order};
@@ -29,6 +29,10 @@
             });
         }
         let runs: Vec<_> = progress.runs(id).map(|(t, r)| (t, r.clone())).collect();
+        if spec.repeat.is_none() {
+            let service = self.service_of(&spec);
+            self.demand.add(&service, &spec.steps, spec.accepted_ms);
+        }
         self.jobs.insert(
             id,
             Job {
@@ -148,10 +152,11 @@
             return;
         };
         let need = self.step(task).map(|s| s.need).unwrap_or_default();
+        let is_lasting = self.step(task).is_some_and(|s| s.is_lasting);
         self.endpoints
             .entry(endpoint.clone())
             .or_insert_with(|| Endpoint::new(born))
-            .occupy(task, number, room);
+            .occupy(task, number, Booked { room, is_lasting });
         if let Some(workspace) = self.workspace_of(task.job) {
             *self.used.entry(workspace).or_default() += &need;
         }
--- /dev/null
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -0,0 +1,110 @@
+//! Pools follow demand.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tracing::info;
+
+use super::Cell;
+use crate::id::{EndpointId, InstanceId, ServiceName};
+use crate::instances::{Instance, InstanceState};
+use crate::order::{Action, Operation};
+use crate::pools::{self, Candidate, Move, Pool};
+
+/// How far ahead a pool provides: the time a move takes (1.5 s), until the endpoint is listed and
+/// looked at (0.3 s), and until the instance is empty (0.5 s).
+const AHEAD: Duration = Duration::from_millis(2300);
+/// How often moves are decided.
+const EVERY: Duration = Duration::from_millis(100);
+
+impl Cell {
+    /// Moves instances to the pools that want them, and returns the endpoints that are being
+    /// emptied for it.
+    pub(super) fn follow_demand(&mut self, is_due: &BTreeSet<InstanceId>) -> BTreeSet<EndpointId> {
+        self.demand.tend(self.now.unix_ms);
+        if !self.may_operate() {
+            return BTreeSet::new();
+        }
+        let now = self.now.steady;
+        if now < self.followed_at + EVERY {
+            return self.emptying.clone();
+        }
+        self.followed_at = now;
+        let pools = self.pools();
+        let candidates = self.movables(is_due);
+        let mut emptying = BTreeSet::new();
+        for Move { instance, to } in pools::plan(&pools, &candidates) {
+            if self.is_known_empty(&instance) {
+                self.move_to(&instance, &to);
+            } else {
+                emptying.extend(self.endpoint_on(&instance));
+            }
+        }
+        self.emptying.clone_from(&emptying);
+        emptying
+    }
+
+    /// Every pool with what it will want: what its queue will ask, and what lasts.
+    fn pools(&self) -> Vec<Pool> {
+        let Some(cfg) = &self.cfg else {
+            return Vec::new();
+        };
+        let pool = |(name, service): (&ServiceName, &crate::config::Service)| Pool {
+            name: name.clone(),
+            is_spare: service.is_spare,
+            wanted: self.demand.most(name, self.now.unix_ms, AHEAD) + self.lasting_need(name),
+        };
+        cfg.services.iter().map(pool).collect()
+    }
+
+    /// Thousandths of a core that lasting tasks of a service take up.
+    fn lasting_need(&self, service: &ServiceName) -> f64 {
+        let of_service = self.endpoints.values().filter(|e| {
+            let report = e.report.as_ref();
+            report.is_some_and(|r| r.service == *service)
+        });
+        let booked = of_service.flat_map(|e| e.runs.values());
+        let cpu: u64 = booked.filter(|b| b.is_lasting).map(|b| b.room.cpu).sum();
+        f64::from(u32::try_from(cpu).unwrap_or(u32::MAX))
+    }
+
+    /// Every instance that is in a pool or on its way to one. Those that are due for maintenance
+    /// stay where they are until it is over.
+    fn movables(&self, is_due: &BTreeSet<InstanceId>) -> Vec<Candidate> {
+        let list = self.instances.list().values();
+        let there = list.filter(|i| {
+            matches!(i.state, InstanceState::Up | InstanceState::Moving)
+                || self.instances.is_under_way(&i.id)
+        });
+        there.map(|i| self.candidate(i, is_due)).collect()
+    }
+
+    fn candidate(&self, instance: &Instance, is_due: &BTreeSet<InstanceId>) -> Candidate {
+        let endpoint = instance.endpoint.as_ref();
+        let endpoint = endpoint.and_then(|e| self.endpoints.get(e));
+        let has_lasting = endpoint.is_some_and(|e| e.lasting > 0);
+        let is_free = instance.state == InstanceState::Up
+            && !self.instances.is_under_way(&instance.id)
+            && !is_due.contains(&instance.id);
+        let destination = self.instances.destination(&instance.id);
+        Candidate {
+            id: instance.id.clone(),
+            pool: destination.unwrap_or(&instance.pool).clone(),
+            cpu: instance.capacity.cpu,
+            is_movable: is_free && !has_lasting && endpoint.is_some_and(|e| e.is_listed),
+            is_reserved: endpoint.is_some_and(|e| e.is_reserved),
+            used: endpoint.map_or(0, |e| e.used.cpu),
+        }
+    }
+
+    fn move_to(&mut self, id: &InstanceId, pool: &ServiceName) {
+        info!(instance = %id, pool = %pool, period_ms = self.demand.period().map(|p| p.as_millis()),
+            "move decided");
+        let now = self.now.steady;
+        self.instances.set_under_way(id, now, Some(pool.clone()));
+        self.outbox.push(Action::Operate {
+            instance: id.clone(),
+            operation: Operation::Move { pool: pool.clone() },
+        });
+    }
+}
--- a/crates/pomelohitch-sched/src/cell/looks.rs
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -100,6 +100,7 @@
         fresh.instance = endpoint.instance.take();
         fresh.runs = std::mem::take(&mut endpoint.runs);
         fresh.used = endpoint.used;
+        fresh.lasting = endpoint.lasting;
         let runs: Vec<_> = fresh.runs.keys().copied().collect();
         *endpoint = fresh;
         for (task, run) in runs {
--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -80,7 +80,7 @@
         } else {
             LIST_EVERY_IDLE
         };
-        if is_busy && self.instances.wants_list(now, every) {
+        if self.instances.wants_list(now, every) {
             self.outbox.push(Action::ListInstances);
         }
         self.instances.forget_unanswered(now);
@@ -91,6 +91,8 @@
         for wave in remaining {
             self.tend_wave(&wave, &mut reserved);
         }
+        let is_due = self.instances.due();
+        reserved.extend(self.follow_demand(&is_due));
         for (id, endpoint) in &mut self.endpoints {
             endpoint.is_reserved = reserved.contains(id);
         }
@@ -128,7 +130,7 @@
 
     /// Whether an instance is up and surely runs nothing. Before the list of instances was read, or
     /// while its endpoint isn't known, nothing is sure.
-    fn is_known_empty(&self, id: &InstanceId) -> bool {
+    pub(super) fn is_known_empty(&self, id: &InstanceId) -> bool {
         let instance = self.instances.list().get(id);
         let instance = instance.filter(|i| i.state == InstanceState::Up);
         let endpoint = instance.and_then(|i| i.endpoint.as_ref());
@@ -143,22 +145,20 @@
         let Some(endpoint) = endpoint.and_then(|e| self.endpoints.get(&e)) else {
             return (false, 0, 0);
         };
-        let is_lasting = |task| self.step(task).is_some_and(|s| s.is_lasting);
-        let lasting = endpoint.runs.keys().filter(|(t, _)| is_lasting(*t)).count();
-        (!endpoint.is_reserved, lasting, endpoint.used.cpu)
+        (!endpoint.is_reserved, endpoint.lasting, endpoint.used.cpu)
     }
 
-    fn endpoint_on(&self, id: &InstanceId) -> Option<EndpointId> {
+    pub(super) fn endpoint_on(&self, id: &InstanceId) -> Option<EndpointId> {
         self.instances.list().get(id)?.endpoint.clone()
     }
 
     /// A former leader may have operated on instances until just before this one began.
-    fn may_operate(&self) -> bool {
+    pub(super) fn may_operate(&self) -> bool {
         self.now.steady >= self.began + self.settings.holder_gap
     }
 
     fn maintain(&mut self, wave: u64, id: &InstanceId) {
-        self.instances.set_under_way(id, self.now.steady);
+        self.instances.set_under_way(id, self.now.steady, None);
         info!(wave, instance = %id, "maintenance decided");
         self.outbox.push(Action::Operate {
             instance: id.clone(),
--- /dev/null
+++ b/crates/pomelohitch-sched/src/demand.rs
@@ -0,0 +1,163 @@
+//! How many processors each service will want.
+//!
+//! The load that this answers: queues have their turns, in which each asks about five times its
+//! mean for some seconds and a twentieth in between. An instance takes about two seconds to move,
+//! half a turn, so that pools have to follow what is about to be wanted. Turns come in the same
+//! order again and again, which shows as a period in what was wanted so far.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::UnixMs;
+use crate::id::ServiceName;
+use crate::job::StepSpec;
+
+/// Length of one bucket of the series, milliseconds: a job's steps take two or more.
+const BUCKET_MS: u64 = 250;
+/// Buckets that are kept: three periods of the longest that is looked for.
+const KEPT: u64 = 360;
+/// The shortest and longest period that is looked for, buckets: 6 s to 30 s.
+const PERIODS: std::ops::RangeInclusive<u64> = 24..=120;
+/// So much beside a whole period has to be seen before it is believed, buckets.
+const OVERLAP: u64 = 12;
+/// How like its past the series has to be, 0 to 1. Turns reach 0.8 and more, chance 0.3.
+const LIKENESS: f64 = 0.6;
+/// How much more alike a longer period has to be than a shorter one: a multiple of the true
+/// period is as like as the period itself.
+const LONGER_BONUS: f64 = 0.05;
+/// The rate of arriving work is taken over so many buckets.
+const RATE_BUCKETS: u64 = 2;
+
+/// What each service wanted, and will want.
+#[derive(Debug, Clone, Default)]
+pub struct Demand {
+    /// Thousandths of a core that would be in use if every task started at once.
+    wanted: BTreeMap<ServiceName, BTreeMap<u64, f64>>,
+    /// Work that arrived, thousandths of a core times milliseconds.
+    arrived: BTreeMap<ServiceName, BTreeMap<u64, f64>>,
+    first: Option<u64>,
+    last: u64,
+    period: Option<u64>,
+    looked_at: u64,
+}
+
+impl Demand {
+    /// Takes in that work came at `at_ms`.
+    pub fn add(&mut self, service: &ServiceName, steps: &[StepSpec], at_ms: UnixMs) {
+        let bucket = at_ms / BUCKET_MS;
+        self.first = Some(self.first.map_or(bucket, |first| first.min(bucket)));
+        self.last = self.last.max(bucket);
+        let wanted = self.wanted.entry(service.clone()).or_default();
+        let mut work = 0.0;
+        let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
+        for step in steps {
+            let begins = step.after.iter().map(|&a| ends[usize::from(a)]).max();
+            let begins = begins.unwrap_or(at_ms);
+            let takes = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
+            let ends_at = begins.saturating_add(takes);
+            ends.push(ends_at);
+            if step.is_lasting {
+                continue;
+            }
+            let cpu = as_f64(step.need.cpu) * f64::from(step.count);
+            work += cpu * as_f64(takes);
+            for bucket in begins / BUCKET_MS..ends_at.min(begins + 60_000).div_ceil(BUCKET_MS) {
+                *wanted.entry(bucket).or_default() += cpu;
+            }
+        }
+        let arrived = self.arrived.entry(service.clone()).or_default();
+        *arrived.entry(bucket).or_default() += work;
+    }
+
+    /// The most that a service will want from now until `ahead` from now, thousandths of a core.
+    #[must_use]
+    pub fn most(&self, service: &ServiceName, now_ms: UnixMs, ahead: Duration) -> f64 {
+        let now = now_ms / BUCKET_MS;
+        let ahead = u64::try_from(ahead.as_millis()).unwrap_or(0) / BUCKET_MS;
+        let series = self.wanted.get(service);
+        let at = |bucket: u64| series.and_then(|s| s.get(&bucket)).copied().unwrap_or(0.0);
+        let known = (now..=now + ahead).map(at).fold(0.0, f64::max);
+        let Some(period) = self.period else {
+            return known.max(self.rate(service, now));
+        };
+        // A turn that ends within the time ahead needn't be provided for by its rate.
+        let before = (now..=now + ahead)
+            .map(|b| smooth(&at, b - period))
+            .fold(0.0, f64::max);
+        known.max(before)
+    }
+
+    /// The work that arrives, thousandths of a core: what is in use when starts keep up with it.
+    fn rate(&self, service: &ServiceName, now: u64) -> f64 {
+        let arrived = self.arrived.get(service);
+        let from = now.saturating_sub(RATE_BUCKETS);
+        let sum: f64 = arrived.map_or(0.0, |a| a.range(from..=now).map(|(_, w)| w).sum());
+        sum / as_f64((RATE_BUCKETS + 1) * BUCKET_MS)
+    }
+
+    /// The period in which turns repeat, once it is known.
+    #[must_use]
+    pub fn period(&self) -> Option<Duration> {
+        self.period.map(|p| Duration::from_millis(p * BUCKET_MS))
+    }
+
+    /// Drops what is old, and looks for the period, about once a second.
+    pub fn tend(&mut self, now_ms: UnixMs) {
+        const EVERY: u64 = 4;
+        let now = now_ms / BUCKET_MS;
+        if now < self.looked_at + EVERY {
+            return;
+        }
+        self.looked_at = now;
+        let oldest = now.saturating_sub(KEPT);
+        for series in self.wanted.values_mut().chain(self.arrived.values_mut()) {
+            *series = series.split_off(&oldest);
+        }
+        self.first = self.first.map(|first| first.max(oldest));
+        self.period = self.find_period(now);
+    }
+
+    fn find_period(&self, now: u64) -> Option<u64> {
+        let seen = now.saturating_sub(self.first?);
+        let mut best: Option<(u64, f64)> = None;
+        for lag in PERIODS.take_while(|lag| lag + OVERLAP <= seen) {
+            let likeness = self.likeness(now, lag);
+            let bar = best.map_or(LIKENESS, |(_, best)| best + LONGER_BONUS);
+            if likeness > bar {
+                best = Some((lag, likeness));
+            }
+        }
+        best.map(|(lag, _)| lag)
+    }
+
+    /// How like the series is to itself `lag` buckets ago, 0 to 1.
+    fn likeness(&self, now: u64, lag: u64) -> f64 {
+        let from = self.first.unwrap_or(now) + lag;
+        let (mut product, mut newer, mut older) = (0.0, 0.0, 0.0);
+        for series in self.wanted.values() {
+            let at = |bucket: u64| series.get(&bucket).copied().unwrap_or(0.0);
+            for bucket in from..now {
+                let (a, b) = (at(bucket), at(bucket - lag));
+                product += a * b;
+                newer += a * a;
+                older += b * b;
+            }
+        }
+        if newer <= 0.0 || older <= 0.0 {
+            return 0.0;
+        }
+        product / (newer * older).sqrt()
+    }
+}
+
+/// The mean of a bucket and its neighbours: single large jobs don't come again at the same time.
+fn smooth(at: &impl Fn(u64) -> f64, bucket: u64) -> f64 {
+    let around = [bucket.saturating_sub(1), bucket, bucket + 1];
+    around.map(at).iter().sum::<f64>() / 3.0
+}
+
+/// Amounts of resources and times are far below the numbers that a float can't hold.
+#[expect(clippy::cast_precision_loss)]
+fn as_f64(number: u64) -> f64 {
+    number as f64
+}
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -105,6 +105,15 @@
     answered_at: Steady,
 }
 
+/// What a run takes up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Booked {
+    /// Room.
+    pub room: Resources,
+    /// Whether its task lasts.
+    pub is_lasting: bool,
+}
+
 /// One endpoint.
 #[derive(Debug, Clone)]
 pub struct Endpoint {
@@ -118,8 +127,10 @@
     pub instance: Option<InstanceId>,
     /// Room taken, also by what is being stopped or may be running.
     pub used: Resources,
-    /// Runs that may be there, with the room that each takes.
-    pub runs: BTreeMap<(TaskId, RunNumber), Resources>,
+    /// How many runs are of lasting tasks.
+    pub lasting: usize,
+    /// Runs that may be there, with what each takes up.
+    pub runs: BTreeMap<(TaskId, RunNumber), Booked>,
     /// The last end that was taken in.
     pub noted: u64,
     /// The last end that is durably noted, and so may be acknowledged.
@@ -153,6 +164,7 @@
             is_listed: false,
             instance: None,
             used: Resources::default(),
+            lasting: 0,
             runs: BTreeMap::new(),
             noted: 0,
             noted_durably: 0,
@@ -240,18 +252,20 @@
     }
 
     /// Takes room for a run.
-    pub fn occupy(&mut self, task: TaskId, number: RunNumber, room: Resources) {
-        if self.runs.insert((task, number), room).is_none() {
-            self.used += &room;
+    pub fn occupy(&mut self, task: TaskId, number: RunNumber, booked: Booked) {
+        if self.runs.insert((task, number), booked).is_none() {
+            self.used += &booked.room;
+            self.lasting += usize::from(booked.is_lasting);
         }
     }
 
     /// Gives back a run's room; whether there was such a run.
     pub fn vacate(&mut self, task: TaskId, number: RunNumber) -> bool {
-        let Some(room) = self.runs.remove(&(task, number)) else {
+        let Some(booked) = self.runs.remove(&(task, number)) else {
             return false;
         };
-        self.used -= &room;
+        self.used -= &booked.room;
+        self.lasting -= usize::from(booked.is_lasting);
         true
     }
 }
--- a/crates/pomelohitch-sched/src/instances.rs
+++ b/crates/pomelohitch-sched/src/instances.rs
@@ -79,6 +79,7 @@
     since: Steady,
     endpoint: Option<EndpointId>,
     is_answered: bool,
+    to: Option<ServiceName>,
 }
 
 /// All instances and waves.
@@ -184,6 +185,13 @@
         self.confirmed.get(&number).is_some_and(|c| c.is_completed)
     }
 
+    /// Instances that some open wave still asks for.
+    #[must_use]
+    pub fn due(&self) -> BTreeSet<InstanceId> {
+        let remaining = self.remaining();
+        remaining.into_iter().flat_map(|r| r.left).collect()
+    }
+
     /// Every instance of the newest list.
     #[must_use]
     pub fn list(&self) -> &BTreeMap<InstanceId, Instance> {
@@ -227,8 +235,14 @@
         .collect()
     }
 
-    /// Notes that an instance is ordered down.
-    pub fn set_under_way(&mut self, id: &InstanceId, now: Steady) {
+    /// The pool that an instance is on its way to.
+    #[must_use]
+    pub fn destination(&self, id: &InstanceId) -> Option<&ServiceName> {
+        self.under_way.get(id)?.to.as_ref()
+    }
+
+    /// Notes that an instance is ordered down, or to another pool.
+    pub fn set_under_way(&mut self, id: &InstanceId, now: Steady, to: Option<ServiceName>) {
         let endpoint = self.list.get(id).and_then(|i| i.endpoint.clone());
         self.under_way.insert(
             id.clone(),
@@ -236,6 +250,7 @@
                 since: now,
                 endpoint,
                 is_answered: false,
+                to,
             },
         );
     }
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -9,22 +9,26 @@
 //! * [`config`]: queues, services and workspaces in force.
 //! * [`job`]: what a caller asks for, and the check of it.
 //! * [`progress`]: how far a job is; the durable records.
+//! * [`demand`]: what each service will want.
 //! * [`endpoint`]: what is known of one endpoint, its clock and its lease.
 //! * [`order`]: what goes out and how it ended.
 //! * [`place`]: which endpoint takes a task.
 //! * [`urgency`]: which job goes first.
-//! * [`instances`]: moves between pools and upkeep in waves.
+//! * [`instances`]: operations on instances, and maintenance in waves.
+//! * [`pools`]: which instances should move to which pool.
 //! * [`cell`]: the state that ties them together.
 #![forbid(unsafe_code)]
 
 pub mod cell;
 pub mod config;
+pub mod demand;
 pub mod endpoint;
 pub mod id;
 pub mod instances;
 pub mod job;
 pub mod order;
 pub mod place;
+pub mod pools;
 pub mod progress;
 pub mod resources;
 pub mod urgency;
--- a/crates/pomelohitch-sched/src/place.rs
+++ b/crates/pomelohitch-sched/src/place.rs
@@ -21,18 +21,17 @@
 /// Lower is better, compared from the first field on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Cost {
-    failed_before: bool,
-    is_doubtful: bool,
+    risk: u8,
     is_far: bool,
-    packing: u64,
+    is_fresh_for_lasting: bool,
+    free: u64,
     siblings: u32,
 }
 
 /// The best endpoint for one task of `step`, if any can take it.
 ///
-/// Lasting tasks are packed onto the fullest endpoints, so that others stay empty and their
-/// instances can move or be maintained. Other tasks go where most processors are free, which
-/// keeps one bad endpoint from holding many tasks of a job.
+/// Tasks are packed onto the fullest endpoints, lasting ones onto those that have lasting ones
+/// already, so that others stay empty and their instances can move or be maintained.
 #[must_use]
 pub fn choose<'a>(
     step: &StepSpec,
@@ -62,14 +61,10 @@
         .as_deref()
         .is_some_and(|rack| endpoint.rack() != Some(rack));
     Cost {
-        failed_before: candidate.failed_before,
-        is_doubtful: is_doubtful(endpoint),
+        risk: 2 * u8::from(candidate.failed_before) + u8::from(is_doubtful(endpoint)),
         is_far,
-        packing: if step.is_lasting && !step.is_filler {
-            free
-        } else {
-            u64::MAX - free
-        },
+        is_fresh_for_lasting: step.is_lasting && endpoint.lasting == 0,
+        free,
         siblings: candidate.siblings,
     }
 }
--- a/crates/pomelohitch-sched/tests/cell/fleet.rs
+++ b/crates/pomelohitch-sched/tests/cell/fleet.rs
@@ -370,7 +370,7 @@
         let now = self.now.steady;
         let mut waiting = Vec::new();
         for (sent_at, look) in std::mem::take(&mut self.looks) {
-            let waited = now - sent_at;
+            let waited = now.saturating_sub(sent_at);
             let endpoint = self.endpoints.get_mut(&look.target.id);
             let reachable = endpoint.filter(|e| !e.is_silent && e.report.addr == look.target.addr);
             let Some(endpoint) = reachable else {
@@ -424,7 +424,7 @@
                 Action::Operate {
                     instance,
                     operation,
-                } => self.operate(&instance, operation),
+                } => self.operate(&instance, &operation),
                 Action::Advise { step, endpoints } => {
                     let tickets = endpoints.into_iter().map(|e| (e, "ticket".into()));
                     let valid = Duration::from_secs(3);
@@ -434,14 +434,14 @@
         }
     }
 
-    fn operate(&mut self, id: &Arc<str>, operation: Operation) {
+    fn operate(&mut self, id: &Arc<str>, operation: &Operation) {
         self.operations.push((id.clone(), operation.clone()));
         let outcome = if self.loses_operations {
             OperationOutcome::Unanswered
         } else {
             OperationOutcome::Taken
         };
-        self.cell.operated(id, &operation, outcome);
+        self.cell.operated(id, operation, outcome);
     }
 
     fn order(&mut self, target: &Target, order: &Order, epoch: u64) -> Outcome {
