perf: the spare pool's instances are used, and a wave reserves as few as get it done in time

Cause of the unused spare pool: its instances are off and show no endpoint, which counted as unknown.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -73,7 +73,7 @@
             lease: Duration::from_secs(6),
             start_valid: Duration::from_millis(1500),
             look_wait: Duration::from_secs(1),
-            look_wait_target: Duration::from_millis(600),
+            look_wait_target: Duration::from_millis(300),
             look_gap: Duration::from_millis(25),
             look_retry: Duration::from_millis(200),
             fresh: Duration::from_millis(1800),
--- a/crates/pomelohitch-sched/src/cell/follow.rs
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -86,12 +86,15 @@
         let is_free = instance.state == InstanceState::Up
             && !self.instances.is_under_way(&instance.id)
             && !is_due.contains(&instance.id);
+        let is_off = instance.endpoint.is_none() && self.is_off(&instance.pool);
         let destination = self.instances.destination(&instance.id);
         Candidate {
             id: instance.id.clone(),
             pool: destination.unwrap_or(&instance.pool).clone(),
             cpu: instance.capacity.cpu,
-            is_movable: is_free && !has_lasting && endpoint.is_some_and(|e| e.is_listed),
+            is_movable: is_free
+                && !has_lasting
+                && (is_off || endpoint.is_some_and(|e| e.is_listed)),
             is_reserved: endpoint.is_some_and(|e| e.is_reserved),
             used: endpoint.map_or(0, |e| e.used.cpu),
         }
--- a/crates/pomelohitch-sched/src/cell/looks.rs
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -182,13 +182,21 @@
         });
         if endpoint.looked_at.is_none() || is_unsettled {
             Duration::ZERO
-        } else if self.has_target(endpoint) {
+        } else if self.has_target(endpoint) || self.has_starting(endpoint) {
             self.settings.look_wait_target
         } else {
             self.settings.look_wait
         }
     }
 
+    /// Whether a lasting task isn't at work yet: until it is, no other of its step may be stopped.
+    fn has_starting(&self, endpoint: &Endpoint) -> bool {
+        endpoint.lasting > 0
+            && endpoint.runs.iter().any(|(&(task, run), booked)| {
+                booked.is_lasting && self.run(task, run).is_some_and(|r| r.view.percent < 100)
+            })
+    }
+
     fn has_target(&self, endpoint: &Endpoint) -> bool {
         let has_target = |task| self.step(task).is_some_and(|s| s.target.is_some());
         endpoint.runs.keys().any(|&(task, _)| has_target(task))
--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -7,7 +7,7 @@
 
 use super::Cell;
 use crate::Steady;
-use crate::id::{EndpointId, InstanceId};
+use crate::id::{EndpointId, InstanceId, ServiceName};
 use crate::instances::{Instance, InstanceState, Remaining, Wave};
 use crate::order::{Action, Operation, OperationOutcome};
 
@@ -15,11 +15,11 @@
 const LIST_EVERY_BUSY: Duration = Duration::from_millis(500);
 /// The same otherwise.
 const LIST_EVERY_IDLE: Duration = Duration::from_secs(4);
-/// Instances are emptied ahead of their turn, up to so many times as may be down at once, so that
-/// the next is empty when one is back.
-const EMPTIED_AHEAD: usize = 2;
-/// At least so many are emptied ahead where only one or two may be down at once.
-const EMPTIED_AT_LEAST: usize = 3;
+/// An instance takes about so long from being reserved until it is back: lasting tasks leave one
+/// after another, each with up to two seconds of stopping and starting, and maintenance takes two.
+const ROUND: Duration = Duration::from_secs(5);
+/// The part of a wave's time in which it should be done; the rest is for what goes wrong.
+const TIME_USED: f64 = 0.75;
 
 impl Cell {
     /// Takes in a wave that operators ask for.
@@ -93,8 +93,13 @@
         }
         let is_due = self.instances.due();
         reserved.extend(self.follow_demand(&is_due));
+        let due: BTreeSet<_> = is_due
+            .iter()
+            .filter_map(|id| self.endpoint_on(id))
+            .collect();
         for (id, endpoint) in &mut self.endpoints {
             endpoint.is_reserved = reserved.contains(id);
+            endpoint.is_due = due.contains(id);
         }
     }
 
@@ -116,27 +121,51 @@
     fn tend_wave(&mut self, wave: &Remaining, reserved: &mut BTreeSet<EndpointId>) {
         let mut left: Vec<&InstanceId> = wave.left.iter().collect();
         left.sort_by_key(|id| self.emptying_effort(id));
-        let ahead = (wave.at_once * EMPTIED_AHEAD).max(EMPTIED_AT_LEAST);
         let mut may_begin = wave.may_begin;
-        for id in left.into_iter().take(ahead) {
-            let endpoint = self.endpoint_on(id);
-            if may_begin > 0 && self.may_operate() && self.is_known_empty(id) {
-                may_begin -= 1;
-                self.maintain(wave.wave, id);
+        let mut to_empty = self.to_empty(wave);
+        for id in left {
+            if self.is_known_empty(id) {
+                if may_begin > 0 && self.may_operate() {
+                    may_begin -= 1;
+                    self.maintain(wave.wave, id);
+                }
+            } else if to_empty > 0 {
+                to_empty -= 1;
+                reserved.extend(self.endpoint_on(id));
             }
-            reserved.extend(endpoint);
         }
     }
 
+    /// How many instances of a wave should be kept free of new work now: as few as get the wave
+    /// done in time, since each is missing to its pool.
+    fn to_empty(&self, wave: &Remaining) -> usize {
+        let passed = self.now.steady.saturating_sub(wave.since);
+        let left = wave.within.mul_f64(TIME_USED).saturating_sub(passed);
+        let work = ROUND * u32::try_from(wave.left.len()).unwrap_or(u32::MAX);
+        let at_once = wave.at_once.max(1);
+        let needed = (1..at_once).find(|&n| left * u32::try_from(n).unwrap_or(1) >= work);
+        let under_way = wave.at_once.saturating_sub(wave.may_begin);
+        needed.unwrap_or(at_once).saturating_sub(under_way).max(1)
+    }
+
     /// Whether an instance is up and surely runs nothing. Before the list of instances was read, or
     /// while its endpoint isn't known, nothing is sure.
     pub(super) fn is_known_empty(&self, id: &InstanceId) -> bool {
         let instance = self.instances.list().get(id);
         let instance = instance.filter(|i| i.state == InstanceState::Up);
-        let endpoint = instance.and_then(|i| i.endpoint.as_ref());
-        endpoint
-            .and_then(|e| self.endpoints.get(e))
-            .is_some_and(|e| e.runs.is_empty())
+        let Some(instance) = instance else {
+            return false;
+        };
+        match &instance.endpoint {
+            Some(id) => self.endpoints.get(id).is_some_and(|e| e.runs.is_empty()),
+            None => self.is_off(&instance.pool),
+        }
+    }
+
+    /// Whether a pool's instances are switched off, so that no endpoint lives on them.
+    pub(super) fn is_off(&self, pool: &ServiceName) -> bool {
+        let services = self.cfg.as_ref().map(|c| &c.services);
+        services.is_some_and(|s| s.get(pool).is_some_and(|s| s.is_spare))
     }
 
     /// Instances that are being emptied stay first, then those with least on them.
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -145,6 +145,8 @@
     pub successes: f64,
     /// Kept free because its instance is to move or to be maintained.
     pub is_reserved: bool,
+    /// Whether its instance is due for maintenance, so that what lasts had better be elsewhere.
+    pub is_due: bool,
     /// The share that fillers work at there, percent.
     pub filler_pace: u32,
     /// When that share was last changed.
@@ -173,6 +175,7 @@
             failures: 0.0,
             successes: 0.0,
             is_reserved: false,
+            is_due: false,
             filler_pace: 100,
             paced_at: Steady::ZERO,
             reading: None,
--- a/crates/pomelohitch-sched/src/place.rs
+++ b/crates/pomelohitch-sched/src/place.rs
@@ -23,7 +23,7 @@
 struct Cost {
     risk: u8,
     is_far: bool,
-    is_fresh_for_lasting: bool,
+    avoided_by_lasting: u8,
     free: u64,
     siblings: u32,
 }
@@ -31,7 +31,7 @@
 /// The best endpoint for one task of `step`, if any can take it.
 ///
 /// Tasks are packed onto the fullest endpoints, lasting ones onto those that have lasting ones
-/// already, so that others stay empty and their instances can move or be maintained.
+/// already and aren't due for maintenance, so that others stay empty and their instances can move or be maintained.
 #[must_use]
 pub fn choose<'a>(
     step: &StepSpec,
@@ -63,7 +63,11 @@
     Cost {
         risk: 2 * u8::from(candidate.failed_before) + u8::from(is_doubtful(endpoint)),
         is_far,
-        is_fresh_for_lasting: step.is_lasting && endpoint.lasting == 0,
+        avoided_by_lasting: if step.is_lasting {
+            2 * u8::from(endpoint.is_due) + u8::from(endpoint.lasting == 0)
+        } else {
+            0
+        },
         free,
         siblings: candidate.siblings,
     }
