fix: nothing starts on an instance that is taken down; what a dark endpoint said last doesn't count

Also: a run lapsed after 1.5 s where the second look was lost; work now waits for a lease that was confirmed. What ran on an endpoint that answers nothing and that no instance of the list lives starts elsewhere at once; before, a lease had to be waited for, or 10 s after a change of leader. Instances with many lasting tasks are emptied early in a wave.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -137,6 +137,7 @@
     outbox: Vec<Action>,
     gated: Vec<Action>,
     is_fenced: bool,
+    is_evicting: bool,
     is_log_down: bool,
 }
 
@@ -208,6 +209,7 @@
             outbox: Vec::new(),
             gated: Vec::new(),
             is_fenced: false,
+            is_evicting: false,
             is_log_down: false,
         }
     }
--- a/crates/pomelohitch-sched/src/cell/evict.rs
+++ b/crates/pomelohitch-sched/src/cell/evict.rs
@@ -14,6 +14,9 @@
 
 /// A lasting task is at work when its endpoint says so of all of it.
 const AT_WORK: u32 = 100;
+/// An endpoint that answered within this time is taken to be as it said. Looks wait at most 0.3 s
+/// for an answer while tasks have to be moved away.
+const HEARD_WITHIN: Duration = Duration::from_millis(700);
 /// Above this part of its target a task's tail is about to miss it: fillers beside it slow down.
 const SLOW_DOWN_ABOVE: f64 = 0.85;
 /// Below this part of the target fillers may speed up again. The gap to the other threshold keeps
@@ -37,9 +40,11 @@
             .filter(|(_, e)| !e.runs.is_empty())
             .filter_map(|(id, e)| {
                 let is_draining = e.report.as_ref().is_some_and(|r| r.is_draining);
-                (is_draining || e.is_reserved).then(|| (id.clone(), is_draining))
+                let has_to = e.lasting > 0 && (is_draining || e.is_reserved);
+                has_to.then(|| (id.clone(), is_draining))
             })
             .collect();
+        self.is_evicting = !leaving.is_empty();
         for (id, is_draining) in leaving {
             self.evict(&id, is_draining);
         }
@@ -79,10 +84,22 @@
             .iter()
             .enumerate()
             .filter(|(index, _)| *index != task.index as usize);
-        let away = others.filter(|(_, t)| !is_at_work(t)).count();
+        let away = others.filter(|(_, t)| !self.is_at_work(t)).count();
         u32::try_from(away).unwrap_or(u32::MAX)
     }
 
+    /// Whether a lasting task is surely at work: its endpoint said so just now. An endpoint that has
+    /// gone dark still looks at work by what it said last, and stopping another task beside it
+    /// would take away more than the step may miss.
+    fn is_at_work(&self, task: &Task) -> bool {
+        let now = self.now.steady;
+        task.runs.iter().any(|r| {
+            let endpoint = self.endpoints.get(&r.endpoint);
+            let is_heard = endpoint.is_some_and(|e| e.is_heard(now, HEARD_WITHIN));
+            is_heard && r.view.percent >= AT_WORK && !r.view.is_stopping()
+        })
+    }
+
     /// Whether the task could start on another endpoint now.
     fn has_room_elsewhere(&self, task: TaskId, step: &StepSpec) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
@@ -166,12 +183,6 @@
     }
 }
 
-fn is_at_work(task: &Task) -> bool {
-    task.runs
-        .iter()
-        .any(|r| r.view.percent >= AT_WORK && !r.view.is_stopping())
-}
-
 /// The pace of fillers after a look at how near the worst serving task is to its target.
 ///
 /// Halving reaches a harmless pace within two or three looks, well before harm counts; speeding
--- a/crates/pomelohitch-sched/src/cell/looks.rs
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -180,19 +180,22 @@
             self.run(task, run)
                 .is_some_and(|r| matches!(r.view.phase, Phase::Unanswered | Phase::Recorded))
         });
-        if endpoint.looked_at.is_none() || is_unsettled {
+        if endpoint.looked_at.is_none() || !endpoint.lease_confirmed || is_unsettled {
             Duration::ZERO
-        } else if self.has_target(endpoint) || self.has_starting(endpoint) {
+        } else if self.has_target(endpoint) || self.has_news_to_come(endpoint) {
             self.settings.look_wait_target
         } else {
             self.settings.look_wait
         }
     }
 
-    /// Whether a lasting task isn't at work yet: until it is, no other of its step may be stopped.
-    fn has_starting(&self, endpoint: &Endpoint) -> bool {
-        endpoint.lasting > 0
-            && endpoint.runs.iter().any(|(&(task, run), booked)| {
+    /// Whether lasting tasks there decide if others of their steps may be stopped.
+    fn has_news_to_come(&self, endpoint: &Endpoint) -> bool {
+        if endpoint.lasting == 0 {
+            return false;
+        }
+        self.is_evicting
+            || endpoint.runs.iter().any(|(&(task, run), booked)| {
                 booked.is_lasting && self.run(task, run).is_some_and(|r| r.view.percent < 100)
             })
     }
@@ -242,6 +245,8 @@
             info!(endpoint = %id, running = look.running.len(), ended = look.ended.len(), "first look");
         }
         endpoint.looked_at = Some(look.sent_at);
+        endpoint.heard_at = Some(look.answered_at);
+        endpoint.lease_confirmed |= look.renewed;
         self.take_ends(id, look);
         for running in &look.running {
             self.take_running(id, running, look.answered_at);
@@ -451,6 +456,11 @@
         }
     }
 
+    /// How many looks at an endpoint have failed since the last that was answered.
+    pub(super) fn look_failures(&self, id: &EndpointId) -> u32 {
+        self.looks.get(id).map_or(0, |plan| plan.failures)
+    }
+
     /// An endpoint's life has surely ended: its instance was taken down, or lives another one.
     pub(super) fn endpoint_gone(&mut self, id: &EndpointId, why: &'static str) {
         let Some(endpoint) = self.endpoints.remove(id) else {
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -88,6 +88,7 @@
         let is_usable = |e: &Endpoint| {
             e.is_listed
                 && !e.is_reserved
+                && e.lease_confirmed
                 && e.shunned_until <= self.now.steady
                 && e.is_fresh(self.now.steady, self.settings.fresh)
                 && e.report
--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -7,14 +7,19 @@
 
 use super::Cell;
 use crate::Steady;
+use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, InstanceId, ServiceName};
 use crate::instances::{Instance, InstanceState, Remaining, Wave};
 use crate::order::{Action, Operation, OperationOutcome};
 
 /// How often the list of instances is read while something is under way.
 const LIST_EVERY_BUSY: Duration = Duration::from_millis(500);
+/// The same while an endpoint with work doesn't answer: the list tells whether it still lives.
+const LIST_EVERY_SILENT: Duration = Duration::from_millis(250);
 /// The same otherwise.
 const LIST_EVERY_IDLE: Duration = Duration::from_secs(4);
+/// A list that was asked for so long after an endpoint was last heard speaks of it.
+const SILENT_FOR: Duration = Duration::from_millis(300);
 /// An instance takes about so long from being reserved until it is back: lasting tasks leave one
 /// after another, each with up to two seconds of stopping and starting, and maintenance takes two.
 const ROUND: Duration = Duration::from_secs(5);
@@ -37,6 +42,11 @@
     /// Takes in the platform's list of instances, asked for at `asked_at`.
     pub fn instances_listed(&mut self, list: Vec<Instance>, asked_at: Steady) {
         for instance in &list {
+            let before = self.instances.list().get(&instance.id).map(|i| i.state);
+            if before.is_some_and(|state| state != instance.state) {
+                info!(instance = %instance.id, pool = %instance.pool, state = ?instance.state,
+                    ?before, endpoint = ?instance.endpoint, "instance state");
+            }
             let endpoint = instance.endpoint.as_ref();
             if let Some(endpoint) = endpoint.and_then(|id| self.endpoints.get_mut(id)) {
                 endpoint.instance = Some(instance.id.clone());
@@ -46,6 +56,33 @@
         for endpoint in replaced {
             self.endpoint_gone(&endpoint, "its instance lives another endpoint");
         }
+        for endpoint in self.silent_and_absent(asked_at) {
+            self.endpoint_gone(&endpoint, "no instance lives it any more");
+        }
+    }
+
+    /// Endpoints that answer nothing and that no instance of a list lives that was asked for at
+    /// `asked_at`. An instance that crashed or was switched off shows so within a second, while
+    /// the leases of what it ran would have to be waited for much longer. One that is only cut off
+    /// stays in the list.
+    fn silent_and_absent(&self, asked_at: Steady) -> Vec<EndpointId> {
+        let list = self.instances.list().values();
+        let alive: BTreeSet<_> = list.filter_map(|i| i.endpoint.as_ref()).collect();
+        let is_silent = |id: &EndpointId, e: &Endpoint| {
+            let was_silent = e.heard_at.is_none_or(|at| at + SILENT_FOR < asked_at);
+            was_silent && self.look_failures(id) > 0 && asked_at > self.began + SILENT_FOR
+        };
+        let used = self.endpoints.iter().filter(|(_, e)| !e.runs.is_empty());
+        let gone = used.filter(|(id, e)| !alive.contains(*id) && is_silent(id, e));
+        gone.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Whether some endpoint with work doesn't answer.
+    fn has_silent(&self) -> bool {
+        let now = self.now.steady;
+        let used = self.endpoints.iter().filter(|(_, e)| !e.runs.is_empty());
+        used.into_iter()
+            .any(|(id, e)| self.look_failures(id) > 0 || !e.is_heard(now, self.settings.fresh))
     }
 
     /// Takes in that the list couldn't be read.
@@ -57,9 +94,10 @@
     pub fn operated(&mut self, id: &InstanceId, operation: &Operation, outcome: OperationOutcome) {
         info!(instance = %id, ?operation, ?outcome, "instance operated");
         if outcome == OperationOutcome::Taken
-            && let Some(endpoint) = self.instances.endpoint_before(id)
+            && let Some(id) = self.instances.endpoint_before(id)
+            && self.endpoints.get(&id).is_some_and(|e| e.runs.is_empty())
         {
-            self.endpoint_gone(&endpoint, "its instance was taken down");
+            self.endpoint_gone(&id, "its instance was taken down");
         }
         let wave = match operation {
             Operation::Maintain { wave } => Some(*wave),
@@ -75,7 +113,9 @@
     pub(super) fn tend_instances(&mut self) {
         let now = self.now.steady;
         let is_busy = self.instances.has_open_wave() || self.instances.has_under_way();
-        let every = if is_busy {
+        let every = if self.has_silent() {
+            LIST_EVERY_SILENT
+        } else if is_busy {
             LIST_EVERY_BUSY
         } else {
             LIST_EVERY_IDLE
@@ -86,13 +126,14 @@
         self.instances.forget_unanswered(now);
         self.tell_waves();
         let remaining = self.instances.remaining();
-        // Until an operation shows, its endpoint still looks free.
-        let mut reserved = self.instances.endpoints_under_way();
+        let mut reserved = BTreeSet::new();
         for wave in remaining {
             self.tend_wave(&wave, &mut reserved);
         }
         let is_due = self.instances.due();
         reserved.extend(self.follow_demand(&is_due));
+        // Until an operation shows, its endpoint looks free: a start would meet its end.
+        reserved.extend(self.instances.endpoints_under_way());
         let due: BTreeSet<_> = is_due
             .iter()
             .filter_map(|id| self.endpoint_on(id))
@@ -122,18 +163,22 @@
         let mut left: Vec<&InstanceId> = wave.left.iter().collect();
         left.sort_by_key(|id| self.emptying_effort(id));
         let mut may_begin = wave.may_begin;
-        let mut to_empty = self.to_empty(wave);
+        let mut in_use = Vec::new();
         for id in left {
-            if self.is_known_empty(id) {
-                if may_begin > 0 && self.may_operate() {
-                    may_begin -= 1;
-                    self.maintain(wave.wave, id);
-                }
-            } else if to_empty > 0 {
-                to_empty -= 1;
-                reserved.extend(self.endpoint_on(id));
+            if !self.is_known_empty(id) {
+                in_use.push(id);
+            } else if may_begin > 0 && self.may_operate() {
+                may_begin -= 1;
+                self.maintain(wave.wave, id);
             }
         }
+        // Those with most lasting tasks take longest, so that some are begun early.
+        let to_empty = self.to_empty(wave);
+        let slow = to_empty.div_ceil(2);
+        let first = in_use.iter().take(to_empty - slow);
+        let last = in_use.iter().rev().take(slow);
+        let chosen: BTreeSet<_> = first.chain(last).collect();
+        reserved.extend(chosen.into_iter().filter_map(|id| self.endpoint_on(id)));
     }
 
     /// How many instances of a wave should be kept free of new work now: as few as get the wave
@@ -168,13 +213,11 @@
         services.is_some_and(|s| s.get(pool).is_some_and(|s| s.is_spare))
     }
 
-    /// Instances that are being emptied stay first, then those with least on them.
-    fn emptying_effort(&self, id: &InstanceId) -> (bool, usize, u64) {
+    /// How much is on an instance: lasting tasks, then processors in use.
+    fn emptying_effort(&self, id: &InstanceId) -> (usize, u64) {
         let endpoint = self.endpoint_on(id);
-        let Some(endpoint) = endpoint.and_then(|e| self.endpoints.get(&e)) else {
-            return (false, 0, 0);
-        };
-        (!endpoint.is_reserved, endpoint.lasting, endpoint.used.cpu)
+        let endpoint = endpoint.and_then(|e| self.endpoints.get(&e));
+        endpoint.map_or((0, 0), |e| (e.lasting, e.used.cpu))
     }
 
     pub(super) fn endpoint_on(&self, id: &InstanceId) -> Option<EndpointId> {
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -48,6 +48,8 @@
     pub sent_at: Steady,
     /// When the answer came.
     pub answered_at: Steady,
+    /// Whether the look asked for a lease.
+    pub renewed: bool,
 }
 
 /// A run that is at work.
@@ -115,6 +117,7 @@
 }
 
 /// One endpoint.
+#[expect(clippy::struct_excessive_bools, reason = "independent facts")]
 #[derive(Debug, Clone)]
 pub struct Endpoint {
     /// Its newest entry in the platform's list, if it ever had one.
@@ -137,6 +140,11 @@
     pub noted_durably: u64,
     /// When the newest look that was answered went out.
     pub looked_at: Option<Steady>,
+    /// When it last answered a look.
+    pub heard_at: Option<Steady>,
+    /// Whether a look that asked for a lease was answered: until then only starts hold one, and a
+    /// short one.
+    pub lease_confirmed: bool,
     /// Not used for new work until then.
     pub shunned_until: Steady,
     /// Failed and done runs of late, for telling a broken endpoint; fades.
@@ -171,6 +179,8 @@
             noted: 0,
             noted_durably: 0,
             looked_at: None,
+            heard_at: None,
+            lease_confirmed: false,
             shunned_until: Steady::ZERO,
             failures: 0.0,
             successes: 0.0,
@@ -232,6 +242,13 @@
             .is_some_and(|at| now.saturating_sub(at) <= window)
     }
 
+    /// Whether a look was answered within the last `window`.
+    #[must_use]
+    pub fn is_heard(&self, now: Steady, window: Duration) -> bool {
+        self.heard_at
+            .is_some_and(|at| now.saturating_sub(at) <= window)
+    }
+
     /// Its rack: the label that isn't its kind.
     #[must_use]
     pub fn rack(&self) -> Option<&str> {
--- a/crates/pomelohitch-sched/src/place.rs
+++ b/crates/pomelohitch-sched/src/place.rs
@@ -63,16 +63,26 @@
     Cost {
         risk: 2 * u8::from(candidate.failed_before) + u8::from(is_doubtful(endpoint)),
         is_far,
-        avoided_by_lasting: if step.is_lasting {
-            2 * u8::from(endpoint.is_due) + u8::from(endpoint.lasting == 0)
-        } else {
-            0
-        },
+        avoided_by_lasting: avoided_by_lasting(step, candidate),
         free,
         siblings: candidate.siblings,
     }
 }
 
+/// How little an endpoint suits a lasting task, 0 for best.
+fn avoided_by_lasting(step: &StepSpec, candidate: &Candidate<'_>) -> u8 {
+    if !step.is_lasting {
+        return 0;
+    }
+    let is_crowded = candidate.siblings >= LASTING_TOGETHER * step.may_miss.max(1);
+    let endpoint = candidate.endpoint;
+    4 * u8::from(endpoint.is_due) + 2 * u8::from(is_crowded) + u8::from(endpoint.lasting == 0)
+}
+
+/// So many lasting tasks of a step are put on one endpoint for each that may be away at once. They
+/// leave it one after another, at about two seconds each, before its instance can be maintained.
+const LASTING_TOGETHER: u32 = 2;
+
 /// An endpoint is doubtful when more than half of several runs of late failed there.
 ///
 /// Tasks fail by their own fault in a few cases of a hundred, so three failures beside fewer
--- a/crates/pomelohitch-sched/tests/cell/ends.rs
+++ b/crates/pomelohitch-sched/tests/cell/ends.rs
@@ -59,6 +59,50 @@
     fleet.assert_sound();
 }
 
+/// An instance crashes and says nothing. The platform lists it as down, so that what it ran
+/// starts elsewhere within two seconds rather than after its lease.
+#[test]
+fn what_ran_on_an_instance_that_is_down_starts_elsewhere_soon() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(ID, job(vec![step(1, 500, 20_000)]));
+    fleet.pass(20);
+    let (_, _, at) = fleet.starts[0].clone();
+    fleet.crash(&at);
+    fleet.pass(220);
+    assert_eq!(fleet.starts.len(), 2);
+    fleet.assert_sound();
+}
+
+/// The same after the leader changed meanwhile: the new one never heard the endpoint.
+#[test]
+fn a_new_leader_sees_from_the_list_what_is_down() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(ID, job(vec![step(1, 500, 20_000)]));
+    fleet.pass(20);
+    let (_, _, at) = fleet.starts[0].clone();
+    fleet.crash(&at);
+    fleet.change_leader();
+    fleet.pass(220);
+    assert_eq!(fleet.starts.len(), 2);
+    fleet.assert_sound();
+}
+
+/// A look is lost before an endpoint was ever granted more than the short lease of its first
+/// start. Without a lease that is known to hold, the run would lapse.
+#[test]
+fn work_waits_for_a_lease_that_holds() {
+    let mut fleet = Fleet::new(1);
+    fleet.pass(20);
+    fleet.endpoint("e0").is_silent = true;
+    fleet.pass(250);
+    fleet.restart("e0");
+    fleet.submit(ID, job(vec![step(1, 500, 4_000)]));
+    fleet.list();
+    fleet.pass(500);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    assert_eq!(fleet.starts.len(), 1);
+}
+
 #[test]
 fn what_ran_on_a_restarted_endpoint_starts_again() {
     let mut fleet = Fleet::new(1);
--- a/crates/pomelohitch-sched/tests/cell/fleet.rs
+++ b/crates/pomelohitch-sched/tests/cell/fleet.rs
@@ -206,6 +206,7 @@
             clock: self.clock,
             running: self.runs.keys().map(running).collect(),
             ended: self.ended.clone(),
+            renewed: look.lease.is_some(),
             ..Look::default()
         })
     }
@@ -287,6 +288,20 @@
         *endpoint = Endpoint::new(report);
     }
 
+    /// The instance of an endpoint loses power: nothing runs there, and the platform lists it as
+    /// down.
+    pub fn crash(&mut self, id: &str) {
+        let endpoint = self.endpoint(id);
+        endpoint.is_silent = true;
+        endpoint.runs.clear();
+        for instance in self.instances.values_mut() {
+            if instance.endpoint.as_deref() == Some(id) {
+                instance.endpoint = None;
+                instance.state = InstanceState::Down;
+            }
+        }
+    }
+
     /// Tells the cell every endpoint's entry.
     pub fn list(&mut self) {
         for endpoint in self.endpoints.values() {
--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -54,6 +54,26 @@
     assert!(fleet.operations.is_empty());
 }
 
+/// An endpoint goes dark without a word. By what it said last its lasting task is at work, and
+/// stopping another beside it would take away two where one may be.
+#[test]
+fn what_a_dark_endpoint_said_last_does_not_count_as_at_work() {
+    let mut fleet = Fleet::new(3);
+    let mut lasting = step(2, 500, 100);
+    lasting.is_lasting = true;
+    lasting.may_miss = 1;
+    lasting.per_endpoint = 1;
+    fleet.submit("00000000000000a1", job(vec![lasting]));
+    fleet.pass(400);
+    let (dark, other) = (fleet.starts[0].2.clone(), fleet.starts[1].2.clone());
+    fleet.endpoint(&dark).is_silent = true;
+    fleet.pass(150);
+    let due = format!("m{}", &other[1..]);
+    fleet.cell.wave(wave(&[&due], 1));
+    fleet.pass(300);
+    assert_eq!(fleet.endpoint(&other).running().len(), 1);
+}
+
 /// An order to take an instance down is lost, and its leader ends before it knows. Counted as
 /// done, the instance would be left out while the wave is told as completed.
 #[test]
