fix: a refusal after a try that may have worked is not passed back

Cause by reading: the first try reaches a leader that shuts down and whose answer is lost, the next one its port, which turns connections away with 503; that was passed back though the job may be written. Answers of a leader carry its epoch now, others don't count, and no refusal is passed back after a try without an answer. The test fails without the change (503 in place of 504).

--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -5,7 +5,7 @@
 use std::sync::mpsc;
 use std::time::Duration;
 
-use pomelohitch_adapter::call::{Answer as Received, Client, Effect, Request};
+use pomelohitch_adapter::call::{Client, Effect, Request};
 use pomelohitch_adapter::callers as format;
 use pomelohitch_route::Head;
 use pomelohitch_sched::cell::calls::Verb;
@@ -95,11 +95,15 @@
 }
 
 /// Answers a caller: the leader's answer, or after some patience that there is none.
-fn answer(shared: &Shared, incoming: &Incoming) -> Response {
+///
+/// Once a try may have handed a job in, a later refusal doesn't say that it wasn't: the caller
+/// would take the job for refused while it runs.
+pub fn answer(shared: &Shared, incoming: &Incoming) -> Response {
     let patience = patience(&incoming.head);
     let mut may_be_done = false;
     loop {
         match try_once(shared, incoming, patience) {
+            Try::Answered(response) if may_be_done && response.status_code == 503 => {}
             Try::Answered(response) => return response,
             Try::Undone => {}
             Try::Unknown => may_be_done = true,
@@ -152,11 +156,12 @@
 pub fn answer_passed_on(shared: &Shared, incoming: &Incoming, path: &str) -> Response {
     let host = incoming.head.headers.get(wire::CALLER_HOST);
     let host = host.unwrap_or_default();
+    let epoch = shared.leading().map_or(0, |l| l.epoch);
     match ask_here(shared, incoming, host, path, TRY_WITHIN) {
-        Try::Answered(response) => response,
-        Try::Undone => Response::text("")
-            .with_status_code(421)
-            .with_additional_header(wire::NOT_LEADER, "1"),
+        Try::Answered(response) => {
+            response.with_additional_header(wire::LEADER_EPOCH, epoch.to_string())
+        }
+        Try::Undone => Response::text("").with_status_code(421),
         Try::Unknown => Response::text("").with_status_code(504),
     }
 }
@@ -264,11 +269,12 @@
         },
     );
     match answer {
-        Ok((answer, _)) if answer.status == 421 => Try::Undone,
-        Ok((answer, _)) if answer.status == 504 => Try::Unknown,
-        Ok((Received { status, body }, retry_after)) => {
-            Try::Answered(json(status, body, retry_after))
+        Ok(answer) if answer.header(wire::LEADER_EPOCH).is_some() => {
+            let retry_after = answer.header("Retry-After").map(str::to_owned);
+            Try::Answered(json(answer.status, answer.body, retry_after))
         }
+        Ok(answer) if answer.status == 504 => Try::Unknown,
+        Ok(_) => Try::Undone,
         Err(error) => {
             info!(%error, "leader didn't answer");
             match error.effect() {
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -15,8 +15,9 @@
 pub const CALL: &str = "/call";
 /// The host that a caller named, on a request that is passed on.
 pub const CALLER_HOST: &str = "X-Caller-Host";
-/// On an answer: the asked process doesn't lead, and did nothing.
-pub const NOT_LEADER: &str = "X-Not-Leader";
+/// On an answer to a request that was passed on: the epoch of the leader that gave it. An answer
+/// without it comes from a process that doesn't lead, or not any more, and didn't touch it.
+pub const LEADER_EPOCH: &str = "X-Leader-Epoch";
 
 /// Who leads.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- /dev/null
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -0,0 +1,99 @@
+//! What callers are told while the leader is in trouble.
+
+use std::collections::VecDeque;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Mutex;
+use std::time::Instant;
+
+use pomelohitch_route::{Head, head};
+use pomelohitchd::fleet::callers;
+use pomelohitchd::fleet::shared::Shared;
+use pomelohitchd::fleet::wire::Leader;
+use pomelohitchd::front::Incoming;
+
+use super::site::{nowhere, site};
+
+const ACCEPTED: &str = "HTTP/1.1 200 OK\r\nX-Leader-Epoch: 1\r\nContent-Length: 2\r\n\r\n{}";
+const REFUSED: &str =
+    "HTTP/1.1 503 Busy\r\nX-Leader-Epoch: 1\r\nRetry-After: 2\r\nContent-Length: 2\r\n\r\n{}";
+const NO_ROOM: &str = "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\n{}";
+const UNKNOWN: &str = "HTTP/1.1 504 Unknown\r\nContent-Length: 0\r\n\r\n";
+
+/// A leader that gives these answers one after another, and the last one from then on.
+fn leader(answers: &[&'static str]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let addr = listener.local_addr().expect("it is bound");
+    let answers: Mutex<VecDeque<&str>> = Mutex::new(answers.iter().copied().collect());
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a caller connects");
+            let mut buf = [0; 4096];
+            while stream.read(&mut buf).is_ok_and(|n| n > 0) {
+                let mut answers = answers.lock().expect("no test panics here");
+                let answer = answers[0];
+                if answers.len() > 1 {
+                    answers.pop_front();
+                }
+                stream
+                    .write_all(answer.as_bytes())
+                    .expect("the caller reads");
+            }
+        }
+    });
+    addr
+}
+
+fn post() -> Incoming {
+    let request = b"POST /q/00000000000000a1 HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 900\r\n\
+        Content-Length: 2\r\n\r\n";
+    let head: Option<Head> = head::parse(request, &head::Limits::default()).expect("it is HTTP");
+    Incoming {
+        head: head.expect("it is whole"),
+        body: b"{}".to_vec(),
+        peer: nowhere(),
+        arrived: Instant::now(),
+    }
+}
+
+fn told(addr: SocketAddr) -> (u16, bool) {
+    let shared = Shared::new(site());
+    shared.follow(&Leader {
+        epoch: 1,
+        member: "front-a-2".into(),
+        addr,
+    });
+    let response = callers::answer(&shared, &post());
+    let has_retry = response
+        .headers
+        .iter()
+        .any(|(name, _)| name == "Retry-After");
+    (response.status_code, has_retry)
+}
+
+#[test]
+fn the_answer_of_the_leader_is_passed_back() {
+    assert_eq!(told(leader(&[ACCEPTED])), (200, false));
+    assert_eq!(told(leader(&[REFUSED])), (503, true));
+}
+
+#[test]
+fn without_a_leader_callers_are_told_when_to_come_back() {
+    assert_eq!(told(nowhere()), (503, true));
+}
+
+/// The first try reaches a leader that may have written the job, and its answer is lost. The next
+/// try is refused. Passed on, the refusal would say that the job doesn't run, though it may.
+#[test]
+fn a_refusal_after_a_try_that_may_have_worked_is_not_passed_back() {
+    assert_eq!(told(leader(&[UNKNOWN, REFUSED])), (504, false));
+    assert_eq!(told(leader(&[UNKNOWN, NO_ROOM])), (504, false));
+    assert_eq!(told(leader(&[UNKNOWN, ACCEPTED])), (200, false));
+}
+
+/// A leader that shuts down turns connections away before it reads a request. That isn't the
+/// leader's word on the request, which may still be taken by the next leader.
+#[test]
+fn a_process_that_turns_connections_away_did_not_answer() {
+    assert_eq!(told(leader(&[NO_ROOM, ACCEPTED])), (200, false));
+}
--- /dev/null
+++ b/pomelohitchd/tests/fleet/site.rs
@@ -0,0 +1,31 @@
+//! Settings for tests.
+
+use std::net::SocketAddr;
+
+use pomelohitch_adapter::settings::{self, Site};
+
+/// The platform's settings of a process, with addresses that nobody listens at.
+pub fn site() -> Site {
+    let text = r#"
+        node_name = "front-a-1"
+        zone = "a"
+        ip = "127.0.0.1"
+        internal_ports = [1, 2]
+        orders = "invocation"
+        something_new = true
+        [listen]
+        front = "127.0.0.1:1"
+        readiness_addr = "127.0.0.1:1"
+        [bounds]
+        hold_max_ms = 6000
+        [platform]
+        address = "127.0.0.1:1"
+    "#;
+    settings::parse(text, "test").expect("the settings are whole")
+}
+
+/// An address on which nobody listens.
+pub fn nowhere() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("it is bound")
+}
