fix: a pool in which a task finds no place gets one more instance

Cause: pools go by processors alone, and the pool had shrunk to two instances. Ruled out: labels and memory of the instances.

--- a/crates/pomelohitch-sched/src/cell/follow.rs
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -14,6 +14,8 @@
 /// How far ahead a pool provides: the time a move takes (1.5 s), until the endpoint is listed and
 /// looked at (0.3 s), and until the instance is empty (0.5 s).
 const AHEAD: Duration = Duration::from_millis(2300);
+/// A task that finds no place for so long won't by ends alone, which come within half a second.
+const SHORT_AFTER: Duration = Duration::from_millis(600);
 /// How often moves are decided.
 const EVERY: Duration = Duration::from_millis(100);
 
@@ -52,11 +54,19 @@
         let pool = |(name, service): (&ServiceName, &crate::config::Service)| Pool {
             name: name.clone(),
             is_spare: service.is_spare,
+            is_short: self.is_short(name),
             wanted: self.demand.most(name, self.now.unix_ms, AHEAD) + self.lasting_need(name),
         };
         cfg.services.iter().map(pool).collect()
     }
 
+    /// Whether a task of the service has found no place for a while, and no instance is on its way.
+    fn is_short(&self, service: &ServiceName) -> bool {
+        let since = self.unplaced.get(service);
+        let is_old = since.is_some_and(|&s| self.now.steady.saturating_sub(s) > SHORT_AFTER);
+        is_old && !self.instances.is_awaited(service)
+    }
+
     /// Thousandths of a core that lasting tasks of a service take up.
     fn lasting_need(&self, service: &ServiceName) -> f64 {
         let of_service = self.endpoints.values().filter(|e| {
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -30,17 +30,21 @@
 
 /// Needs that found no room in this pass: what is larger finds none either.
 #[derive(Debug, Default)]
-struct Misfits(Vec<Resources>);
+struct Misfits {
+    rooms: Vec<Resources>,
+    /// Whether a task found no room that would fit on some empty endpoint.
+    found: bool,
+}
 
 impl Misfits {
     fn covers(&self, room: &Resources) -> bool {
-        self.0.iter().any(|m| room.holds(m))
+        self.rooms.iter().any(|m| room.holds(m))
     }
 
     fn add(&mut self, step: &StepSpec) {
         let is_plain = step.requires.is_none() && step.per_endpoint == 0;
         if is_plain {
-            self.0.push(step.room());
+            self.rooms.push(step.room());
         }
     }
 }
@@ -54,6 +58,8 @@
             .filter(|(_, jobs)| !jobs.is_empty())
             .map(|(service, _)| service.clone())
             .collect();
+        self.unplaced
+            .retain(|service, _| services.contains(service));
         for service in services {
             self.schedule_service(&service);
         }
@@ -61,9 +67,6 @@
 
     fn schedule_service(&mut self, service: &ServiceName) {
         let candidates = self.candidates(service);
-        if candidates.is_empty() {
-            return;
-        }
         let mut misfits = Misfits::default();
         for id in self.by_urgency(service) {
             let Some(job) = self.jobs.get(&id) else {
@@ -81,6 +84,12 @@
             }
             self.index(id);
         }
+        if misfits.found {
+            let now = self.now.steady;
+            self.unplaced.entry(service.clone()).or_insert(now);
+        } else {
+            self.unplaced.remove(service);
+        }
     }
 
     /// Endpoints of a service that may be given work.
@@ -143,7 +152,8 @@
             return;
         };
         if step.is_gang || step.is_rack_local {
-            self.start_together(spec, first, &allowed);
+            let is_placed = self.start_together(spec, first, &allowed);
+            misfits.found |= !is_placed && self.fits_somewhere(step);
             return;
         }
         let mut siblings = self.siblings(first);
@@ -153,6 +163,7 @@
             }
             let Some(endpoint) = self.place(step, task, &allowed, &siblings) else {
                 misfits.add(step);
+                misfits.found |= self.fits_somewhere(step);
                 return;
             };
             *siblings.entry(endpoint.clone()).or_default() += 1;
@@ -213,19 +224,26 @@
     /// Starts all tasks of a step that work only, or well only, together: a gang as a whole or
     /// not at all, and on one rack where one has the room. Half a gang would hold room idle
     /// until it times out.
-    fn start_together(&mut self, spec: &Arc<JobSpec>, first: TaskId, allowed: &[EndpointId]) {
+    ///
+    /// Returns false if there was no room for all.
+    fn start_together(
+        &mut self,
+        spec: &Arc<JobSpec>,
+        first: TaskId,
+        allowed: &[EndpointId],
+    ) -> bool {
         let step = &spec.steps[usize::from(first.step)];
         let waiting = self.waiting_tasks(first);
         let is_whole = waiting.len() == step.count as usize;
         if step.is_gang && !is_whole {
-            return;
+            return true;
         }
         let need = step.need.times(waiting.len() as u64);
         if !self.is_within_bound(spec, &need) {
-            return;
+            return true;
         }
         let Some(places) = self.places_together(step, first, &waiting, allowed) else {
-            return;
+            return false;
         };
         if step.is_gang {
             self.align_runs(first);
@@ -234,6 +252,16 @@
             let ticket = self.ticket(first, &endpoint);
             self.start(task, &endpoint, ticket);
         }
+        true
+    }
+
+    /// Whether some endpoint of the fleet, were it empty, could take a task of the step.
+    fn fits_somewhere(&self, step: &StepSpec) -> bool {
+        let room = step.room();
+        self.endpoints.values().any(|e| {
+            let has_label = step.requires.as_deref().is_none_or(|l| e.has_label(l));
+            has_label && e.report.as_ref().is_some_and(|r| r.capacity.holds(&room))
+        })
     }
 
     /// Members of a gang share the number of their run and the checkpoint.
--- a/crates/pomelohitch-sched/src/instances.rs
+++ b/crates/pomelohitch-sched/src/instances.rs
@@ -241,6 +241,14 @@
         self.under_way.get(id)?.to.as_ref()
     }
 
+    /// Whether an instance is on its way to the pool.
+    #[must_use]
+    pub fn is_awaited(&self, pool: &ServiceName) -> bool {
+        let is_moving = |i: &Instance| i.state == InstanceState::Moving && i.pool == *pool;
+        self.under_way.values().any(|u| u.to.as_ref() == Some(pool))
+            || self.list.values().any(is_moving)
+    }
+
     /// Notes that an instance is ordered down, or to another pool.
     pub fn set_under_way(&mut self, id: &InstanceId, now: Steady, to: Option<ServiceName>) {
         let endpoint = self.list.get(id).and_then(|i| i.endpoint.clone());
--- a/crates/pomelohitch-sched/src/pools.rs
+++ b/crates/pomelohitch-sched/src/pools.rs
@@ -11,6 +11,9 @@
 /// Processors are never all in use at once, as tasks don't fit exactly.
 const FILL: f64 = 0.9;
 
+/// A pool that is short asks for one instance at a time: any lack does.
+const ONE_MORE: f64 = 1.0;
+
 /// What a pool wants.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Pool {
@@ -20,6 +23,9 @@
     pub is_spare: bool,
     /// Processors that tasks will take, thousandths of a core.
     pub wanted: f64,
+    /// Whether a task finds no place whatever processors are free: for want of memory, or because
+    /// it has to be apart from others.
+    pub is_short: bool,
 }
 
 /// An instance that may be moved.
@@ -100,6 +106,7 @@
     pool: &'a Pool,
     have: f64,
     count: usize,
+    is_short: bool,
 }
 
 impl Balance<'_> {
@@ -109,6 +116,7 @@
             pool,
             have: own.clone().map(|i| as_f64(i.cpu)).sum(),
             count: own.count(),
+            is_short: pool.is_short,
         }
     }
 
@@ -117,12 +125,14 @@
         if self.pool.is_spare {
             return 0.0;
         }
-        self.pool.wanted / FILL - self.have
+        let short = if self.is_short { ONE_MORE } else { 0.0 };
+        (self.pool.wanted / FILL - self.have).max(short)
     }
 
     fn can_give(&self, instance: &Candidate) -> bool {
         let left = self.have - as_f64(instance.cpu);
-        self.pool.is_spare || (self.count > KEPT && left >= self.pool.wanted / FILL)
+        let is_enough = self.count > KEPT && left >= self.pool.wanted / FILL;
+        self.pool.is_spare || (is_enough && !self.pool.is_short)
     }
 
     fn give(&mut self, instance: &Candidate) {
@@ -131,6 +141,7 @@
     }
 
     fn take(&mut self, instance: &Candidate) {
+        self.is_short = false;
         self.have += as_f64(instance.cpu);
         self.count += 1;
     }
--- a/crates/pomelohitch-sched/tests/cell.rs
+++ b/crates/pomelohitch-sched/tests/cell.rs
@@ -9,6 +9,8 @@
 mod ends;
 #[path = "cell/leaders.rs"]
 mod leaders;
+#[path = "cell/pools.rs"]
+mod pools;
 #[path = "cell/random.rs"]
 mod random;
 #[path = "cell/waves.rs"]
--- a/crates/pomelohitch-sched/tests/cell/fleet.rs
+++ b/crates/pomelohitch-sched/tests/cell/fleet.rs
@@ -56,6 +56,10 @@
     pub log: BTreeMap<Box<str>, Box<[u8]>>,
     /// While false, nothing becomes durable.
     pub is_log_up: bool,
+    /// Whether operations take effect after their time.
+    pub carries_out: bool,
+    returning: Vec<(Duration, Arc<str>, Arc<str>)>,
+    lives: u16,
     /// While true, calls about instances have no effect and no answer.
     pub loses_operations: bool,
     pub replies: BTreeMap<u64, Answer>,
@@ -70,21 +74,32 @@
     calls: u64,
 }
 
-/// A fleet of one service, one queue and one workspace.
+fn queue(name: &str, prefix: &str, service: &str) -> Queue {
+    Queue {
+        name: name.into(),
+        host: "h".into(),
+        prefix: prefix.into(),
+        service: service.into(),
+        attempts: 3,
+        stretch: 1.6,
+        objective: Duration::from_millis(600),
+        ..Queue::default()
+    }
+}
+
+/// Two services with a queue each, and one workspace.
 pub fn config(version: u64) -> FleetConfig {
     FleetConfig {
         version,
-        queues: vec![Queue {
-            name: "quotes".into(),
-            host: "h".into(),
-            prefix: "/q/".into(),
-            service: "pricing".into(),
-            attempts: 3,
-            stretch: 1.6,
-            objective: Duration::from_millis(600),
-            ..Queue::default()
-        }],
-        services: [("pricing".into(), Service::default())].into(),
+        queues: vec![
+            queue("quotes", "/q/", "pricing"),
+            queue("issues", "/i/", "issuing"),
+        ],
+        services: [
+            ("pricing".into(), Service::default()),
+            ("issuing".into(), Service::default()),
+        ]
+        .into(),
         workspaces: vec![Workspace {
             name: "ski".into(),
             keys: vec!["key".into()],
@@ -237,6 +252,9 @@
             instances: BTreeMap::new(),
             log: BTreeMap::new(),
             is_log_up: true,
+            carries_out: false,
+            returning: Vec::new(),
+            lives: 100,
             loses_operations: false,
             replies: BTreeMap::new(),
             statuses: Vec::new(),
@@ -258,7 +276,14 @@
     }
 
     pub fn add(&mut self, id: &str, index: u16) {
-        let report = report(id, index);
+        self.add_to("pricing", id, index);
+    }
+
+    pub fn add_to(&mut self, service: &str, id: &str, index: u16) {
+        let report = Report {
+            service: service.into(),
+            ..report(id, index)
+        };
         let instance: Arc<str> = format!("m{index}").into();
         self.instances.insert(
             instance.clone(),
@@ -357,6 +382,7 @@
             for endpoint in self.endpoints.values_mut() {
                 endpoint.pass(STEP);
             }
+            self.return_instances();
             self.answer_looks();
             self.commit();
             let actions = self.cell.tick(self.now);
@@ -456,9 +482,46 @@
         } else {
             OperationOutcome::Taken
         };
+        if self.carries_out && !self.loses_operations {
+            self.take_down(id, operation);
+        }
         self.cell.operated(id, operation, outcome);
     }
 
+    fn take_down(&mut self, id: &Arc<str>, operation: &Operation) {
+        let instance = self.instances.get_mut(id).expect("it is listed");
+        if let Some(endpoint) = instance.endpoint.take() {
+            self.endpoints.remove(&endpoint);
+        }
+        let (state, pool, millis) = match operation {
+            Operation::Move { pool } => (InstanceState::Moving, pool.clone(), 1500),
+            Operation::Maintain { .. } => (InstanceState::Maintenance, instance.pool.clone(), 2000),
+        };
+        instance.state = state;
+        instance.pool = pool.clone();
+        let back_at = self.now.steady + Duration::from_millis(millis);
+        self.returning.push((back_at, id.clone(), pool));
+    }
+
+    fn return_instances(&mut self) {
+        let now = self.now.steady;
+        let back: Vec<_> = self
+            .returning
+            .extract_if(.., |(at, ..)| *at <= now)
+            .collect();
+        for (_, id, pool) in back {
+            self.lives += 1;
+            let mut report = report(&format!("e{}", self.lives), self.lives);
+            report.service = pool;
+            let instance = self.instances.get_mut(&id).expect("it is listed");
+            instance.state = InstanceState::Up;
+            instance.endpoint = Some(report.id.clone());
+            self.cell.endpoint_listed(report.clone());
+            self.endpoints
+                .insert(report.id.clone(), Endpoint::new(report));
+        }
+    }
+
     fn order(&mut self, target: &Target, order: &Order, epoch: u64) -> Outcome {
         let done = self.done.clone();
         let Some(endpoint) = self.endpoints.get_mut(&target.id) else {
--- /dev/null
+++ b/crates/pomelohitch-sched/tests/cell/pools.rs
@@ -0,0 +1,70 @@
+//! Pools that follow demand.
+
+use super::fleet::{Fleet, job, step};
+
+/// A fleet with `pricing` and `issuing` instances, whose operations take effect.
+fn fleet(pricing: u16, issuing: u16) -> Fleet {
+    let mut fleet = Fleet::new(pricing);
+    for index in 0..issuing {
+        fleet.add_to("issuing", &format!("i{index}"), 50 + index);
+    }
+    fleet.carries_out = true;
+    fleet.list();
+    fleet.pass(400);
+    fleet
+}
+
+fn pool(fleet: &Fleet, name: &str) -> usize {
+    let instances = fleet.instances.values();
+    instances.filter(|i| &*i.pool == name).count()
+}
+
+#[test]
+fn instances_move_to_the_pool_that_wants_them() {
+    let mut fleet = fleet(4, 4);
+    for id in 1..=8_u64 {
+        fleet.submit(&format!("{id:016x}"), job(vec![step(3, 1000, 4_000)]));
+    }
+    fleet.pass(300);
+    assert_eq!(pool(&fleet, "pricing"), 6);
+    assert_eq!(pool(&fleet, "issuing"), 2);
+    fleet.assert_sound();
+}
+
+#[test]
+fn a_pool_that_has_enough_is_left_alone() {
+    let mut fleet = fleet(4, 4);
+    fleet.submit("00000000000000a1", job(vec![step(4, 1000, 2_000)]));
+    fleet.pass(300);
+    assert!(fleet.operations.is_empty());
+}
+
+/// Three lasting tasks have to be apart, and their pool has two instances. Processors are free, so
+/// that by demand alone no instance would come, and one task would never start.
+#[test]
+fn a_pool_with_too_few_instances_to_keep_tasks_apart_gets_one_more() {
+    let mut fleet = fleet(2, 4);
+    let mut lasting = step(3, 500, 100);
+    lasting.is_lasting = true;
+    lasting.per_endpoint = 1;
+    fleet.submit("00000000000000a1", job(vec![lasting]));
+    fleet.pass(400);
+    assert_eq!(pool(&fleet, "pricing"), 3);
+    assert_eq!(fleet.starts.len(), 3);
+    fleet.assert_sound();
+}
+
+/// A start is decided while a move of its instance is on its way. It would be met by the end of
+/// the endpoint, and counted as gone it would start elsewhere beside a run that goes on.
+#[test]
+fn nothing_starts_on_an_instance_that_is_on_its_way() {
+    let mut fleet = fleet(2, 6);
+    for id in 1..=30_u64 {
+        let prefix = if id % 2 == 0 { "q" } else { "i" };
+        let call = pomelohitch_sched::cell::calls::Verb::Submit(Ok(job(vec![step(5, 900, 300)])));
+        fleet.call(&format!("/{prefix}/{id:016x}"), call);
+        fleet.pass(7);
+    }
+    fleet.pass(600);
+    fleet.assert_sound();
+}
