fix: a start that waited long for its record isn't sent; instances move soon after a change of leader

The caller's threads dropped orders older than 0.8 s, which hid it.

After a change of leader no instance was operated on for 3.4 s, in which a queue's turn is over. Now an instance whose endpoint is older than that may be, since any order would have ended the endpoint.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -21,7 +21,7 @@
 use crate::id::{EndpointId, Epoch, JobId, QueueName, ServiceName, WorkspaceName};
 use crate::instances::Instances;
 use crate::job::JobSpec;
-use crate::order::{Action, Due, Target};
+use crate::order::{Action, Due, Order, Outcome, Refusal, Target};
 use crate::progress::{self, Entry, JobState, Progress, Record};
 use crate::resources::Resources;
 use crate::{Now, Steady};
@@ -44,6 +44,9 @@
     /// After this much of an endpoint's clock a start is void, so that one that is carried out
     /// late does nothing.
     pub start_valid: Duration,
+    /// A start that waited so long for its record isn't sent any more: what it was decided by may
+    /// be wrong by now.
+    pub start_stale: Duration,
     /// A look waits so long at the endpoint for an end.
     pub look_wait: Duration,
     /// The same where tasks have to keep a target, which only looks show.
@@ -61,8 +64,11 @@
     pub keep_ended: Duration,
     /// How much earlier than due a repetition may begin.
     pub early: Duration,
-    /// The time that another holder's operations on instances stay away after a change of leader.
+    /// Orders of two holders for one instance stay so far apart.
     pub holder_gap: Duration,
+    /// So long after the change of leader the former one may still send what it decided: its
+    /// leadership was confirmed at most 1.5 s before.
+    pub former_holder: Duration,
     /// Most jobs held at once; more would take more memory than an entry instance has.
     pub max_jobs: usize,
 }
@@ -72,6 +78,7 @@
         Settings {
             lease: Duration::from_secs(6),
             start_valid: Duration::from_millis(1500),
+            start_stale: Duration::from_millis(800),
             look_wait: Duration::from_secs(1),
             look_wait_target: Duration::from_millis(300),
             look_gap: Duration::from_millis(25),
@@ -81,6 +88,7 @@
             keep_ended: Duration::from_secs(150),
             early: Duration::ZERO,
             holder_gap: Duration::from_millis(3500),
+            former_holder: Duration::from_millis(1800),
             max_jobs: 50_000,
         }
     }
@@ -318,7 +326,31 @@
                 self.looks.entry(id).or_default().hurry(self.now.steady);
             }
         }
-        batch.actions
+        let (void, due): (Vec<_>, Vec<_>) = batch
+            .actions
+            .into_iter()
+            .partition(|action| self.is_void_start(action));
+        for action in void {
+            if let Action::Order { target, order, .. } = action {
+                self.ordered(&target, &order, &Outcome::Refused(Refusal::Unsent));
+            }
+        }
+        due
+    }
+
+    /// Whether an action is a start that waited too long for its record, or whose run was given up
+    /// meanwhile. Its task may run elsewhere by now.
+    fn is_void_start(&self, action: &Action) -> bool {
+        let Action::Order {
+            order: Order::Start { task, run, .. },
+            at,
+            ..
+        } = action
+        else {
+            return false;
+        };
+        let is_old = self.now.steady.saturating_sub(*at) > self.settings.start_stale;
+        is_old || self.run(*task, *run).is_none()
     }
 
     /// A job, for views and tests.
--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -201,6 +201,9 @@
         let Some(instance) = instance else {
             return false;
         };
+        if !self.is_past_holder_gap(instance) {
+            return false;
+        }
         match &instance.endpoint {
             Some(id) => self.endpoints.get(id).is_some_and(|e| e.runs.is_empty()),
             None => self.is_off(&instance.pool),
@@ -224,9 +227,25 @@
         self.instances.list().get(id)?.endpoint.clone()
     }
 
-    /// A former leader may have operated on instances until just before this one began.
+    /// Whether the former leader surely sends no more orders for instances.
     pub(super) fn may_operate(&self) -> bool {
-        self.now.steady >= self.began + self.settings.holder_gap
+        self.now.steady >= self.began + self.settings.former_holder
+    }
+
+    /// Whether a former leader's last order for this instance lies far enough back.
+    ///
+    /// Whatever it ordered ended the endpoint that lived there, so that an endpoint which is older
+    /// than the gap shows that there was none since. Of an instance that is off nothing is known.
+    fn is_past_holder_gap(&self, instance: &Instance) -> bool {
+        let now = self.now.steady;
+        if now >= self.began + self.settings.holder_gap + self.settings.former_holder {
+            return true;
+        }
+        let is_listed_since = self.instances.listed_at().is_some_and(|at| at > self.began);
+        let endpoint = instance.endpoint.as_ref();
+        let endpoint = endpoint.and_then(|e| self.endpoints.get(e));
+        let age = endpoint.and_then(|e| e.clock_at_least(now));
+        is_listed_since && age.is_some_and(|age| age > self.settings.holder_gap)
     }
 
     fn maintain(&mut self, wave: u64, id: &InstanceId) {
--- a/pomelohitchd/src/fleet/election.rs
+++ b/pomelohitchd/src/fleet/election.rs
@@ -48,9 +48,9 @@
         }
         if shared.take_claim() {
             info!("asked to take over");
-            leader::claim(shared);
+            leader::claim(shared, true);
         } else if is_suspect(&shared.view(), now, hold_back) && is_silent(shared) {
-            leader::claim(shared);
+            leader::claim(shared, false);
         }
     }
 }
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -78,8 +78,10 @@
 }
 
 /// Tries to become the leader. Whoever fails waits for the next silence.
-pub fn claim(shared: &Arc<Shared>) {
-    if let Err(error) = take_over(shared) {
+///
+/// `is_handed_over` says that the former leader has ended and asked for it.
+pub fn claim(shared: &Arc<Shared>, is_handed_over: bool) {
+    if let Err(error) = take_over(shared, is_handed_over) {
         info!(%error, "leadership not taken over");
         let now = clock::steady();
         shared.update(|view| view.heard_at = view.heard_at.max(now.saturating_sub(PAUSE)));
@@ -90,7 +92,7 @@
 /// but not at once.
 const PAUSE: Duration = Duration::from_millis(500);
 
-fn take_over(shared: &Arc<Shared>) -> Result<()> {
+fn take_over(shared: &Arc<Shared>, is_handed_over: bool) -> Result<()> {
     let began = clock::steady();
     let store = shared.store();
     let leader = claim_record(shared, &store)?;
@@ -108,6 +110,11 @@
         lease: LEASE.min(site.bounds.longest_lease),
         keep_ended: site.bounds.keep_ended + KEEP_MARGIN,
         holder_gap: site.bounds.holder_gap + HOLDER_MARGIN,
+        former_holder: if is_handed_over {
+            HANDED_OVER
+        } else {
+            Settings::default().former_holder
+        },
         ..Settings::default()
     };
     let (mut cell, faults) = Cell::restore(settings, epoch, clock::now(), &records.jobs.records);
@@ -175,6 +182,8 @@
 
 /// Long enough to outlive a change of leader; see [`Settings::lease`].
 const LEASE: Duration = Duration::from_secs(6);
+/// A leader that has handed over sends nothing more but what was just going out.
+const HANDED_OVER: Duration = Duration::from_millis(300);
 /// States of jobs are kept a little longer than promised.
 const KEEP_MARGIN: Duration = Duration::from_secs(20);
 /// Operations of a former holder stay away a little longer than they have to.
@@ -187,8 +196,10 @@
 
 /// Writes that this member leads from now on; the store takes one claim for each end of the topic.
 fn claim_record(shared: &Shared, store: &Store) -> Result<Leader> {
+    let suspected = shared.view().leader.map_or(0, |l| l.epoch);
     let end = members::read_all(shared, store).context(StoreSnafu)?;
     let known = shared.view().leader.map_or(0, |l| l.epoch);
+    ensure!(known == suspected, RacedSnafu);
     let site = shared.site.load();
     let leader = Leader {
         epoch: known + 1,
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -7,6 +7,7 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, SyncSender};
 use std::time::Duration;
 
+use pomelohitch_adapter::store::Topic;
 use pomelohitch_sched::cell::Batch;
 use pomelohitch_sched::cell::calls::{Call, Verb};
 use pomelohitch_sched::config::FleetConfig;
@@ -39,6 +40,8 @@
 const EVENTS_AT_ONCE: usize = 1_000;
 /// The store is taken for lost after so long without an answer: the other members are asked then.
 const STORE_LOST_AFTER: Duration = Duration::from_millis(500);
+/// A store that answers a read now is taken to be back for all, unless appends fail for longer.
+const STORE_TRUSTED_FOR: Duration = Duration::from_secs(6);
 /// How often they are asked.
 const ASK_EVERY: Duration = Duration::from_millis(600);
 /// Without the store and without any answer of other members this process stops leading: the
@@ -92,7 +95,9 @@
     /// The store answers, or doesn't, to reads of what operators write.
     Reads(bool),
     /// What the other members answered about the store.
-    Probed(Vec<(SocketAddr, ProbeReply)>),
+    ///
+    /// Comes with whether the store answers this process at the same time.
+    Probed(Vec<(SocketAddr, ProbeReply)>, bool),
     /// A later leader is known.
     Deposed(&'static str),
     /// The process shuts down.
@@ -257,7 +262,7 @@
                 self.appends_lost = lost_since(self.appends_lost, is_well);
             }
             Event::Reads(is_well) => self.reads_lost = lost_since(self.reads_lost, is_well),
-            Event::Probed(answers) => self.take_probes(&answers),
+            Event::Probed(answers, has_store) => self.take_probes(&answers, has_store),
             Event::Deposed(why) => self.stop(why, None),
             Event::Leave => self.leave(),
         }
@@ -360,10 +365,13 @@
         self.asked_at = now;
         let others = self.others();
         let tx = self.tx.clone();
+        let store = self.shared.store();
+        let end = self.shared.view().members_end;
         let asking = spawn("ask about the store", move || {
             let probe = Probe { with_store: true };
             let answers = peers::ask_all::<ProbeReply>(&others, wire::PROBE, &probe);
-            let _ = tx.send(Event::Probed(answers));
+            let has_store = store.read(Topic::Members, end, Duration::ZERO).is_ok();
+            let _ = tx.send(Event::Probed(answers, has_store));
         });
         if let Err(error) = asking {
             warn!(%error, "other members can't be asked");
@@ -381,17 +389,18 @@
         members.into_values().filter(|addr| *addr != own).collect()
     }
 
-    fn take_probes(&mut self, answers: &[(SocketAddr, ProbeReply)]) {
+    fn take_probes(&mut self, answers: &[(SocketAddr, ProbeReply)], has_store: bool) {
         let Some(since) = self.store_lost() else {
             return;
         };
+        let is_back = has_store && clock::steady().saturating_sub(since) < STORE_TRUSTED_FOR;
         if answers.iter().any(|(_, a)| a.epoch > self.epoch) {
             self.stop("another member knows a later leader", None);
         }
         let successor = answers.iter().find(|(_, a)| a.has_store && !a.is_leaving);
         let lost_ms = clock::steady().saturating_sub(since).as_millis();
         warn!(lost_ms, answers = answers.len(), successor = ?successor.map(|s| s.0), "store lost");
-        if let Some((successor, _)) = successor {
+        if let Some((successor, _)) = successor.filter(|_| !is_back) {
             self.stop("the store answers others", Some(*successor));
         }
         let is_alone = answers.is_empty() && !self.others().is_empty();
--- a/pomelohitchd/src/fleet/leader/duties.rs
+++ b/pomelohitchd/src/fleet/leader/duties.rs
@@ -96,8 +96,13 @@
     let (tx, rx) = mpsc::channel();
     let site = shared.site.load_full();
     let client = site.instances.map(|addr| Client::new(addr, CONNECT));
+    let shared = shared.clone();
     spawn("instances", move || {
         for call in rx {
+            // What still waits when the leadership ends isn't sent: the next leader has begun.
+            if shared.leading().is_none_or(|l| l.epoch != epoch) {
+                return;
+            }
             let event = match call {
                 Call::List => list(client.as_ref()),
                 Call::Operate(id, operation) => {
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -21,6 +21,9 @@
 /// A connection to the store that isn't made by then won't be.
 const STORE_CONNECT: Duration = Duration::from_millis(500);
 
+/// At its start a process takes the leader for silent since so long.
+const START_SILENCE: Duration = Duration::from_millis(600);
+
 /// What is known of members, leader and store.
 #[derive(Debug, Clone, Default)]
 pub struct View {
@@ -65,9 +68,11 @@
     /// A process that knows nothing yet.
     #[must_use]
     pub fn new(site: Site) -> Shared {
+        // A process that just started hasn't missed a heartbeat, but needn't wait for all of the
+        // usual silence: if there is a leader, others have heard it.
         let now = clock::steady();
         let view = View {
-            heard_at: now,
+            heard_at: now.saturating_sub(START_SILENCE),
             alive_at: now,
             ..View::default()
         };
