perf: instances that no pool will want soon are switched off

What is foreseen (by the period, or for a service that has just had its turn) decides; the whole fleet's surplus counts, since an idle instance goes to the next pool with one move.

--- a/crates/pomelohitch-sched/src/cell/follow.rs
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -14,6 +14,11 @@
 /// How far ahead a pool provides: the time a move takes (1.5 s), until the endpoint is listed and
 /// looked at (0.3 s), and until the instance is empty (0.5 s).
 const AHEAD: Duration = Duration::from_millis(2300);
+/// Switching an instance off and on again costs two moves, as much as 2.4 s in a pool; it takes
+/// 1.8 s to come back.
+const SOON: Duration = Duration::from_millis(4500);
+/// A surplus has to last so long before anything is switched off, so that a lull doesn't do it.
+const SURPLUS_FOR: Duration = Duration::from_millis(800);
 /// A task that finds no place for so long won't by ends alone, which come within half a second.
 const SHORT_AFTER: Duration = Duration::from_millis(600);
 /// How often moves are decided.
@@ -34,18 +39,38 @@
         self.followed_at = now;
         let pools = self.pools();
         let candidates = self.movables(is_due);
+        let plan = pools::plan(&pools, &candidates);
         let mut emptying = BTreeSet::new();
-        for Move { instance, to } in pools::plan(&pools, &candidates) {
+        for Move { instance, to } in plan.moves {
             if self.is_known_empty(&instance) {
                 self.move_to(&instance, &to);
             } else {
                 emptying.extend(self.endpoint_on(&instance));
             }
         }
+        self.switch_off(plan.surplus);
         self.emptying.clone_from(&emptying);
         emptying
     }
 
+    /// Switches off what has been in surplus for a while.
+    fn switch_off(&mut self, surplus: Vec<Move>) {
+        let now = self.now.steady;
+        if surplus.is_empty() {
+            self.surplus_since = None;
+            return;
+        }
+        let since = *self.surplus_since.get_or_insert(now);
+        if now.saturating_sub(since) < SURPLUS_FOR {
+            return;
+        }
+        for Move { instance, to } in surplus {
+            if self.is_known_empty(&instance) {
+                self.move_to(&instance, &to);
+            }
+        }
+    }
+
     /// Every pool with what it will want: what its queue will ask, and what lasts.
     fn pools(&self) -> Vec<Pool> {
         let Some(cfg) = &self.cfg else {
@@ -56,6 +81,10 @@
             is_spare: service.is_spare,
             is_short: self.is_short(name),
             wanted: self.demand.most(name, self.now.unix_ms, AHEAD) + self.lasting_need(name),
+            soon: self
+                .demand
+                .foreseen(name, self.now.unix_ms, SOON)
+                .map(|soon| soon + self.lasting_need(name)),
         };
         cfg.services.iter().map(pool).collect()
     }
--- a/crates/pomelohitch-sched/src/demand.rs
+++ b/crates/pomelohitch-sched/src/demand.rs
@@ -25,6 +25,10 @@
 /// How much more alike a longer period has to be than a shorter one: a multiple of the true
 /// period is as like as the period itself.
 const LONGER_BONUS: f64 = 0.05;
+/// A service has its turn behind it when it once wanted this many times what it wants now, and
+/// more than a few tasks take, thousandths of a core.
+const TURN_RATIO: f64 = 4.0;
+const TURN_PEAK: f64 = 30_000.0;
 /// The rate of arriving work is taken over so many buckets.
 const RATE_BUCKETS: u64 = 2;
 
@@ -87,6 +91,26 @@
         known.max(before)
     }
 
+    /// The same for as long as it can be foreseen: by the period, or, before that is known, for a
+    /// service that has just had its turn. `None` if a turn may come at any time.
+    #[must_use]
+    pub fn foreseen(&self, service: &ServiceName, now_ms: UnixMs, ahead: Duration) -> Option<f64> {
+        let is_foreseen = self.period.is_some() || self.has_had_turn(service, now_ms);
+        is_foreseen.then(|| self.most(service, now_ms, ahead))
+    }
+
+    /// Whether a service has wanted much more than it wants now.
+    fn has_had_turn(&self, service: &ServiceName, now_ms: UnixMs) -> bool {
+        let Some(series) = self.wanted.get(service) else {
+            return false;
+        };
+        let now = now_ms / BUCKET_MS;
+        let peak = series.range(..now).map(|(_, w)| *w).fold(0.0, f64::max);
+        let lately = series.range(now.saturating_sub(RATE_BUCKETS)..=now);
+        let lately = lately.map(|(_, w)| *w).fold(0.0, f64::max);
+        peak > TURN_PEAK && peak > TURN_RATIO * lately
+    }
+
     /// The work that arrives, thousandths of a core: what is in use when starts keep up with it.
     fn rate(&self, service: &ServiceName, now: u64) -> f64 {
         let arrived = self.arrived.get(service);
--- a/crates/pomelohitch-sched/src/pools.rs
+++ b/crates/pomelohitch-sched/src/pools.rs
@@ -2,15 +2,18 @@
 //!
 //! Pure: what each pool wants and what each instance does come in, moves come out. A move costs
 //! about as much as an instance in a pool for 1.2 seconds, and takes the instance away for about
-//! two, so that a pool that has enough for what is coming is left alone.
+//! two, so that a pool that has enough for what is coming is left alone. Instances that no pool
+//! will want for a while go to the spare pool, where they are switched off and cost nothing.
+
+use std::collections::BTreeSet;
 
 use crate::id::{InstanceId, ServiceName};
 
 /// A pool never gives away its last instances: work of its service may come at any time.
 pub const KEPT: usize = 2;
-/// Processors are never all in use at once, as tasks don't fit exactly.
-const FILL: f64 = 0.9;
-
+/// Processors are never all in use at once, as tasks don't fit exactly, and what arrives varies
+/// around what is foreseen.
+const FILL: f64 = 0.85;
 /// A pool that is short asks for one instance at a time: any lack does.
 const ONE_MORE: f64 = 1.0;
 
@@ -21,8 +24,11 @@
     pub name: ServiceName,
     /// Whether its instances are off.
     pub is_spare: bool,
-    /// Processors that tasks will take, thousandths of a core.
+    /// Processors that tasks will take by the time a move is over, thousandths of a core.
     pub wanted: f64,
+    /// The most that they will take within the time for which switching off pays; `None` if that
+    /// isn't known.
+    pub soon: Option<f64>,
     /// Whether a task finds no place whatever processors are free: for want of memory, or because
     /// it has to be apart from others.
     pub is_short: bool,
@@ -54,51 +60,129 @@
     pub to: ServiceName,
 }
 
-/// The moves that bring each pool what it wants, as far as others can spare it.
+/// What should be moved.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// Moves that bring each pool what it wants, as far as others can spare it.
+    pub moves: Vec<Move>,
+    /// Moves to the spare pool of instances that none will want soon.
+    pub surplus: Vec<Move>,
+}
+
+/// Decides which instances should move.
 #[must_use]
-pub fn plan(pools: &[Pool], instances: &[Candidate]) -> Vec<Move> {
-    let mut balances: Vec<Balance<'_>> = pools.iter().map(|p| Balance::new(p, instances)).collect();
-    let mut moves = Vec::new();
-    let mut taken = std::collections::BTreeSet::new();
-    loop {
-        let Some(needy) = neediest(&balances) else {
-            return moves;
-        };
-        let giver = instances
-            .iter()
-            .filter(|i| i.is_movable && i.pool != balances[needy].pool.name)
-            .filter(|i| !taken.contains(&i.id))
-            .filter(|i| {
-                balances
-                    .iter()
-                    .any(|b| b.pool.name == i.pool && b.can_give(i))
-            })
-            .min_by_key(|i| effort(i, pools));
-        let Some(giver) = giver else {
+pub fn plan(pools: &[Pool], instances: &[Candidate]) -> Plan {
+    let mut ledger = Ledger {
+        balances: pools.iter().map(|p| Balance::new(p, instances)).collect(),
+        instances,
+        taken: BTreeSet::new(),
+    };
+    Plan {
+        moves: ledger.satisfy(),
+        surplus: ledger.switch_off(),
+    }
+}
+
+/// What each pool has while moves are decided one after another.
+struct Ledger<'a> {
+    balances: Vec<Balance<'a>>,
+    instances: &'a [Candidate],
+    taken: BTreeSet<&'a InstanceId>,
+}
+
+impl<'a> Ledger<'a> {
+    fn satisfy(&mut self) -> Vec<Move> {
+        let mut moves = Vec::new();
+        while let Some(needy) = self.neediest() {
+            let Some(giver) = self.giver(needy) else {
+                break;
+            };
+            moves.push(self.transfer(giver, needy));
+        }
+        moves
+    }
+
+    fn switch_off(&mut self) -> Vec<Move> {
+        let mut moves = Vec::new();
+        let Some(spare) = self.balances.iter().position(|b| b.pool.is_spare) else {
             return moves;
         };
-        taken.insert(giver.id.clone());
-        if let Some(from) = balances.iter_mut().find(|b| b.pool.name == giver.pool) {
-            from.give(giver);
+        while let Some(idle) = self.idle() {
+            moves.push(self.transfer(idle, spare));
         }
-        balances[needy].take(giver);
-        moves.push(Move {
-            instance: giver.id.clone(),
-            to: balances[needy].pool.name.clone(),
+        moves
+    }
+
+    fn neediest(&self) -> Option<usize> {
+        let balances = self.balances.iter().enumerate();
+        let lacking = balances.filter(|(_, b)| b.lacks() > 0.0);
+        let most = lacking.max_by(|(_, a), (_, b)| a.lacks().total_cmp(&b.lacks()));
+        most.map(|(index, _)| index)
+    }
+
+    fn giver(&self, needy: usize) -> Option<&'a Candidate> {
+        let to = &self.balances[needy].pool.name;
+        let others = self.free().filter(|i| i.pool != *to);
+        let able = others.filter(|i| self.balance(i).is_some_and(|b| b.can_give(i)));
+        able.min_by_key(|i| self.effort(i))
+    }
+
+    /// Idle instances that nobody will miss come first, as they cost; then those that are off,
+    /// those that are being emptied, and the emptiest.
+    fn effort(&self, instance: &Candidate) -> (u8, u64) {
+        let balance = self.balance(instance);
+        let is_off = balance.is_some_and(|b| b.pool.is_spare);
+        let is_missed = balance.is_none_or(|b| !b.has_over(instance));
+        let rank = match (is_off, is_missed, instance.used) {
+            (false, false, 0) => 0,
+            (true, ..) => 1,
+            (_, false, _) if instance.is_reserved => 2,
+            (_, false, _) => 3,
+            (_, true, _) if instance.is_reserved => 4,
+            (_, true, _) => 5,
+        };
+        (rank, instance.used)
+    }
+
+    /// An idle instance that no pool will want soon, its own or another.
+    fn idle(&self) -> Option<&'a Candidate> {
+        let over: f64 = self.balances.iter().filter_map(Balance::over).sum();
+        let idle = self.free().filter(|i| i.used == 0);
+        let mut unmissed = idle.filter(|i| {
+            let balance = self.balance(i);
+            balance.is_some_and(|b| !b.pool.is_spare && b.has_over(i)) && over >= as_f64(i.cpu)
         });
+        unmissed.next()
     }
-}
 
-/// Instances that are off come first, then those that are being emptied, then the emptiest.
-fn effort(instance: &Candidate, pools: &[Pool]) -> (bool, bool, u64) {
-    let is_off = pools.iter().any(|p| p.is_spare && p.name == instance.pool);
-    (!is_off, !instance.is_reserved, instance.used)
-}
+    fn free(&self) -> impl Iterator<Item = &'a Candidate> + use<'_, 'a> {
+        let movable = self.instances.iter().filter(|i| i.is_movable);
+        movable.filter(|i| !self.taken.contains(&i.id))
+    }
+
+    fn balance(&self, instance: &Candidate) -> Option<&Balance<'a>> {
+        self.balances.iter().find(|b| b.pool.name == instance.pool)
+    }
 
-fn neediest(balances: &[Balance<'_>]) -> Option<usize> {
-    let lacking = balances.iter().enumerate().filter(|(_, b)| b.lacks() > 0.0);
-    let most = lacking.max_by(|(_, a), (_, b)| a.lacks().total_cmp(&b.lacks()));
-    most.map(|(index, _)| index)
+    fn transfer(&mut self, instance: &'a Candidate, to: usize) -> Move {
+        self.taken.insert(&instance.id);
+        let from = self
+            .balances
+            .iter_mut()
+            .find(|b| b.pool.name == instance.pool);
+        if let Some(from) = from {
+            from.have -= as_f64(instance.cpu);
+            from.count -= 1;
+        }
+        let to = &mut self.balances[to];
+        to.have += as_f64(instance.cpu);
+        to.count += 1;
+        to.is_short = false;
+        Move {
+            instance: instance.id.clone(),
+            to: to.pool.name.clone(),
+        }
+    }
 }
 
 /// What a pool has beside what it wants.
@@ -135,15 +219,16 @@
         self.pool.is_spare || (is_enough && !self.pool.is_short)
     }
 
-    fn give(&mut self, instance: &Candidate) {
-        self.have -= as_f64(instance.cpu);
-        self.count -= 1;
+    /// Processors beyond what the pool will want soon, or lacking for it; `None` if that isn't
+    /// known or the pool is off.
+    fn over(&self) -> Option<f64> {
+        let soon = self.pool.soon.filter(|_| !self.pool.is_spare)?;
+        Some(self.have - soon.max(self.pool.wanted) / FILL)
     }
 
-    fn take(&mut self, instance: &Candidate) {
-        self.is_short = false;
-        self.have += as_f64(instance.cpu);
-        self.count += 1;
+    fn has_over(&self, instance: &Candidate) -> bool {
+        let is_over = self.over().is_some_and(|over| over >= as_f64(instance.cpu));
+        is_over && self.can_give(instance)
     }
 }
 
