--- a/crates/pomelohitch-sched/src/demand.rs
+++ b/crates/pomelohitch-sched/src/demand.rs
@@ -30,15 +30,36 @@
 const TURN_RATIO: f64 = 4.0;
 const TURN_PEAK: f64 = 30_000.0;
 /// The rate of arriving work is taken over so many buckets.
-const RATE_BUCKETS: u64 = 2;
+const RATE_BUCKETS: u64 = 3;
+/// A rise is carried on for no longer than a move takes.
+const TREND_AHEAD: Duration = Duration::from_secs(2);
+/// A rise is carried on to at most this many times the rate on top of it: a few large jobs that
+/// come together look like a steep one.
+const MOST_RISE: f64 = 1.5;
+/// Jobs arrive at random, so that a count of n is off by about its square root.
+const DOUBT: f64 = 0.8;
+
+/// What arrived in a bucket.
+#[derive(Debug, Clone, Copy, Default)]
+struct Arrivals {
+    /// Thousandths of a core times milliseconds.
+    work: f64,
+    jobs: u32,
+}
+
+impl Arrivals {
+    /// How far off the work may be as a measure of what arrives, as a part of it.
+    fn doubt(&self) -> f64 {
+        DOUBT / f64::from(self.jobs.max(1)).sqrt()
+    }
+}
 
 /// What each service wanted, and will want.
 #[derive(Debug, Clone, Default)]
 pub struct Demand {
     /// Thousandths of a core that would be in use if every task started at once.
     wanted: BTreeMap<ServiceName, BTreeMap<u64, f64>>,
-    /// Work that arrived, thousandths of a core times milliseconds.
-    arrived: BTreeMap<ServiceName, BTreeMap<u64, f64>>,
+    arrived: BTreeMap<ServiceName, BTreeMap<u64, Arrivals>>,
     first: Option<u64>,
     last: u64,
     period: Option<u64>,
@@ -70,21 +91,23 @@
             }
         }
         let arrived = self.arrived.entry(service.clone()).or_default();
-        *arrived.entry(bucket).or_default() += work;
+        let arrivals = arrived.entry(bucket).or_default();
+        arrivals.work += work;
+        arrivals.jobs += 1;
     }
 
     /// The most that a service will want from now until `ahead` from now, thousandths of a core.
     #[must_use]
     pub fn most(&self, service: &ServiceName, now_ms: UnixMs, ahead: Duration) -> f64 {
         let now = now_ms / BUCKET_MS;
+        let look_ahead = ahead.min(TREND_AHEAD);
         let ahead = u64::try_from(ahead.as_millis()).unwrap_or(0) / BUCKET_MS;
         let series = self.wanted.get(service);
         let at = |bucket: u64| series.and_then(|s| s.get(&bucket)).copied().unwrap_or(0.0);
         let known = (now..=now + ahead).map(at).fold(0.0, f64::max);
         let Some(period) = self.period else {
-            return known.max(self.rate(service, now));
+            return known.max(self.trend(service, now_ms, look_ahead));
         };
-        // A turn that ends within the time ahead needn't be provided for by its rate.
         let before = (now..=now + ahead)
             .map(|b| smooth(&at, b - period))
             .fold(0.0, f64::max);
@@ -111,12 +134,32 @@
         peak > TURN_PEAK && peak > TURN_RATIO * lately
     }
 
-    /// The work that arrives, thousandths of a core: what is in use when starts keep up with it.
-    fn rate(&self, service: &ServiceName, now: u64) -> f64 {
+    /// What arriving work will take `ahead` from now, thousandths of a core: the rate of the last
+    /// moments, and its rise carried on, since a turn begins over some seconds.
+    ///
+    /// Both by what they are at least, given how few jobs they are known from: one large job would
+    /// look like the beginning of a turn otherwise.
+    fn trend(&self, service: &ServiceName, now_ms: UnixMs, ahead: Duration) -> f64 {
+        let now = now_ms / BUCKET_MS;
+        let span = RATE_BUCKETS * BUCKET_MS;
+        let lately = span + now_ms % BUCKET_MS;
+        let rate = self.arrivals(service, now - RATE_BUCKETS..now + 1);
+        let before = self.arrivals(service, now - 2 * RATE_BUCKETS..now - RATE_BUCKETS);
+        let least = rate.work * (1.0 - rate.doubt()) / as_f64(lately);
+        let most_before = before.work * (1.0 + before.doubt()) / as_f64(span);
+        let rise = (least - most_before).max(0.0) / as_f64(u64::midpoint(lately, span));
+        let carried = rise * (ahead.as_secs_f64() * 1000.0);
+        least + carried.min(least * MOST_RISE)
+    }
+
+    fn arrivals(&self, service: &ServiceName, buckets: std::ops::Range<u64>) -> Arrivals {
+        let mut sum = Arrivals::default();
         let arrived = self.arrived.get(service);
-        let from = now.saturating_sub(RATE_BUCKETS);
-        let sum: f64 = arrived.map_or(0.0, |a| a.range(from..=now).map(|(_, w)| w).sum());
-        sum / as_f64((RATE_BUCKETS + 1) * BUCKET_MS)
+        for (_, arrivals) in arrived.into_iter().flat_map(|a| a.range(buckets.clone())) {
+            sum.work += arrivals.work;
+            sum.jobs += arrivals.jobs;
+        }
+        sum
     }
 
     /// The period in which turns repeat, once it is known.
@@ -134,7 +177,10 @@
         }
         self.looked_at = now;
         let oldest = now.saturating_sub(KEPT);
-        for series in self.wanted.values_mut().chain(self.arrived.values_mut()) {
+        for series in self.wanted.values_mut() {
+            *series = series.split_off(&oldest);
+        }
+        for series in self.arrived.values_mut() {
             *series = series.split_off(&oldest);
         }
         self.first = self.first.map(|first| first.max(oldest));
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -21,8 +21,9 @@
 /// A connection to the store that isn't made by then won't be.
 const STORE_CONNECT: Duration = Duration::from_millis(500);
 
-/// At its start a process takes the leader for silent since so long.
-const START_SILENCE: Duration = Duration::from_millis(600);
+/// At its start a process takes the leader for silent since so long: enough to ask the others at
+/// once whether they hear one.
+const START_SILENCE: Duration = Duration::from_secs(1);
 
 /// What is known of members, leader and store.
 #[derive(Debug, Clone, Default)]
