fix: a leader's record that is read at the start is no sign of life

After all processes were restarted the record of the former leader counted as heard just now, so that the next claim came 0.9 s later than it could.

--- a/pomelohitchd/src/fleet/internal.rs
+++ b/pomelohitchd/src/fleet/internal.rs
@@ -55,7 +55,7 @@
 }
 
 fn take_beat(shared: &Shared, beat: &Beat) -> BeatReply {
-    let is_current = shared.follow(&beat.leader);
+    let is_current = shared.follow(&beat.leader, true);
     if is_current {
         let now = clock::steady();
         shared.update(|view| {
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -132,7 +132,7 @@
         took_ms,
         "leadership taken over"
     );
-    shared.follow(&leader);
+    shared.follow(&leader, true);
     shared.set_leading(Some(Leading {
         epoch,
         events: tx.clone(),
--- a/pomelohitchd/src/fleet/members.rs
+++ b/pomelohitchd/src/fleet/members.rs
@@ -64,7 +64,7 @@
         view.is_read = true;
     });
     for (key, value) in &newest.records {
-        take(shared, key, Some(value));
+        take(shared, key, Some(value), false);
     }
     Ok(Some(newest.end))
 }
@@ -78,15 +78,15 @@
                 view.members_end = next;
             });
             for Record { key, value } in &records {
-                take(shared, key, value.as_deref());
+                take(shared, key, value.as_deref(), true);
             }
             Ok(Some(next))
         }
     }
 }
 
-/// Takes in one record. One that can't be read names nobody.
-fn take(shared: &Shared, key: &str, value: Option<&[u8]>) {
+/// Takes in one record, which may be old unless it `is_news`. One that can't be read names nobody.
+fn take(shared: &Shared, key: &str, value: Option<&[u8]>, is_news: bool) {
     if let Some(name) = wire::member_of(key) {
         let member = value.and_then(|v| postcard::from_bytes::<Member>(v).ok());
         shared.update(|view| match member {
@@ -99,7 +99,7 @@
         });
     } else if key == wire::LEADER_KEY {
         if let Some(leader) = value.and_then(|v| postcard::from_bytes::<Leader>(v).ok()) {
-            shared.follow(&leader);
+            shared.follow(&leader, is_news);
         }
     } else if key == wire::ALIVE_KEY
         && let Some(alive) = value.and_then(|v| postcard::from_bytes::<Alive>(v).ok())
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -106,7 +106,10 @@
     }
 
     /// Takes in who leads; an older epoch than the one known changes nothing.
-    pub fn follow(&self, leader: &Leader) -> bool {
+    ///
+    /// `is_news` says that it has just begun to lead, which counts as a sign of life. A record that
+    /// is read at the start may be that of a leader that is long gone.
+    pub fn follow(&self, leader: &Leader, is_news: bool) -> bool {
         let mut view = self.lock();
         let known = view.leader.as_ref().map_or(0, |l| l.epoch);
         if leader.epoch < known {
@@ -115,8 +118,10 @@
         if leader.epoch > known {
             info!(epoch = leader.epoch, leader = %leader.member, addr = %leader.addr, "leader known");
             view.leader = Some(leader.clone());
-            view.heard_at = clock::steady();
-            view.alive_at = view.heard_at;
+            if is_news {
+                view.heard_at = clock::steady();
+                view.alive_at = view.heard_at;
+            }
             self.changed.notify_all();
         }
         true
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -58,11 +58,12 @@
 
 fn told(addr: SocketAddr) -> (u16, bool) {
     let shared = Shared::new(site());
-    shared.follow(&Leader {
+    let leader = Leader {
         epoch: 1,
         member: "front-a-2".into(),
         addr,
-    });
+    };
+    shared.follow(&leader, true);
     let response = callers::answer(&shared, &post());
     let has_retry = response
         .headers
