--- a/pomelohitchd/src/fleet/internal.rs
+++ b/pomelohitchd/src/fleet/internal.rs
@@ -10,6 +10,7 @@
 use serde::de::DeserializeOwned;
 use tracing::warn;
 
+use super::leader::core::millis;
 use super::shared::Shared;
 use super::wire::{self, Beat, BeatReply, Probe, ProbeReply};
 use super::{callers, clock};
@@ -73,13 +74,14 @@
     let silent_for: Steady = clock::steady().saturating_sub(view.heard_at);
     let heard_ms = match shared.leading() {
         Some(_) => 0,
-        None => u64::try_from(silent_for.as_millis()).unwrap_or(u64::MAX),
+        None => millis(silent_for),
     };
     ProbeReply {
         epoch: known_epoch(shared),
         heard_ms,
         has_store: probe.with_store && reaches_store(&shared.store(), view.members_end),
         is_leaving: shared.is_leaving(),
+        up_ms: millis(clock::steady().saturating_sub(shared.began)),
     }
 }
 
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -8,7 +8,7 @@
 //! * [`heartbeats`]: tells the other members who leads.
 
 use std::sync::Arc;
-use std::sync::mpsc::{self, RecvTimeoutError};
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError};
 use std::time::Duration;
 
 use pomelohitch_adapter::records::{self, OperatorRecord};
@@ -96,15 +96,18 @@
 fn take_over(shared: &Arc<Shared>, replaced: Epoch, is_handed_over: bool) -> Result<()> {
     let began = clock::steady();
     let store = shared.store();
+    let endpoints = read_aside(shared, Topic::Endpoints)?;
     let leader = claim_record(shared, &store, replaced)?;
     let epoch = leader.epoch;
     let _announcing = announce(shared, &leader)?;
     let fenced = again(|| store.append(Topic::Jobs, &[], epoch_guard(epoch, 0), WITHIN))?;
     ensure!(matches!(fenced, Appended::Done { .. }), FencedSnafu);
+    // Not before the former leader is fenced: what it has read and acted on must be seen here too.
+    let operators = read_aside(shared, Topic::Operators)?;
     let records = Records {
         jobs: again(|| store.newest(Topic::Jobs))?,
-        operators: again(|| store.newest(Topic::Operators))?,
-        endpoints: again(|| store.newest(Topic::Endpoints))?,
+        operators: awaited(&operators)?,
+        endpoints: awaited(&endpoints)?,
     };
     let site = shared.site.load();
     let settings = Settings {
@@ -240,6 +243,22 @@
     call().context(StoreSnafu)
 }
 
+/// Reads a topic on another thread: one after another the reads would add up to seconds while the
+/// store is slow.
+fn read_aside(shared: &Shared, topic: Topic) -> Result<Receiver<Result<Newest>>> {
+    let (tx, rx) = mpsc::channel();
+    let store = shared.store();
+    let reading = spawn("read aside", move || {
+        // Nobody waits any more if the claim has failed meanwhile.
+        let _ = tx.send(again(|| store.newest(topic)));
+    });
+    reading.map(|_| rx).context(ThreadSnafu)
+}
+
+fn awaited(reading: &Receiver<Result<Newest>>) -> Result<Newest> {
+    reading.recv().unwrap_or_else(|_| RacedSnafu.fail())
+}
+
 /// Tells a cell what operators and endpoints have written.
 fn fill(cell: &mut Cell, records: &Records) {
     for (key, value) in &records.operators.records {
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -397,11 +397,11 @@
         if answers.iter().any(|(_, a)| a.epoch > self.epoch) {
             self.stop("another member knows a later leader", None);
         }
-        let successor = answers.iter().find(|(_, a)| a.has_store && !a.is_leaving);
+        let successor = successor(answers);
         let lost_ms = clock::steady().saturating_sub(since).as_millis();
-        warn!(lost_ms, answers = answers.len(), successor = ?successor.map(|s| s.0), "store lost");
-        if let Some((successor, _)) = successor.filter(|_| !is_back) {
-            self.stop("the store answers others", Some(*successor));
+        warn!(lost_ms, answers = answers.len(), successor = ?successor, "store lost");
+        if let Some(successor) = successor.filter(|_| !is_back) {
+            self.stop("the store answers others", Some(successor));
         }
         let is_alone = answers.is_empty() && !self.others().is_empty();
         if is_alone && clock::steady().saturating_sub(since) > ISOLATED_AFTER {
@@ -413,11 +413,17 @@
     fn leave(&mut self) {
         let probe = Probe { with_store: true };
         let answers = peers::ask_all::<ProbeReply>(&self.others(), wire::PROBE, &probe);
-        let successor = answers.iter().find(|(_, a)| a.has_store && !a.is_leaving);
-        self.stop("shutdown", successor.map(|s| s.0));
+        self.stop("shutdown", successor(&answers));
     }
 }
 
+/// The member that should lead next: of those that reach the store, the one that started last. In
+/// a rolling restart its turn is over, while any other may be the next to go.
+fn successor(answers: &[(SocketAddr, ProbeReply)]) -> Option<SocketAddr> {
+    let able = answers.iter().filter(|(_, a)| a.has_store && !a.is_leaving);
+    able.min_by_key(|(_, a)| a.up_ms).map(|(addr, _)| *addr)
+}
+
 fn lost_since(since: Option<Steady>, is_well: bool) -> Option<Steady> {
     (!is_well).then(|| since.unwrap_or_else(clock::steady))
 }
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -56,6 +56,8 @@
 /// Shared by all threads of one process.
 #[derive(Debug)]
 pub struct Shared {
+    /// When the process started.
+    pub began: Steady,
     /// The newest settings.
     pub site: ArcSwap<Site>,
     view: Mutex<View>,
@@ -78,6 +80,7 @@
             ..View::default()
         };
         Shared {
+            began: now,
             site: ArcSwap::from_pointee(site),
             view: Mutex::new(view),
             changed: Condvar::new(),
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -62,6 +62,8 @@
     pub has_store: bool,
     /// Whether it is shutting down.
     pub is_leaving: bool,
+    /// How long its process has been running, milliseconds.
+    pub up_ms: u64,
 }
 
 /// A member's record; its key is [`member_key`].
