--- a/crates/pomelohitch-sched/src/cell/follow.rs
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -6,6 +6,7 @@
 use tracing::info;
 
 use super::Cell;
+use super::schedule::waiting_cpu;
 use crate::id::{EndpointId, InstanceId, ServiceName};
 use crate::instances::{Instance, InstanceState};
 use crate::order::{Action, Operation};
@@ -80,6 +81,7 @@
             name: name.clone(),
             is_spare: service.is_spare,
             is_short: self.is_short(name),
+            backlog: self.backlog(name),
             wanted: self.demand.most(name, self.now.unix_ms, AHEAD) + self.lasting_need(name),
             soon: self
                 .demand
@@ -89,6 +91,19 @@
         cfg.services.iter().map(pool).collect()
     }
 
+    /// Thousandths of a core that tasks take whose turn has come and that wait for a place.
+    fn backlog(&self, service: &ServiceName) -> f64 {
+        let jobs = self.ready.get(service).into_iter().flatten();
+        let jobs = jobs.filter_map(|id| self.jobs.get(id));
+        // What a workspace's bound holds back, instances don't help.
+        let allowed = jobs.filter(|job| {
+            let first = &job.spec.steps[0].need;
+            self.is_within_bound(&job.spec, first)
+        });
+        let waiting = allowed.map(waiting_cpu);
+        f64::from(u32::try_from(waiting.sum::<u64>()).unwrap_or(u32::MAX))
+    }
+
     /// Whether a task of the service has found no place for a while, and no instance is on its way.
     fn is_short(&self, service: &ServiceName) -> bool {
         let since = self.unplaced.get(service);
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -430,6 +430,16 @@
     ready
 }
 
+/// Thousandths of a core that a job's waiting tasks take whose turn has come.
+pub(super) fn waiting_cpu(job: &Job) -> u64 {
+    let steps = ready_steps(job).into_iter().map(|(step, occurrence)| {
+        let tasks = &job.progress.open[&occurrence].steps[usize::from(step)];
+        let waiting = tasks.iter().filter(|t| !t.is_done && t.runs.is_empty());
+        job.spec.steps[usize::from(step)].room().cpu * waiting.count() as u64
+    });
+    steps.sum()
+}
+
 /// The longest chain of estimates of a job.
 fn chain(steps: &[StepSpec]) -> Duration {
     let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -172,13 +172,28 @@
                 self.maintain(wave.wave, id);
             }
         }
+        reserved.extend(self.chosen(wave, &in_use));
+    }
+
+    /// The endpoints of instances of a wave that should be emptied now.
+    ///
+    /// Those that are being emptied stay chosen until they are: given up half-way, their lasting
+    /// tasks would come back and have to leave again, over and over.
+    fn chosen(&self, wave: &Remaining, in_use: &[&InstanceId]) -> Vec<EndpointId> {
+        let is_begun = |id: &&&InstanceId| {
+            let endpoint = self.endpoint_on(id);
+            endpoint.is_some_and(|e| self.endpoints.get(&e).is_some_and(|e| e.is_reserved))
+        };
+        let (begun, fresh): (Vec<_>, Vec<_>) = in_use.iter().partition(is_begun);
+        let to_empty = self.to_empty(wave).saturating_sub(begun.len());
         // Those with most lasting tasks take longest, so that some are begun early.
-        let to_empty = self.to_empty(wave);
         let slow = to_empty.div_ceil(2);
-        let first = in_use.iter().take(to_empty - slow);
-        let last = in_use.iter().rev().take(slow);
-        let chosen: BTreeSet<_> = first.chain(last).collect();
-        reserved.extend(chosen.into_iter().filter_map(|id| self.endpoint_on(id)));
+        let first = fresh.iter().take(to_empty - slow);
+        let last = fresh.iter().rev().take(slow);
+        let chosen: BTreeSet<&InstanceId> =
+            begun.iter().chain(first).chain(last).copied().collect();
+        let endpoints = chosen.into_iter().filter_map(|id| self.endpoint_on(id));
+        endpoints.collect()
     }
 
     /// How many instances of a wave should be kept free of new work now: as few as get the wave
--- a/crates/pomelohitch-sched/src/pools.rs
+++ b/crates/pomelohitch-sched/src/pools.rs
@@ -14,6 +14,9 @@
 /// Processors are never all in use at once, as tasks don't fit exactly, and what arrives varies
 /// around what is foreseen.
 const FILL: f64 = 0.85;
+/// A backlog is provided for up to this part of what is wanted besides: it is gone in a second or
+/// two, and an instance takes as long to come.
+const MOST_BACKLOG: f64 = 0.5;
 /// A pool that is short asks for one instance at a time: any lack does.
 const ONE_MORE: f64 = 1.0;
 
@@ -29,6 +32,8 @@
     /// The most that they will take within the time for which switching off pays; `None` if that
     /// isn't known.
     pub soon: Option<f64>,
+    /// What tasks take that wait for a place now, thousandths of a core.
+    pub backlog: f64,
     /// Whether a task finds no place whatever processors are free: for want of memory, or because
     /// it has to be apart from others.
     pub is_short: bool,
@@ -145,7 +150,13 @@
     }
 
     /// An idle instance that no pool will want soon, its own or another.
+    ///
+    /// While work waits for a place nothing is switched off: whether what is on its way will do
+    /// isn't known yet.
     fn idle(&self) -> Option<&'a Candidate> {
+        if self.balances.iter().any(|b| b.pool.backlog > 0.0) {
+            return None;
+        }
         let over: f64 = self.balances.iter().filter_map(Balance::over).sum();
         let idle = self.free().filter(|i| i.used == 0);
         let mut unmissed = idle.filter(|i| {
@@ -210,12 +221,16 @@
             return 0.0;
         }
         let short = if self.is_short { ONE_MORE } else { 0.0 };
-        (self.pool.wanted / FILL - self.have).max(short)
+        (self.wanted() / FILL - self.have).max(short)
+    }
+
+    fn wanted(&self) -> f64 {
+        self.pool.wanted + self.pool.backlog.min(self.pool.wanted * MOST_BACKLOG)
     }
 
     fn can_give(&self, instance: &Candidate) -> bool {
         let left = self.have - as_f64(instance.cpu);
-        let is_enough = self.count > KEPT && left >= self.pool.wanted / FILL;
+        let is_enough = self.count > KEPT && left >= self.wanted() / FILL;
         self.pool.is_spare || (is_enough && !self.pool.is_short)
     }
 
@@ -223,7 +238,7 @@
     /// known or the pool is off.
     fn over(&self) -> Option<f64> {
         let soon = self.pool.soon.filter(|_| !self.pool.is_spare)?;
-        Some(self.have - soon.max(self.pool.wanted) / FILL)
+        Some(self.have - soon.max(self.wanted()) / FILL)
     }
 
     fn has_over(&self, instance: &Candidate) -> bool {
--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -102,6 +102,33 @@
     assert_eq!(operated(&fleet), ["m0", "m1", "m0"]);
 }
 
+/// Lasting tasks leave an instance one after another, which changes which instance has most of
+/// them. Chosen anew each time, the instances take turns at being emptied, and the tasks go to and
+/// fro between them for as long as the wave lasts.
+#[test]
+fn an_instance_that_is_being_emptied_stays_chosen() {
+    let mut fleet = Fleet::new(4);
+    fleet.carries_out = true;
+    for id in 1..=3_u64 {
+        let mut lasting = step(8, 300, 100);
+        lasting.is_lasting = true;
+        lasting.may_miss = 1;
+        lasting.per_endpoint = 3;
+        fleet.submit(&format!("{id:016x}"), job(vec![lasting]));
+    }
+    fleet.pass(400);
+    let began = fleet.starts.len();
+    fleet.cell.wave(Wave {
+        within: Duration::from_secs(60),
+        ..wave(&["m0", "m1", "m2"], 1)
+    });
+    fleet.pass(4_000);
+    let moved = fleet.starts.len() - began;
+    assert!(moved <= 48, "24 tasks were started {moved} times more");
+    assert_eq!(operated(&fleet).len(), 3);
+    fleet.assert_sound();
+}
+
 /// An order to take an instance down is lost, and its leader ends before it knows. Counted as
 /// done, the instance would be left out while the wave is told as completed.
 #[test]
