fix: a pool with no room for what has to leave an instance gets one more

One instance of a pool is emptied at a time where lasting tasks are on it, as tasks of a step leave one after another.

--- a/crates/pomelohitch-sched/src/cell/evict.rs
+++ b/crates/pomelohitch-sched/src/cell/evict.rs
@@ -1,5 +1,6 @@
 //! Lasting tasks that have to go elsewhere, and pacing of fillers.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use tracing::info;
@@ -7,7 +8,7 @@
 use super::Cell;
 use crate::Steady;
 use crate::endpoint::Look;
-use crate::id::{EndpointId, RunNumber, TaskId};
+use crate::id::{EndpointId, RunNumber, ServiceName, TaskId};
 use crate::job::StepSpec;
 use crate::order::{Action, Order};
 use crate::progress::Task;
@@ -45,32 +46,43 @@
             })
             .collect();
         self.is_evicting = !leaving.is_empty();
+        let mut cramped = BTreeSet::new();
         for (id, is_draining) in leaving {
-            self.evict(&id, is_draining);
+            self.evict(&id, is_draining, &mut cramped);
+        }
+        self.cramped.retain(|service, _| cramped.contains(service));
+        for service in cramped {
+            let now = self.now.steady;
+            self.cramped.entry(service).or_insert(now);
         }
     }
 
-    fn evict(&mut self, id: &EndpointId, is_draining: bool) {
+    /// `cramped` collects services whose lasting tasks find no room elsewhere: their pools have to
+    /// grow before the instance can be empty.
+    fn evict(&mut self, id: &EndpointId, is_draining: bool, cramped: &mut BTreeSet<ServiceName>) {
         let Some(endpoint) = self.endpoints.get(id) else {
             return;
         };
         let runs: Vec<_> = endpoint.runs.keys().copied().collect();
         for (task, run) in runs {
-            if self.may_evict(task, run, is_draining) {
+            let step = self.step(task).filter(|s| s.is_lasting);
+            let Some(step) = step.filter(|s| self.may_evict(task, run, s, is_draining)) else {
+                continue;
+            };
+            if self.has_room_elsewhere(task, step) {
                 self.stop(task, run, "its endpoint has to be empty");
+            } else if let Some(job) = self.jobs.get(&task.job) {
+                cramped.insert(self.service_of(&job.spec));
             }
         }
     }
 
-    fn may_evict(&self, task: TaskId, run: RunNumber, is_draining: bool) -> bool {
-        let Some(step) = self.step(task).filter(|s| s.is_lasting) else {
-            return false;
-        };
+    fn may_evict(&self, task: TaskId, run: RunNumber, step: &StepSpec, is_draining: bool) -> bool {
         let is_settled = self
             .run(task, run)
             .is_some_and(|r| !r.view.is_stopping() && r.view.seen_at.is_some());
         let is_sparable = is_draining || self.away_beside(task) < step.may_miss.max(1);
-        is_settled && is_sparable && self.has_room_elsewhere(task, step)
+        is_settled && is_sparable
     }
 
     /// How many other tasks of the step aren't at work.
--- a/crates/pomelohitch-sched/src/cell/follow.rs
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -104,9 +104,11 @@
         f64::from(u32::try_from(waiting.sum::<u64>()).unwrap_or(u32::MAX))
     }
 
-    /// Whether a task of the service has found no place for a while, and no instance is on its way.
+    /// Whether a task of the service has found no place for a while, or none to leave an endpoint
+    /// for, and no instance is on its way.
     fn is_short(&self, service: &ServiceName) -> bool {
-        let since = self.unplaced.get(service);
+        let since = [&self.unplaced, &self.cramped].map(|s| s.get(service));
+        let since = since.into_iter().flatten().min();
         let is_old = since.is_some_and(|&s| self.now.steady.saturating_sub(s) > SHORT_AFTER);
         is_old && !self.instances.is_awaited(service)
     }
--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -186,16 +186,37 @@
         };
         let (begun, fresh): (Vec<_>, Vec<_>) = in_use.iter().partition(is_begun);
         let to_empty = self.to_empty(wave).saturating_sub(begun.len());
-        // Those with most lasting tasks take longest, so that some are begun early.
-        let slow = to_empty.div_ceil(2);
-        let first = fresh.iter().take(to_empty - slow);
-        let last = fresh.iter().rev().take(slow);
-        let chosen: BTreeSet<&InstanceId> =
-            begun.iter().chain(first).chain(last).copied().collect();
+        let slow = self.slowest(&begun, &fresh, to_empty.div_ceil(2));
+        let first = fresh.iter().take(to_empty.saturating_sub(slow.len()));
+        let chosen: BTreeSet<&InstanceId> = begun
+            .iter()
+            .chain(first)
+            .copied()
+            .copied()
+            .chain(slow)
+            .collect();
         let endpoints = chosen.into_iter().filter_map(|id| self.endpoint_on(id));
         endpoints.collect()
     }
 
+    /// Instances with most lasting tasks, which take longest, so that they are begun early: one of
+    /// a pool at a time, since tasks of a step leave one after another wherever they are.
+    fn slowest<'a>(
+        &self,
+        begun: &[&&'a InstanceId],
+        fresh: &[&&'a InstanceId],
+        count: usize,
+    ) -> Vec<&'a InstanceId> {
+        let list = self.instances.list();
+        let pool = |id: &InstanceId| list.get(id).map(|i| i.pool.clone());
+        let lasting = |id: &InstanceId| self.emptying_effort(id).0 > 0;
+        let begun = begun.iter().filter(|id| lasting(id));
+        let mut pools: BTreeSet<_> = begun.filter_map(|id| pool(id)).collect();
+        let laden = fresh.iter().rev().filter(|id| lasting(id));
+        let one_each = laden.filter(|id| pool(id).is_some_and(|p| pools.insert(p)));
+        one_each.take(count).map(|id| **id).collect()
+    }
+
     /// How many instances of a wave should be kept free of new work now: as few as get the wave
     /// done in time, since each is missing to its pool.
     fn to_empty(&self, wave: &Remaining) -> usize {
--- a/crates/pomelohitch-sched/tests/cell/pools.rs
+++ b/crates/pomelohitch-sched/tests/cell/pools.rs
@@ -1,5 +1,9 @@
 //! Pools that follow demand.
 
+use std::time::Duration;
+
+use pomelohitch_sched::instances::Wave;
+
 use super::fleet::{Fleet, job, step};
 
 /// A fleet with `pricing` and `issuing` instances, whose operations take effect.
@@ -68,3 +72,24 @@
     fleet.pass(600);
     fleet.assert_sound();
 }
+
+/// An instance has to be maintained, and its lasting tasks have to stay apart from those on the
+/// only other instance of the pool. Without one more instance the wave would never end.
+#[test]
+fn a_pool_with_no_room_for_what_has_to_leave_gets_one_more() {
+    let mut fleet = fleet(2, 4);
+    let mut lasting = step(2, 500, 100);
+    lasting.is_lasting = true;
+    lasting.per_endpoint = 1;
+    fleet.submit("00000000000000a1", job(vec![lasting]));
+    fleet.pass(50);
+    fleet.cell.wave(Wave {
+        number: 1,
+        instances: vec!["m0".into(), "m1".into()],
+        within: Duration::from_secs(20),
+        at_once: 1,
+    });
+    fleet.pass(1_600);
+    assert!(fleet.statuses.contains(&(1, true)));
+    fleet.assert_sound();
+}
--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -119,7 +119,7 @@
     fleet.pass(400);
     let began = fleet.starts.len();
     fleet.cell.wave(Wave {
-        within: Duration::from_secs(60),
+        within: Duration::from_mins(1),
         ..wave(&["m0", "m1", "m2"], 1)
     });
     fleet.pass(4_000);
