--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -369,8 +369,12 @@
         let end = self.shared.view().members_end;
         let asking = spawn("ask about the store", move || {
             let probe = Probe { with_store: true };
-            let answers = peers::ask_all::<ProbeReply>(&others, wire::PROBE, &probe);
-            let has_store = store.read(Topic::Members, end, Duration::ZERO).is_ok();
+            // Side by side: a store that is silent takes its whole time-out to say so.
+            let (answers, has_store) = std::thread::scope(|scope| {
+                let own = scope.spawn(|| store.read(Topic::Members, end, Duration::ZERO).is_ok());
+                let answers = peers::ask_all::<ProbeReply>(&others, wire::PROBE, &probe);
+                (answers, own.join().unwrap_or(false))
+            });
             let _ = tx.send(Event::Probed(answers, has_store));
         });
         if let Err(error) = asking {
