perf: runs that stand still start elsewhere

Now such runs are stopped after a second without progress and their endpoint is left alone for three, unless many of its service seem to stand still or the task does so everywhere. The tests fail without the change.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -4,6 +4,7 @@
 //! * [`books`]: jobs, runs, and the room and bounds that runs take up.
 //! * [`looks`]: what endpoints say.
 //! * [`schedule`]: which tasks start where.
+//! * [`stalls`]: runs that stand still.
 //! * [`evict`]: lasting tasks that have to go elsewhere, and pacing of fillers.
 //! * [`follow`]: pools follow demand.
 //! * [`upkeep`]: instances that are maintained.
@@ -32,6 +33,7 @@
 pub mod follow;
 pub mod looks;
 pub mod schedule;
+pub mod stalls;
 pub mod upkeep;
 
 /// What a cell is told about the site, and its own limits.
@@ -79,7 +81,7 @@
             lease: Duration::from_secs(6),
             start_valid: Duration::from_millis(1500),
             start_stale: Duration::from_millis(800),
-            look_wait: Duration::from_secs(1),
+            look_wait: Duration::from_millis(700),
             look_wait_target: Duration::from_millis(300),
             look_gap: Duration::from_millis(25),
             look_retry: Duration::from_millis(200),
--- a/crates/pomelohitch-sched/src/cell/looks.rs
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -252,6 +252,7 @@
             self.take_running(id, running, look.answered_at);
         }
         self.settle_missing(id, look);
+        self.stop_stalled(id, look);
         self.pace(id, look);
     }
 
@@ -290,8 +291,9 @@
         if !matches!(run.view.phase, Phase::Taken { .. }) {
             run.view.phase = Phase::Taken { at };
         }
+        let is_first = run.view.seen_at.is_none();
         run.view.seen_at.get_or_insert(at);
-        if run.view.percent != running.percent {
+        if is_first || run.view.percent != running.percent {
             run.view.percent = running.percent;
             run.view.moved_at = at;
         }
@@ -449,7 +451,7 @@
         self.looks.entry(target.id.clone()).or_default().hurry(now);
     }
 
-    fn shun(&mut self, id: &EndpointId, time: Duration) {
+    pub(super) fn shun(&mut self, id: &EndpointId, time: Duration) {
         let until = self.now.steady + time;
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.shunned_until = endpoint.shunned_until.max(until);
--- a/crates/pomelohitch-sched/tests/cell/ends.rs
+++ b/crates/pomelohitch-sched/tests/cell/ends.rs
@@ -128,6 +128,31 @@
     fleet.assert_sound();
 }
 
+/// An endpoint answers every look and takes every start, but what runs there makes no progress. A
+/// caller sees jobs that never end; being the fullest, the endpoint would be given more and more.
+#[test]
+fn what_stands_still_starts_elsewhere() {
+    let mut fleet = Fleet::new(4);
+    fleet.endpoint("e0").stands_still = true;
+    fleet.submit(ID, job(vec![step(8, 1000, 600)]));
+    fleet.pass(450);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    fleet.assert_sound();
+}
+
+/// A task that makes no progress wherever it runs is at fault itself. Taken elsewhere over and over
+/// it would put every endpoint under suspicion.
+#[test]
+fn what_stands_still_everywhere_is_left_alone() {
+    let mut fleet = Fleet::new(4);
+    for endpoint in fleet.endpoints.values_mut() {
+        endpoint.stands_still = true;
+    }
+    fleet.submit(ID, job(vec![step(1, 1000, 600)]));
+    fleet.pass(2_000);
+    assert!(fleet.starts.len() <= 3, "{}", fleet.starts.len());
+}
+
 #[test]
 fn a_lasting_task_comes_back_however_it_ends() {
     let mut fleet = Fleet::new(2);
--- a/crates/pomelohitch-sched/tests/cell/fleet.rs
+++ b/crates/pomelohitch-sched/tests/cell/fleet.rs
@@ -26,6 +26,7 @@
 /// Unix time at which every test begins.
 pub const BEGAN_MS: u64 = 1_000_000;
 
+#[expect(clippy::struct_excessive_bools, reason = "independent faults")]
 pub struct Endpoint {
     pub report: Report,
     pub is_silent: bool,
@@ -33,6 +34,8 @@
     pub loses_answers: bool,
     /// Every run fails.
     pub fails: bool,
+    /// Runs make no progress.
+    pub stands_still: bool,
     clock: Duration,
     epoch: u64,
     lease: Duration,
@@ -43,6 +46,7 @@
 }
 
 struct Run {
+    whole: Duration,
     left: Duration,
     room: Resources,
     is_lasting: bool,
@@ -154,6 +158,7 @@
             is_silent: false,
             loses_answers: false,
             fails: false,
+            stands_still: false,
             clock: Duration::from_secs(5),
             epoch: 0,
             lease: Duration::ZERO,
@@ -199,7 +204,9 @@
         let how = if self.fails { How::Failed } else { How::Done };
         let mut over = Vec::new();
         for (key, run) in &mut self.runs {
-            run.left = run.left.saturating_sub(time);
+            if !self.stands_still {
+                run.left = run.left.saturating_sub(time);
+            }
             if run.left.is_zero() && (!run.is_lasting || self.fails) {
                 over.push(*key);
             }
@@ -219,7 +226,11 @@
         Ok(Look {
             born: self.report.born,
             clock: self.clock,
-            running: self.runs.keys().map(running).collect(),
+            running: self
+                .runs
+                .iter()
+                .map(|(key, run)| running(key, run))
+                .collect(),
             ended: self.ended.clone(),
             renewed: look.lease.is_some(),
             ..Look::default()
@@ -227,12 +238,18 @@
     }
 }
 
-fn running(key: &(TaskId, u32)) -> Running {
+fn running(key: &(TaskId, u32), run: &Run) -> Running {
+    let whole = run.whole.as_millis().max(1);
+    let done = 100 - run.left.as_millis() * 100 / whole;
     Running {
         task: key.0,
         number: key.1,
         checkpoint: Box::default(),
-        percent: 100,
+        percent: if run.is_lasting {
+            100
+        } else {
+            u32::try_from(done).expect("it is a percentage")
+        },
         load: 0,
     }
 }
@@ -556,6 +573,7 @@
                 endpoint.runs.insert(
                     (*task, *run),
                     Run {
+                        whole: step.estimate,
                         left: step.estimate,
                         room: step.room(),
                         is_lasting: step.is_lasting,
