--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -2,12 +2,18 @@
 //!
 //! * [`calls`]: what callers ask.
 //! * [`books`]: jobs, runs, and the room and bounds that runs take up.
+//! * [`ends`]: ends of runs and jobs.
+//! * [`lives`]: endpoints come, restart and go.
 //! * [`looks`]: what endpoints say.
+//! * [`orders`]: how orders to endpoints ended.
 //! * [`schedule`]: which tasks start where.
+//! * [`together`]: gangs, and steps that want one rack.
+//! * [`advice`]: which endpoints the policy allows.
 //! * [`stalls`]: runs that stand still.
 //! * [`evict`]: lasting tasks that have to go elsewhere, and pacing of fillers.
 //! * [`follow`]: pools follow demand.
-//! * [`upkeep`]: instances that are maintained.
+//! * [`upkeep`]: the list of instances, and operations on them.
+//! * [`waves`]: maintenance in waves.
 //!
 //! A [`Batch`] holds the records of what was decided since the last one, and the actions that may
 //! be carried out once these records are durable. Batches are made durable one after another.
@@ -27,14 +33,20 @@
 use crate::resources::Resources;
 use crate::{Now, Steady};
 
+pub mod advice;
 pub mod books;
 pub mod calls;
+pub mod ends;
 pub mod evict;
 pub mod follow;
+pub mod lives;
 pub mod looks;
+pub mod orders;
 pub mod schedule;
 pub mod stalls;
+pub mod together;
 pub mod upkeep;
+pub mod waves;
 
 /// What a cell is told about the site, and its own limits.
 #[derive(Debug, Clone)]
@@ -141,7 +153,7 @@
     cramped: BTreeMap<ServiceName, Steady>,
     followed_at: Steady,
     surplus_since: Option<Steady>,
-    advice: BTreeMap<crate::TaskId, schedule::Advice>,
+    advice: BTreeMap<crate::TaskId, advice::Advice>,
     dirty: BTreeSet<JobId>,
     fresh_specs: BTreeSet<JobId>,
     dropped: BTreeSet<JobId>,
--- a/crates/pomelohitch-sched/src/cell/books.rs
+++ b/crates/pomelohitch-sched/src/cell/books.rs
@@ -3,19 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tracing::{info, warn};
+use tracing::info;
 
 use super::{Cell, Job};
-use crate::endpoint::{Booked, Endpoint, How};
-use crate::id::{EndpointId, JobId, RunNumber, ServiceName, TaskId, job_text};
+use crate::endpoint::{Booked, Endpoint};
+use crate::id::{EndpointId, JobId, RunNumber, ServiceName, TaskId};
 use crate::job::{JobSpec, StepSpec};
 use crate::order::{Action, Due, Order};
 use crate::progress::{JobState, Occurrence, Phase, Progress, Run, RunView};
 use crate::resources::Resources;
 
-/// How much of an endpoint's counts of failed and well-ended runs stays at each new one.
-const COUNT_FADE: f64 = 0.9;
-
 impl Cell {
     /// Takes a job into the books: one that was just accepted, or one of a former leader.
     pub(super) fn adopt(&mut self, spec: Arc<JobSpec>, progress: Progress) {
@@ -297,189 +294,6 @@
         self.dirty.insert(task.job);
         true
     }
-
-    /// A run is gone without an end of its own.
-    pub(super) fn run_lost(&mut self, task: TaskId, run: RunNumber, why: &'static str) {
-        if self.forget_run(task, run) {
-            warn!(%task, run, why, "run lost");
-            self.close_done(task.job);
-            self.index(task.job);
-        }
-    }
-
-    /// Takes in the end of a run.
-    pub(super) fn run_ended(
-        &mut self,
-        task: TaskId,
-        run: RunNumber,
-        how: How,
-        checkpoint: &str,
-        endpoint: &EndpointId,
-    ) {
-        if !self.forget_run(task, run) {
-            return;
-        }
-        info!(%task, run, ?how, endpoint = %endpoint, "run ended");
-        self.count_end(how, endpoint);
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        let spec = job.spec.clone();
-        let step = &spec.steps[usize::from(task.step)];
-        if how == How::Done && step.is_gang {
-            self.gang_done(task);
-        } else if let Some(t) = job.progress.task_mut(task) {
-            if !checkpoint.is_empty() {
-                t.checkpoint = checkpoint.into();
-            }
-            match how {
-                How::Done if !step.is_lasting => t.is_done = true,
-                How::Failed => {
-                    t.failures += 1;
-                    t.failed_at.push(endpoint.clone());
-                }
-                _ => {}
-            }
-        }
-        self.after_end(task, step);
-    }
-
-    fn count_end(&mut self, how: How, endpoint: &EndpointId) {
-        let Some(endpoint) = self.endpoints.get_mut(endpoint) else {
-            return;
-        };
-        let (failed, done) = match how {
-            How::Failed => (1.0, 0.0),
-            How::Done => (0.0, 1.0),
-            _ => return,
-        };
-        endpoint.failures = endpoint.failures * COUNT_FADE + failed;
-        endpoint.successes = endpoint.successes * COUNT_FADE + done;
-    }
-
-    /// One end of a gang that is done stands for all its members. Their runs stay in the books
-    /// until their own ends are listed, since they take up room until then.
-    fn gang_done(&mut self, task: TaskId) {
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            return;
-        };
-        let Some(occurrence) = job.progress.open.get_mut(&task.occurrence) else {
-            return;
-        };
-        for t in &mut occurrence.steps[usize::from(task.step)] {
-            t.is_done = true;
-        }
-    }
-
-    /// What follows from an end: a finished occurrence or job, or one that failed too often.
-    fn after_end(&mut self, task: TaskId, step: &StepSpec) {
-        let attempts = self.attempts(task.job);
-        let Some(job) = self.jobs.get(&task.job) else {
-            return;
-        };
-        let is_hopeless = !step.is_lasting
-            && job
-                .progress
-                .task(task)
-                .is_some_and(|t| !t.is_done && t.failures >= attempts);
-        let is_all_done = job.progress.next >= job.spec.occurrences()
-            && job.progress.open.values().all(Occurrence::is_done);
-        if is_hopeless {
-            info!(job = %job_text(task.job), %task, attempts, "task failed for good");
-            self.finish(task.job, JobState::Failed);
-        } else if is_all_done {
-            self.finish(task.job, JobState::Completed);
-        }
-        self.stop_copies(task);
-        self.close_done(task.job);
-        self.index(task.job);
-    }
-
-    /// Stops the other copies of a task that is done.
-    fn stop_copies(&mut self, task: TaskId) {
-        let t = self.jobs.get(&task.job).and_then(|j| j.progress.task(task));
-        let Some(t) = t.filter(|t| t.is_done) else {
-            return;
-        };
-        let runs: Vec<_> = t.runs.iter().map(|r| r.number).collect();
-        for run in runs {
-            self.stop(task, run, "another copy is done");
-        }
-    }
-
-    /// Closes occurrences that are done and of which nothing runs any more.
-    fn close_done(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.progress.open.retain(|_, o| {
-                let has_runs = o.steps.iter().flatten().any(|t| !t.runs.is_empty());
-                has_runs || !o.is_done()
-            });
-        }
-    }
-
-    fn attempts(&self, id: JobId) -> u32 {
-        /// Where the queue is removed: what the queues of today allow at least.
-        const WITHOUT_QUEUE: u32 = 3;
-        let queue = self.jobs.get(&id).map(|j| &j.spec.queue);
-        let cfg = self.cfg.as_ref();
-        queue
-            .and_then(|q| cfg?.queue(q))
-            .map_or(WITHOUT_QUEUE, |q| q.attempts.max(1))
-    }
-
-    /// Gives a job its final state, if it has none, and stops what runs of it.
-    pub(super) fn finish(&mut self, id: JobId, state: JobState) {
-        let ended_ms = self.now.unix_ms;
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        if job.progress.state.is_final() {
-            return;
-        }
-        job.progress.state = state;
-        job.progress.ended_ms = ended_ms;
-        info!(job = %job_text(id), ?state,
-            took_ms = ended_ms.saturating_sub(job.spec.accepted_ms), "job ended");
-        self.dirty.insert(id);
-        self.ended.insert(Due {
-            at_ms: ended_ms,
-            job: id,
-        });
-        self.stop_rest(id);
-        self.index(id);
-    }
-
-    /// Stops every run of a job that has ended.
-    pub(super) fn stop_rest(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else {
-            return;
-        };
-        let runs: Vec<_> = job.progress.runs(id).map(|(t, r)| (t, r.number)).collect();
-        for (task, run) in runs {
-            self.stop(task, run, "its job has ended");
-        }
-    }
-
-    /// Drops jobs that ended long ago and of which nothing runs.
-    pub(super) fn drop_ended(&mut self) {
-        let keep = u64::try_from(self.settings.keep_ended.as_millis()).unwrap_or(u64::MAX);
-        while let Some(&due) = self.ended.first()
-            && due.at_ms.saturating_add(keep) <= self.now.unix_ms
-        {
-            self.ended.pop_first();
-            let Some(job) = self.jobs.get(&due.job) else {
-                continue;
-            };
-            if job.progress.runs(due.job).next().is_some() {
-                let at_ms = self.now.unix_ms;
-                self.ended.insert(Due { at_ms, ..due });
-                return;
-            }
-            self.jobs.remove(&due.job);
-            self.dirty.remove(&due.job);
-            self.dropped.insert(due.job);
-        }
-    }
 }
 
 /// Whether a task's turn has come and it doesn't run.
--- /dev/null
+++ b/crates/pomelohitch-sched/src/cell/lives.rs
@@ -0,0 +1,117 @@
+//! Lives of endpoints: the platform's list of them, restarts, and ends.
+
+use std::collections::BTreeSet;
+
+use tracing::{info, warn};
+
+use super::Cell;
+use crate::endpoint::{Endpoint, Report};
+use crate::id::{EndpointId, RunNumber, TaskId};
+
+impl Cell {
+    /// Takes in an entry of the platform's list.
+    pub fn endpoint_listed(&mut self, report: Report) {
+        let id = report.id.clone();
+        let endpoint = self
+            .endpoints
+            .entry(id.clone())
+            .or_insert_with(|| Endpoint::new(report.born));
+        if report.born < endpoint.born {
+            return;
+        }
+        let is_reborn = report.born > endpoint.born;
+        let was_draining = endpoint.report.as_ref().is_some_and(|r| r.is_draining);
+        if report.is_draining && !was_draining {
+            info!(endpoint = %id, "endpoint drains");
+        }
+        if !endpoint.is_listed {
+            info!(endpoint = %id, service = %report.service, born = report.born, "endpoint listed");
+        }
+        let born = report.born;
+        endpoint.is_listed = true;
+        endpoint.report = Some(report);
+        if is_reborn {
+            self.reborn(&id, born);
+        }
+    }
+
+    /// Takes in that the platform's list no longer holds an endpoint.
+    pub fn endpoint_unlisted(&mut self, id: &EndpointId) {
+        if let Some(endpoint) = self.endpoints.get_mut(id)
+            && endpoint.is_listed
+        {
+            endpoint.is_listed = false;
+            warn!(endpoint = %id, runs = endpoint.runs.len(), "endpoint unlisted");
+        }
+    }
+
+    /// The ids of all endpoints that the list held when it was last read.
+    #[must_use]
+    pub fn listed(&self) -> BTreeSet<EndpointId> {
+        let listed = self.endpoints.iter().filter(|(_, e)| e.is_listed);
+        listed.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// An endpoint began a new life, and knows nothing of the older one.
+    ///
+    /// An order that was under way meanwhile may have reached the new life, so that its runs stay
+    /// in the books until a look at the new life shows which of them are there.
+    pub(super) fn reborn(&mut self, id: &EndpointId, born: u64) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        warn!(endpoint = %id, born, before = endpoint.born, runs = endpoint.runs.len(),
+            "endpoint restarted");
+        let mut fresh = Endpoint::new(born);
+        fresh.report = endpoint.report.take();
+        fresh.is_listed = endpoint.is_listed;
+        fresh.instance = endpoint.instance.take();
+        fresh.runs = std::mem::take(&mut endpoint.runs);
+        fresh.used = endpoint.used;
+        fresh.lasting = endpoint.lasting;
+        let runs: Vec<_> = fresh.runs.keys().copied().collect();
+        *endpoint = fresh;
+        for (task, run) in runs {
+            if let Some(r) = self.run_mut(task, run) {
+                r.born = born;
+            }
+        }
+        let now = self.now.steady;
+        self.looks.entry(id.clone()).or_default().hurry(now);
+    }
+
+    /// An endpoint's life has surely ended: its instance was taken down, or lives another one.
+    pub(super) fn endpoint_gone(&mut self, id: &EndpointId, why: &'static str) {
+        let Some(endpoint) = self.endpoints.remove(id) else {
+            return;
+        };
+        warn!(endpoint = %id, runs = endpoint.runs.len(), why, "endpoint gone");
+        self.looks.remove(id);
+        for (task, run) in endpoint.runs.into_keys() {
+            self.run_lost(task, run, why);
+        }
+    }
+
+    /// Gives up runs at endpoints whose leases have surely run out.
+    pub(super) fn release_lapsed(&mut self) {
+        let now = self.now.steady;
+        let unread_until = self.began + self.settings.unread_lapse;
+        let fresh = self.settings.fresh;
+        let lapsed: Vec<_> = self
+            .endpoints
+            .iter()
+            .filter(|(_, e)| !e.is_fresh(now, fresh) && e.is_lapsed(now, unread_until))
+            .map(|(id, e)| (id.clone(), e.is_listed, e.runs.keys().copied().collect()))
+            .collect();
+        for (id, is_listed, runs) in lapsed {
+            let runs: Vec<(TaskId, RunNumber)> = runs;
+            for (task, run) in runs {
+                self.run_lost(task, run, "its lease has lapsed");
+            }
+            if !is_listed {
+                self.endpoints.remove(&id);
+                self.looks.remove(&id);
+            }
+        }
+    }
+}
--- a/crates/pomelohitch-sched/src/cell/looks.rs
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -1,4 +1,4 @@
-//! What endpoints say: the platform's list of them, looks, and answers to orders.
+//! Looks at endpoints, and what they show.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -7,21 +7,14 @@
 
 use super::Cell;
 use crate::Steady;
-use crate::endpoint::{Endpoint, Look, Report, Running};
+use crate::endpoint::{Endpoint, Look, Running};
 use crate::id::{EndpointId, RunNumber, TaskId};
-use crate::order::{Action, LookFailure, LookOrder, Order, Outcome, Refusal, Target};
+use crate::order::{Action, LookFailure, LookOrder, Order, Target};
 use crate::progress::{Phase, Run, RunView};
 
 /// The most ends that an endpoint lists at once; the platform's own limit. A longer list may
 /// leave out the end of a run that is missing from it.
 const ENDS_LISTED: usize = 500;
-/// An endpoint that says it is unwell gets no work for so long.
-const UNWELL_SHUN: Duration = Duration::from_millis(1500);
-/// An endpoint that had no room, or wasn't there, gets no work for so long, by which time it was
-/// looked at again.
-const BRIEF_SHUN: Duration = Duration::from_millis(300);
-/// An endpoint that didn't answer a start gets no work for so long.
-const SILENT_SHUN: Duration = Duration::from_millis(800);
 /// Failed looks are tried again after at most this many times the usual pause.
 const MAX_RETRY_STEPS: u32 = 5;
 
@@ -41,77 +34,6 @@
 }
 
 impl Cell {
-    /// Takes in an entry of the platform's list.
-    pub fn endpoint_listed(&mut self, report: Report) {
-        let id = report.id.clone();
-        let endpoint = self
-            .endpoints
-            .entry(id.clone())
-            .or_insert_with(|| Endpoint::new(report.born));
-        if report.born < endpoint.born {
-            return;
-        }
-        let is_reborn = report.born > endpoint.born;
-        let was_draining = endpoint.report.as_ref().is_some_and(|r| r.is_draining);
-        if report.is_draining && !was_draining {
-            info!(endpoint = %id, "endpoint drains");
-        }
-        if !endpoint.is_listed {
-            info!(endpoint = %id, service = %report.service, born = report.born, "endpoint listed");
-        }
-        let born = report.born;
-        endpoint.is_listed = true;
-        endpoint.report = Some(report);
-        if is_reborn {
-            self.reborn(&id, born);
-        }
-    }
-
-    /// Takes in that the platform's list no longer holds an endpoint.
-    pub fn endpoint_unlisted(&mut self, id: &EndpointId) {
-        if let Some(endpoint) = self.endpoints.get_mut(id)
-            && endpoint.is_listed
-        {
-            endpoint.is_listed = false;
-            warn!(endpoint = %id, runs = endpoint.runs.len(), "endpoint unlisted");
-        }
-    }
-
-    /// The ids of all endpoints that the list held when it was last read.
-    #[must_use]
-    pub fn listed(&self) -> BTreeSet<EndpointId> {
-        let listed = self.endpoints.iter().filter(|(_, e)| e.is_listed);
-        listed.map(|(id, _)| id.clone()).collect()
-    }
-
-    /// An endpoint began a new life, and knows nothing of the older one.
-    ///
-    /// An order that was under way meanwhile may have reached the new life, so that its runs stay
-    /// in the books until a look at the new life shows which of them are there.
-    fn reborn(&mut self, id: &EndpointId, born: u64) {
-        let Some(endpoint) = self.endpoints.get_mut(id) else {
-            return;
-        };
-        warn!(endpoint = %id, born, before = endpoint.born, runs = endpoint.runs.len(),
-            "endpoint restarted");
-        let mut fresh = Endpoint::new(born);
-        fresh.report = endpoint.report.take();
-        fresh.is_listed = endpoint.is_listed;
-        fresh.instance = endpoint.instance.take();
-        fresh.runs = std::mem::take(&mut endpoint.runs);
-        fresh.used = endpoint.used;
-        fresh.lasting = endpoint.lasting;
-        let runs: Vec<_> = fresh.runs.keys().copied().collect();
-        *endpoint = fresh;
-        for (task, run) in runs {
-            if let Some(r) = self.run_mut(task, run) {
-                r.born = born;
-            }
-        }
-        let now = self.now.steady;
-        self.looks.entry(id.clone()).or_default().hurry(now);
-    }
-
     /// Orders the looks that are due.
     pub(super) fn plan_looks(&mut self) {
         let now = self.now.steady;
@@ -392,109 +314,8 @@
         }
     }
 
-    /// Takes in how an order ended.
-    pub fn ordered(&mut self, target: &Target, order: &Order, outcome: &Outcome) {
-        if *outcome == Outcome::Refused(Refusal::Fenced) {
-            warn!(endpoint = %target.id, ?order, "order fenced");
-            self.is_fenced = true;
-        }
-        match order {
-            Order::Start { task, run, .. } => self.started(target, *task, *run, outcome),
-            Order::Stop { task, run } => self.stopped(target, *task, *run, outcome),
-            Order::Pace { .. } => {}
-        }
-    }
-
-    fn started(&mut self, target: &Target, task: TaskId, run: RunNumber, outcome: &Outcome) {
-        let now = self.now.steady;
-        let Some(r) = self.run_mut(task, run) else {
-            return;
-        };
-        match outcome {
-            Outcome::Taken => {
-                if r.view.phase == Phase::Ordered {
-                    r.view.phase = Phase::Taken { at: now };
-                }
-            }
-            Outcome::Unanswered => {
-                warn!(%task, run, endpoint = %target.id, "start not answered");
-                if r.view.phase == Phase::Ordered {
-                    r.view.phase = Phase::Unanswered;
-                }
-                self.shun(&target.id, SILENT_SHUN);
-                self.stop(task, run, "its start was not answered");
-            }
-            Outcome::Refused(refusal) => {
-                info!(%task, run, endpoint = %target.id, ?refusal, "start refused");
-                let shun = match refusal {
-                    Refusal::Unwell => UNWELL_SHUN,
-                    Refusal::Room | Refusal::Elsewhere => BRIEF_SHUN,
-                    _ => Duration::ZERO,
-                };
-                self.shun(&target.id, shun);
-                if *refusal == Refusal::Ticket {
-                    self.advice.remove(&TaskId { index: 0, ..task });
-                }
-                self.run_lost(task, run, "its start was refused");
-            }
-        }
-        self.looks.entry(target.id.clone()).or_default().hurry(now);
-    }
-
-    fn stopped(&mut self, target: &Target, task: TaskId, run: RunNumber, outcome: &Outcome) {
-        let now = self.now.steady;
-        if let Some(r) = self.run_mut(task, run)
-            && *outcome == Outcome::Taken
-        {
-            r.view.stop_acked_at = Some(now);
-        }
-        self.looks.entry(target.id.clone()).or_default().hurry(now);
-    }
-
-    pub(super) fn shun(&mut self, id: &EndpointId, time: Duration) {
-        let until = self.now.steady + time;
-        if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.shunned_until = endpoint.shunned_until.max(until);
-        }
-    }
-
     /// How many looks at an endpoint have failed since the last that was answered.
     pub(super) fn look_failures(&self, id: &EndpointId) -> u32 {
         self.looks.get(id).map_or(0, |plan| plan.failures)
     }
-
-    /// An endpoint's life has surely ended: its instance was taken down, or lives another one.
-    pub(super) fn endpoint_gone(&mut self, id: &EndpointId, why: &'static str) {
-        let Some(endpoint) = self.endpoints.remove(id) else {
-            return;
-        };
-        warn!(endpoint = %id, runs = endpoint.runs.len(), why, "endpoint gone");
-        self.looks.remove(id);
-        for (task, run) in endpoint.runs.into_keys() {
-            self.run_lost(task, run, why);
-        }
-    }
-
-    /// Gives up runs at endpoints whose leases have surely run out.
-    pub(super) fn release_lapsed(&mut self) {
-        let now = self.now.steady;
-        let unread_until = self.began + self.settings.unread_lapse;
-        let fresh = self.settings.fresh;
-        let lapsed: Vec<_> = self
-            .endpoints
-            .iter()
-            .filter(|(_, e)| !e.is_fresh(now, fresh) && e.is_lapsed(now, unread_until))
-            .map(|(id, e)| (id.clone(), e.is_listed, e.runs.keys().copied().collect()))
-            .collect();
-        for (id, is_listed, runs) in lapsed {
-            let runs: Vec<(TaskId, RunNumber)> = runs;
-            for (task, run) in runs {
-                self.run_lost(task, run, "its lease has lapsed");
-            }
-            if !is_listed {
-                self.endpoints.remove(&id);
-                self.looks.remove(&id);
-            }
-        }
-    }
 }
--- /dev/null
+++ b/crates/pomelohitch-sched/src/cell/orders.rs
@@ -0,0 +1,86 @@
+//! How orders to endpoints ended.
+
+use std::time::Duration;
+
+use tracing::{info, warn};
+
+use super::Cell;
+use crate::id::{EndpointId, RunNumber, TaskId};
+use crate::order::{Order, Outcome, Refusal, Target};
+use crate::progress::Phase;
+
+/// An endpoint that says it is unwell gets no work for so long.
+const UNWELL_SHUN: Duration = Duration::from_millis(1500);
+/// An endpoint that had no room, or wasn't there, gets no work for so long, by which time it was
+/// looked at again.
+const BRIEF_SHUN: Duration = Duration::from_millis(300);
+/// An endpoint that didn't answer a start gets no work for so long.
+const SILENT_SHUN: Duration = Duration::from_millis(800);
+
+impl Cell {
+    /// Takes in how an order ended.
+    pub fn ordered(&mut self, target: &Target, order: &Order, outcome: &Outcome) {
+        if *outcome == Outcome::Refused(Refusal::Fenced) {
+            warn!(endpoint = %target.id, ?order, "order fenced");
+            self.is_fenced = true;
+        }
+        match order {
+            Order::Start { task, run, .. } => self.started(target, *task, *run, outcome),
+            Order::Stop { task, run } => self.stopped(target, *task, *run, outcome),
+            Order::Pace { .. } => {}
+        }
+    }
+
+    fn started(&mut self, target: &Target, task: TaskId, run: RunNumber, outcome: &Outcome) {
+        let now = self.now.steady;
+        let Some(r) = self.run_mut(task, run) else {
+            return;
+        };
+        match outcome {
+            Outcome::Taken => {
+                if r.view.phase == Phase::Ordered {
+                    r.view.phase = Phase::Taken { at: now };
+                }
+            }
+            Outcome::Unanswered => {
+                warn!(%task, run, endpoint = %target.id, "start not answered");
+                if r.view.phase == Phase::Ordered {
+                    r.view.phase = Phase::Unanswered;
+                }
+                self.shun(&target.id, SILENT_SHUN);
+                self.stop(task, run, "its start was not answered");
+            }
+            Outcome::Refused(refusal) => {
+                info!(%task, run, endpoint = %target.id, ?refusal, "start refused");
+                let shun = match refusal {
+                    Refusal::Unwell => UNWELL_SHUN,
+                    Refusal::Room | Refusal::Elsewhere => BRIEF_SHUN,
+                    _ => Duration::ZERO,
+                };
+                self.shun(&target.id, shun);
+                if *refusal == Refusal::Ticket {
+                    self.advice.remove(&TaskId { index: 0, ..task });
+                }
+                self.run_lost(task, run, "its start was refused");
+            }
+        }
+        self.looks.entry(target.id.clone()).or_default().hurry(now);
+    }
+
+    fn stopped(&mut self, target: &Target, task: TaskId, run: RunNumber, outcome: &Outcome) {
+        let now = self.now.steady;
+        if let Some(r) = self.run_mut(task, run)
+            && *outcome == Outcome::Taken
+        {
+            r.view.stop_acked_at = Some(now);
+        }
+        self.looks.entry(target.id.clone()).or_default().hurry(now);
+    }
+
+    pub(super) fn shun(&mut self, id: &EndpointId, time: Duration) {
+        let until = self.now.steady + time;
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.shunned_until = endpoint.shunned_until.max(until);
+        }
+    }
+}
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -5,29 +5,14 @@
 use std::time::Duration;
 
 use super::{Cell, Job};
-use crate::Steady;
 use crate::config::Queue;
 use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, JobId, ServiceName, TaskId};
-use crate::job::{JobSpec, StepSpec};
-use crate::order::Action;
+use crate::job::{self, JobSpec, StepSpec};
 use crate::place::{self, Candidate};
 use crate::resources::Resources;
 use crate::urgency::{Claim, Urgency};
 
-/// A question to the policy that wasn't answered is asked again after this.
-const ADVICE_RETRY: Duration = Duration::from_millis(500);
-/// Endpoints asked about at once: each makes the answer later, and a step needs only a few.
-const ADVICE_ENDPOINTS: usize = 30;
-
-/// What the policy said about a step.
-#[derive(Debug, Clone, Default)]
-pub struct Advice {
-    asked_at: Steady,
-    tickets: BTreeMap<EndpointId, (u64, Box<str>)>,
-    valid_until: Steady,
-}
-
 /// Needs that found no room in this pass: what is larger finds none either.
 #[derive(Debug, Default)]
 struct Misfits {
@@ -129,7 +114,7 @@
         Some(Claim {
             job: job.spec.id,
             from_ms: job.spec.due_ms(*occurrence).max(job.spec.accepted_ms),
-            chain: chain(&job.spec.steps),
+            chain: job::chain(&job.spec.steps, |_| true),
             chain_left: open.chain_left(&job.spec.steps),
             stretch: queue.stretch,
             slack: queue.objective,
@@ -192,7 +177,7 @@
     }
 
     /// Tasks of the step that each endpoint has.
-    fn siblings(&self, first: TaskId) -> BTreeMap<EndpointId, u32> {
+    pub(super) fn siblings(&self, first: TaskId) -> BTreeMap<EndpointId, u32> {
         let mut counts = BTreeMap::new();
         let job = self.jobs.get(&first.job);
         let occurrence = job.and_then(|j| j.progress.open.get(&first.occurrence));
@@ -203,7 +188,7 @@
         counts
     }
 
-    fn waiting_tasks(&self, first: TaskId) -> Vec<TaskId> {
+    pub(super) fn waiting_tasks(&self, first: TaskId) -> Vec<TaskId> {
         let job = self.jobs.get(&first.job);
         let occurrence = job.and_then(|j| j.progress.open.get(&first.occurrence));
         let Some(tasks) = occurrence.map(|o| &o.steps[usize::from(first.step)]) else {
@@ -221,40 +206,6 @@
             .collect()
     }
 
-    /// Starts all tasks of a step that work only, or well only, together: a gang as a whole or
-    /// not at all, and on one rack where one has the room. Half a gang would hold room idle
-    /// until it times out.
-    ///
-    /// Returns false if there was no room for all.
-    fn start_together(
-        &mut self,
-        spec: &Arc<JobSpec>,
-        first: TaskId,
-        allowed: &[EndpointId],
-    ) -> bool {
-        let step = &spec.steps[usize::from(first.step)];
-        let waiting = self.waiting_tasks(first);
-        let is_whole = waiting.len() == step.count as usize;
-        if step.is_gang && !is_whole {
-            return true;
-        }
-        let need = step.need.times(waiting.len() as u64);
-        if !self.is_within_bound(spec, &need) {
-            return true;
-        }
-        let Some(places) = self.places_together(step, first, &waiting, allowed) else {
-            return false;
-        };
-        if step.is_gang {
-            self.align_runs(first);
-        }
-        for (task, endpoint) in waiting.into_iter().zip(places) {
-            let ticket = self.ticket(first, &endpoint);
-            self.start(task, &endpoint, ticket);
-        }
-        true
-    }
-
     /// Whether some endpoint of the fleet, were it empty, could take a task of the step.
     fn fits_somewhere(&self, step: &StepSpec) -> bool {
         let room = step.room();
@@ -263,155 +214,6 @@
             has_label && e.report.as_ref().is_some_and(|r| r.capacity.holds(&room))
         })
     }
-
-    /// Members of a gang share the number of their run and the checkpoint.
-    fn align_runs(&mut self, first: TaskId) {
-        let Some(job) = self.jobs.get_mut(&first.job) else {
-            return;
-        };
-        let Some(occurrence) = job.progress.open.get_mut(&first.occurrence) else {
-            return;
-        };
-        let tasks = &mut occurrence.steps[usize::from(first.step)];
-        let last = tasks.iter().map(|t| t.last_run).max().unwrap_or(0);
-        let checkpoint = tasks
-            .iter()
-            .map(|t| t.checkpoint.clone())
-            .max()
-            .unwrap_or_default();
-        for t in tasks {
-            t.last_run = last;
-            t.checkpoint = checkpoint.clone();
-        }
-    }
-
-    fn places_together(
-        &self,
-        step: &StepSpec,
-        first: TaskId,
-        waiting: &[TaskId],
-        allowed: &[EndpointId],
-    ) -> Option<Vec<EndpointId>> {
-        let mut racks: BTreeMap<&str, Vec<EndpointId>> = BTreeMap::new();
-        for id in allowed {
-            let rack = self.endpoints.get(id).and_then(Endpoint::rack);
-            racks
-                .entry(rack.unwrap_or_default())
-                .or_default()
-                .push(id.clone());
-        }
-        let on_one_rack = racks
-            .values()
-            .find_map(|rack| self.places_on(step, first, waiting, rack));
-        on_one_rack.or_else(|| self.places_on(step, first, waiting, allowed))
-    }
-
-    /// A place for each task on the given endpoints, if they have room for all.
-    fn places_on(
-        &self,
-        step: &StepSpec,
-        first: TaskId,
-        waiting: &[TaskId],
-        endpoints: &[EndpointId],
-    ) -> Option<Vec<EndpointId>> {
-        let room = step.room();
-        let mut siblings = self.siblings(first);
-        let mut places = Vec::with_capacity(waiting.len());
-        for id in endpoints {
-            let endpoint = self.endpoints.get(id)?;
-            let has_label = step
-                .requires
-                .as_deref()
-                .is_none_or(|l| endpoint.has_label(l));
-            if !has_label {
-                continue;
-            }
-            let mut free = endpoint.free();
-            let count = siblings.entry(id.clone()).or_default();
-            while places.len() < waiting.len()
-                && free.holds(&room)
-                && (step.per_endpoint == 0 || *count < step.per_endpoint)
-            {
-                free = free.less(&room);
-                *count += 1;
-                places.push(id.clone());
-            }
-        }
-        (places.len() == waiting.len()).then_some(places)
-    }
-
-    /// The endpoints that may run a step: all, or those that the policy gave tickets for. `None`
-    /// while its answer is awaited.
-    fn advised(
-        &mut self,
-        spec: &JobSpec,
-        first: TaskId,
-        candidates: &[EndpointId],
-    ) -> Option<Vec<EndpointId>> {
-        let queue = self.cfg.as_ref().and_then(|c| c.queue(&spec.queue));
-        if queue.is_none_or(|q| q.advice.is_none()) {
-            return Some(candidates.to_vec());
-        }
-        let now = self.now.steady;
-        let advice = self.advice.entry(first).or_default();
-        if now < advice.valid_until {
-            let is_good = |id: &&EndpointId| {
-                let born = self.endpoints.get(*id).map(|e| e.born);
-                advice.tickets.get(*id).is_some_and(|t| Some(t.0) == born)
-            };
-            let good: Vec<_> = candidates.iter().filter(is_good).cloned().collect();
-            if !good.is_empty() {
-                return Some(good);
-            }
-        }
-        let is_asked = advice.asked_at > Steady::ZERO;
-        if !is_asked || now >= advice.asked_at + ADVICE_RETRY {
-            advice.asked_at = now;
-            let mut asked = candidates.to_vec();
-            asked.sort_by_key(|id| {
-                let free = self.endpoints.get(id).map(|e| e.free().cpu);
-                std::cmp::Reverse(free)
-            });
-            asked.truncate(ADVICE_ENDPOINTS);
-            self.outbox.push(Action::Advise {
-                step: first,
-                endpoints: asked,
-            });
-        }
-        None
-    }
-
-    fn ticket(&self, first: TaskId, endpoint: &EndpointId) -> Option<Box<str>> {
-        let first = TaskId { index: 0, ..first };
-        let (_, ticket) = self.advice.get(&first)?.tickets.get(endpoint)?;
-        Some(ticket.clone())
-    }
-
-    /// Takes in what the policy said of a step: tickets, and how long they are valid.
-    pub fn advised_of(
-        &mut self,
-        step: TaskId,
-        tickets: Vec<(EndpointId, Box<str>)>,
-        valid: Duration,
-    ) {
-        let born = |id: &EndpointId| self.endpoints.get(id).map_or(0, |e| e.born);
-        let tickets = tickets
-            .into_iter()
-            .map(|(id, t)| {
-                let born = born(&id);
-                (id, (born, t))
-            })
-            .collect();
-        let now = self.now.steady;
-        self.advice.insert(
-            step,
-            Advice {
-                asked_at: now,
-                tickets,
-                valid_until: now + valid,
-            },
-        );
-    }
 }
 
 /// Steps whose turn has come and that have tasks waiting, with their occurrence.
@@ -439,13 +241,3 @@
     });
     steps.sum()
 }
-
-/// The longest chain of estimates of a job.
-fn chain(steps: &[StepSpec]) -> Duration {
-    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
-    for spec in steps {
-        let begins = spec.after.iter().map(|&a| ends[usize::from(a)]).max();
-        ends.push(begins.unwrap_or_default() + spec.estimate);
-    }
-    ends.into_iter().max().unwrap_or_default()
-}
--- /dev/null
+++ b/crates/pomelohitch-sched/src/cell/together.rs
@@ -0,0 +1,121 @@
+//! Steps whose tasks start together.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::Cell;
+use crate::endpoint::Endpoint;
+use crate::id::{EndpointId, TaskId};
+use crate::job::{JobSpec, StepSpec};
+
+impl Cell {
+    /// Starts all tasks of a step that work only, or well only, together: a gang as a whole or
+    /// not at all, and on one rack where one has the room. Half a gang would hold room idle
+    /// until it times out.
+    ///
+    /// Returns false if there was no room for all.
+    pub(super) fn start_together(
+        &mut self,
+        spec: &Arc<JobSpec>,
+        first: TaskId,
+        allowed: &[EndpointId],
+    ) -> bool {
+        let step = &spec.steps[usize::from(first.step)];
+        let waiting = self.waiting_tasks(first);
+        let is_whole = waiting.len() == step.count as usize;
+        if step.is_gang && !is_whole {
+            return true;
+        }
+        let need = step.need.times(waiting.len() as u64);
+        if !self.is_within_bound(spec, &need) {
+            return true;
+        }
+        let Some(places) = self.places_together(step, first, &waiting, allowed) else {
+            return false;
+        };
+        if step.is_gang {
+            self.align_runs(first);
+        }
+        for (task, endpoint) in waiting.into_iter().zip(places) {
+            let ticket = self.ticket(first, &endpoint);
+            self.start(task, &endpoint, ticket);
+        }
+        true
+    }
+
+    /// Members of a gang share the number of their run and the checkpoint.
+    fn align_runs(&mut self, first: TaskId) {
+        let Some(job) = self.jobs.get_mut(&first.job) else {
+            return;
+        };
+        let Some(occurrence) = job.progress.open.get_mut(&first.occurrence) else {
+            return;
+        };
+        let tasks = &mut occurrence.steps[usize::from(first.step)];
+        let last = tasks.iter().map(|t| t.last_run).max().unwrap_or(0);
+        let checkpoint = tasks
+            .iter()
+            .map(|t| t.checkpoint.clone())
+            .max()
+            .unwrap_or_default();
+        for t in tasks {
+            t.last_run = last;
+            t.checkpoint = checkpoint.clone();
+        }
+    }
+
+    fn places_together(
+        &self,
+        step: &StepSpec,
+        first: TaskId,
+        waiting: &[TaskId],
+        allowed: &[EndpointId],
+    ) -> Option<Vec<EndpointId>> {
+        let mut racks: BTreeMap<&str, Vec<EndpointId>> = BTreeMap::new();
+        for id in allowed {
+            let rack = self.endpoints.get(id).and_then(Endpoint::rack);
+            racks
+                .entry(rack.unwrap_or_default())
+                .or_default()
+                .push(id.clone());
+        }
+        let on_one_rack = racks
+            .values()
+            .find_map(|rack| self.places_on(step, first, waiting, rack));
+        on_one_rack.or_else(|| self.places_on(step, first, waiting, allowed))
+    }
+
+    /// A place for each task on the given endpoints, if they have room for all.
+    fn places_on(
+        &self,
+        step: &StepSpec,
+        first: TaskId,
+        waiting: &[TaskId],
+        endpoints: &[EndpointId],
+    ) -> Option<Vec<EndpointId>> {
+        let room = step.room();
+        let mut siblings = self.siblings(first);
+        let mut places = Vec::with_capacity(waiting.len());
+        for id in endpoints {
+            let endpoint = self.endpoints.get(id)?;
+            let has_label = step
+                .requires
+                .as_deref()
+                .is_none_or(|l| endpoint.has_label(l));
+            if !has_label {
+                continue;
+            }
+            let mut free = endpoint.free();
+            let count = siblings.entry(id.clone()).or_default();
+            while places.len() < waiting.len()
+                && free.holds(&room)
+                && (step.per_endpoint == 0 || *count < step.per_endpoint)
+            {
+                free = free.less(&room);
+                *count += 1;
+                places.push(id.clone());
+            }
+        }
+        (places.len() == waiting.len()).then_some(places)
+    }
+}
--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -1,4 +1,4 @@
-//! Instances that are maintained or moved.
+//! The list of instances, and operations on them.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use crate::Steady;
 use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, InstanceId, ServiceName};
-use crate::instances::{Instance, InstanceState, Remaining, Wave};
+use crate::instances::{Instance, InstanceState};
 use crate::order::{Action, Operation, OperationOutcome};
 
 /// How often the list of instances is read while something is under way.
@@ -20,25 +20,8 @@
 const LIST_EVERY_IDLE: Duration = Duration::from_secs(4);
 /// A list that was asked for so long after an endpoint was last heard speaks of it.
 const SILENT_FOR: Duration = Duration::from_millis(300);
-/// An instance takes about so long from being reserved until it is back: lasting tasks leave one
-/// after another, each with up to two seconds of stopping and starting, and maintenance takes two.
-const ROUND: Duration = Duration::from_secs(5);
-/// The part of a wave's time in which it should be done; the rest is for what goes wrong.
-const TIME_USED: f64 = 0.75;
 
 impl Cell {
-    /// Takes in a wave that operators ask for.
-    pub fn wave(&mut self, wave: Wave) {
-        info!(
-            wave = wave.number,
-            instances = wave.instances.len(),
-            at_once = wave.at_once,
-            within_s = wave.within.as_secs(),
-            "wave asked for"
-        );
-        self.instances.wave(wave, self.now.steady);
-    }
-
     /// Takes in the platform's list of instances, asked for at `asked_at`.
     pub fn instances_listed(&mut self, list: Vec<Instance>, asked_at: Steady) {
         for instance in &list {
@@ -144,91 +127,6 @@
         }
     }
 
-    fn tell_waves(&mut self) {
-        let statuses = match self.instances.statuses() {
-            Ok(statuses) => statuses,
-            Err(error) => {
-                warn!(%error, "status of waves can't be recorded");
-                return;
-            }
-        };
-        for (wave, is_completed, record) in statuses {
-            info!(wave, is_completed, "wave status");
-            self.extra_records.extend(record);
-            self.gated.push(Action::WaveStatus { wave, is_completed });
-        }
-    }
-
-    fn tend_wave(&mut self, wave: &Remaining, reserved: &mut BTreeSet<EndpointId>) {
-        let mut left: Vec<&InstanceId> = wave.left.iter().collect();
-        left.sort_by_key(|id| self.emptying_effort(id));
-        let mut may_begin = wave.may_begin;
-        let mut in_use = Vec::new();
-        for id in left {
-            if !self.is_known_empty(id) {
-                in_use.push(id);
-            } else if may_begin > 0 && self.may_operate() {
-                may_begin -= 1;
-                self.maintain(wave.wave, id);
-            }
-        }
-        reserved.extend(self.chosen(wave, &in_use));
-    }
-
-    /// The endpoints of instances of a wave that should be emptied now.
-    ///
-    /// Those that are being emptied stay chosen until they are: given up half-way, their lasting
-    /// tasks would come back and have to leave again, over and over.
-    fn chosen(&self, wave: &Remaining, in_use: &[&InstanceId]) -> Vec<EndpointId> {
-        let is_begun = |id: &&&InstanceId| {
-            let endpoint = self.endpoint_on(id);
-            endpoint.is_some_and(|e| self.endpoints.get(&e).is_some_and(|e| e.is_reserved))
-        };
-        let (begun, fresh): (Vec<_>, Vec<_>) = in_use.iter().partition(is_begun);
-        let to_empty = self.to_empty(wave).saturating_sub(begun.len());
-        let slow = self.slowest(&begun, &fresh, to_empty.div_ceil(2));
-        let first = fresh.iter().take(to_empty.saturating_sub(slow.len()));
-        let chosen: BTreeSet<&InstanceId> = begun
-            .iter()
-            .chain(first)
-            .copied()
-            .copied()
-            .chain(slow)
-            .collect();
-        let endpoints = chosen.into_iter().filter_map(|id| self.endpoint_on(id));
-        endpoints.collect()
-    }
-
-    /// Instances with most lasting tasks, which take longest, so that they are begun early: one of
-    /// a pool at a time, since tasks of a step leave one after another wherever they are.
-    fn slowest<'a>(
-        &self,
-        begun: &[&&'a InstanceId],
-        fresh: &[&&'a InstanceId],
-        count: usize,
-    ) -> Vec<&'a InstanceId> {
-        let list = self.instances.list();
-        let pool = |id: &InstanceId| list.get(id).map(|i| i.pool.clone());
-        let lasting = |id: &InstanceId| self.emptying_effort(id).0 > 0;
-        let begun = begun.iter().filter(|id| lasting(id));
-        let mut pools: BTreeSet<_> = begun.filter_map(|id| pool(id)).collect();
-        let laden = fresh.iter().rev().filter(|id| lasting(id));
-        let one_each = laden.filter(|id| pool(id).is_some_and(|p| pools.insert(p)));
-        one_each.take(count).map(|id| **id).collect()
-    }
-
-    /// How many instances of a wave should be kept free of new work now: as few as get the wave
-    /// done in time, since each is missing to its pool.
-    fn to_empty(&self, wave: &Remaining) -> usize {
-        let passed = self.now.steady.saturating_sub(wave.since);
-        let left = wave.within.mul_f64(TIME_USED).saturating_sub(passed);
-        let work = ROUND * u32::try_from(wave.left.len()).unwrap_or(u32::MAX);
-        let at_once = wave.at_once.max(1);
-        let needed = (1..at_once).find(|&n| left * u32::try_from(n).unwrap_or(1) >= work);
-        let under_way = wave.at_once.saturating_sub(wave.may_begin);
-        needed.unwrap_or(at_once).saturating_sub(under_way).max(1)
-    }
-
     /// Whether an instance is up and surely runs nothing. Before the list of instances was read, or
     /// while its endpoint isn't known, nothing is sure.
     pub(super) fn is_known_empty(&self, id: &InstanceId) -> bool {
@@ -252,13 +150,6 @@
         services.is_some_and(|s| s.get(pool).is_some_and(|s| s.is_spare))
     }
 
-    /// How much is on an instance: lasting tasks, then processors in use.
-    fn emptying_effort(&self, id: &InstanceId) -> (usize, u64) {
-        let endpoint = self.endpoint_on(id);
-        let endpoint = endpoint.and_then(|e| self.endpoints.get(&e));
-        endpoint.map_or((0, 0), |e| (e.lasting, e.used.cpu))
-    }
-
     pub(super) fn endpoint_on(&self, id: &InstanceId) -> Option<EndpointId> {
         self.instances.list().get(id)?.endpoint.clone()
     }
@@ -283,13 +174,4 @@
         let age = endpoint.and_then(|e| e.clock_at_least(now));
         is_listed_since && age.is_some_and(|age| age > self.settings.holder_gap)
     }
-
-    fn maintain(&mut self, wave: u64, id: &InstanceId) {
-        self.instances.set_under_way(id, self.now.steady, None);
-        info!(wave, instance = %id, "maintenance decided");
-        self.outbox.push(Action::Operate {
-            instance: id.clone(),
-            operation: Operation::Maintain { wave },
-        });
-    }
 }
--- a/crates/pomelohitch-sched/src/job.rs
+++ b/crates/pomelohitch-sched/src/job.rs
@@ -167,6 +167,22 @@
     }
 }
 
+/// The longest chain of estimates among the steps that are left.
+#[must_use]
+pub fn chain(steps: &[StepSpec], is_left: impl Fn(usize) -> bool) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
+    for (index, step) in steps.iter().enumerate() {
+        let begins = step.after.iter().map(|&a| ends[usize::from(a)]).max();
+        let own = if is_left(index) {
+            step.estimate
+        } else {
+            Duration::ZERO
+        };
+        ends.push(begins.unwrap_or_default() + own);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
 impl StepSpec {
     /// What one task takes of an endpoint's room. A filler's processors aren't counted.
     #[must_use]
--- a/crates/pomelohitch-sched/src/progress.rs
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -12,7 +12,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::id::{EndpointId, JobId, RunNumber, TaskId, job_text};
-use crate::job::{JobSpec, StepSpec};
+use crate::job::{self, JobSpec, StepSpec};
 use crate::{Steady, UnixMs};
 
 /// What callers are told of a job.
@@ -168,18 +168,7 @@
     /// The longest chain of estimates that is left.
     #[must_use]
     pub fn chain_left(&self, steps: &[StepSpec]) -> Duration {
-        let mut ends = Vec::with_capacity(steps.len());
-        for (step, spec) in steps.iter().enumerate() {
-            let begins = spec.after.iter().map(|&a| ends[usize::from(a)]).max();
-            let is_done = self.steps[step].iter().all(|t| t.is_done);
-            let own = if is_done {
-                Duration::ZERO
-            } else {
-                spec.estimate
-            };
-            ends.push(begins.unwrap_or_default() + own);
-        }
-        ends.into_iter().max().unwrap_or_default()
+        job::chain(steps, |step| self.steps[step].iter().any(|t| !t.is_done))
     }
 }
 
--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -11,10 +11,6 @@
 use crate::UnixMs;
 use crate::id::JobId;
 
-/// Estimates are off by a fifth either way, so a chain of work is taken this much longer before a
-/// job counts as late. Source: the sheets' spread of estimates.
-const CAUTION: f64 = 1.0;
-
 /// A job's place among those that wait for the same service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Urgency {
@@ -58,7 +54,7 @@
     /// The place of this job at `now_ms`.
     #[must_use]
     pub fn urgency(&self, now_ms: UnixMs) -> Urgency {
-        let left = millis(self.chain_left.mul_f64(CAUTION));
+        let left = millis(self.chain_left);
         let start_by_ms = self.objective_ms().saturating_sub(left);
         let is_late = now_ms > start_by_ms;
         Urgency {
