--- a/crates/pomelohitch-sched/src/cell/lives.rs
+++ b/crates/pomelohitch-sched/src/cell/lives.rs
@@ -65,7 +65,6 @@
         let mut fresh = Endpoint::new(born);
         fresh.report = endpoint.report.take();
         fresh.is_listed = endpoint.is_listed;
-        fresh.instance = endpoint.instance.take();
         fresh.runs = std::mem::take(&mut endpoint.runs);
         fresh.used = endpoint.used;
         fresh.lasting = endpoint.lasting;
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::{Cell, Job};
 use crate::config::Queue;
--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -30,10 +30,6 @@
                 info!(instance = %instance.id, pool = %instance.pool, state = ?instance.state,
                     ?before, endpoint = ?instance.endpoint, "instance state");
             }
-            let endpoint = instance.endpoint.as_ref();
-            if let Some(endpoint) = endpoint.and_then(|id| self.endpoints.get_mut(id)) {
-                endpoint.instance = Some(instance.id.clone());
-            }
         }
         let replaced = self.instances.listed(list, asked_at);
         for endpoint in replaced {
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::Steady;
-use crate::id::{EndpointId, InstanceId, RunNumber, ServiceName, TaskId};
+use crate::id::{EndpointId, RunNumber, ServiceName, TaskId};
 use crate::resources::Resources;
 
 /// How much slower than ours an endpoint's clock may run; the platform's own bound.
@@ -126,8 +126,6 @@
     pub born: u64,
     /// Whether the list holds it now.
     pub is_listed: bool,
-    /// The instance it lives on, once the platform has told it.
-    pub instance: Option<InstanceId>,
     /// Room taken, also by what is being stopped or may be running.
     pub used: Resources,
     /// How many runs are of lasting tasks.
@@ -172,7 +170,6 @@
             report: None,
             born,
             is_listed: false,
-            instance: None,
             used: Resources::default(),
             lasting: 0,
             runs: BTreeMap::new(),
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -423,7 +423,8 @@
 
 /// The member that should lead next: of those that reach the store, the one that started last. In
 /// a rolling restart its turn is over, while any other may be the next to go.
-fn successor(answers: &[(SocketAddr, ProbeReply)]) -> Option<SocketAddr> {
+#[must_use]
+pub fn successor(answers: &[(SocketAddr, ProbeReply)]) -> Option<SocketAddr> {
     let able = answers.iter().filter(|(_, a)| a.has_store && !a.is_leaving);
     able.min_by_key(|(_, a)| a.up_ms).map(|(addr, _)| *addr)
 }
--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -2,5 +2,7 @@
 
 #[path = "fleet/callers.rs"]
 mod callers;
+#[path = "fleet/leaders.rs"]
+mod leaders;
 #[path = "fleet/site.rs"]
 mod site;
