--- a/crates/pomelohitch-sched/tests/cell/fleet.rs
+++ b/crates/pomelohitch-sched/tests/cell/fleet.rs
@@ -52,6 +52,7 @@
     is_lasting: bool,
 }
 
+#[expect(clippy::struct_excessive_bools, reason = "independent faults")]
 pub struct Fleet {
     pub cell: Cell,
     pub now: Now,
