fix: lasting tasks leave a draining endpoint no faster than their step may miss

Cause by reading: tasks were stopped at once on an endpoint that drains, whatever else of their step was away or being stopped; such a stop may arrive before one that was decided earlier elsewhere, which then takes away one too many. A drain counts like any other reason now. The test fails without the change (two of three tasks away where one may be).

--- a/crates/pomelohitch-sched/src/cell/evict.rs
+++ b/crates/pomelohitch-sched/src/cell/evict.rs
@@ -35,20 +35,20 @@
     /// Moves lasting tasks away from endpoints that leave or have to be empty soon, no faster
     /// than their steps allow and only while there is room elsewhere.
     pub(super) fn tend_lasting(&mut self) {
-        let leaving: Vec<(EndpointId, bool)> = self
+        let leaving: Vec<EndpointId> = self
             .endpoints
             .iter()
             .filter(|(_, e)| !e.runs.is_empty())
             .filter_map(|(id, e)| {
                 let is_draining = e.report.as_ref().is_some_and(|r| r.is_draining);
                 let has_to = e.lasting > 0 && (is_draining || e.is_reserved);
-                has_to.then(|| (id.clone(), is_draining))
+                has_to.then(|| id.clone())
             })
             .collect();
         self.is_evicting = !leaving.is_empty();
         let mut cramped = BTreeSet::new();
-        for (id, is_draining) in leaving {
-            self.evict(&id, is_draining, &mut cramped);
+        for id in leaving {
+            self.evict(&id, &mut cramped);
         }
         self.cramped.retain(|service, _| cramped.contains(service));
         for service in cramped {
@@ -59,14 +59,14 @@
 
     /// `cramped` collects services whose lasting tasks find no room elsewhere: their pools have to
     /// grow before the instance can be empty.
-    fn evict(&mut self, id: &EndpointId, is_draining: bool, cramped: &mut BTreeSet<ServiceName>) {
+    fn evict(&mut self, id: &EndpointId, cramped: &mut BTreeSet<ServiceName>) {
         let Some(endpoint) = self.endpoints.get(id) else {
             return;
         };
         let runs: Vec<_> = endpoint.runs.keys().copied().collect();
         for (task, run) in runs {
             let step = self.step(task).filter(|s| s.is_lasting);
-            let Some(step) = step.filter(|s| self.may_evict(task, run, s, is_draining)) else {
+            let Some(step) = step.filter(|s| self.may_evict(task, run, s)) else {
                 continue;
             };
             if self.has_room_elsewhere(task, step) {
@@ -77,11 +77,11 @@
         }
     }
 
-    fn may_evict(&self, task: TaskId, run: RunNumber, step: &StepSpec, is_draining: bool) -> bool {
+    fn may_evict(&self, task: TaskId, run: RunNumber, step: &StepSpec) -> bool {
         let is_settled = self
             .run(task, run)
             .is_some_and(|r| !r.view.is_stopping() && r.view.seen_at.is_some());
-        let is_sparable = is_draining || self.away_beside(task) < step.may_miss.max(1);
+        let is_sparable = self.away_beside(task) < step.may_miss.max(1);
         is_settled && is_sparable
     }
 
--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -130,6 +130,31 @@
     fleet.assert_sound();
 }
 
+/// One task of a step has to leave an instance that is due, another one an endpoint that drains, at
+/// the same time. The second stop may arrive before the first, which then takes away two where one
+/// may be away.
+#[test]
+fn a_drain_beside_a_wave_takes_away_no_more_than_may_miss() {
+    let mut fleet = Fleet::new(6);
+    let mut lasting = step(3, 500, 100);
+    lasting.is_lasting = true;
+    lasting.may_miss = 1;
+    lasting.per_endpoint = 1;
+    fleet.submit("00000000000000a1", job(vec![lasting]));
+    fleet.pass(400);
+    let (due, draining) = (fleet.starts[0].2.clone(), fleet.starts[1].2.clone());
+    fleet.cell.wave(wave(&[&format!("m{}", &due[1..])], 1));
+    fleet.endpoint(&draining).report.is_draining = true;
+    fleet.list();
+    for _ in 0..300 {
+        fleet.pass(1);
+        let running = fleet.endpoints.values().map(|e| e.running().len());
+        assert!(running.sum::<usize>() >= 2);
+    }
+    assert!(fleet.endpoint(&draining).running().is_empty());
+    assert_eq!(operated(&fleet).len(), 1);
+}
+
 /// An order to take an instance down is lost, and its leader ends before it knows. Counted as
 /// done, the instance would be left out while the wave is told as completed.
 #[test]
