test: the fleet in virtual time notices a start after a noted end; what deciding costs at the grown size

The check of starts after a task was done compared with a set that nothing was ever put into, so that it couldn't fail. The fleet now fills it with the ends that are acknowledged while listed as done.

--- /dev/null
+++ b/crates/pomelohitch-sched/examples/cost.rs
@@ -0,0 +1,169 @@
+//! What deciding costs in a large fleet.
+//!
+//! Some 350 endpoints in five pools; queues have their turns, in which each asks about four times
+//! its mean; lasting tasks; a wave over half of the instances; a few thousand queues that nobody
+//! uses. Endpoints, log and instances answer at once, in virtual time. Printed for each second:
+//! starts, jobs held, and the processor time that the decisions took.
+//!
+//! `cargo run --release -p pomelohitch-sched --example cost`
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pomelohitch_sched::cell::calls::{Draft, Verb};
+use pomelohitch_sched::config::{FleetConfig, Queue, Service, Workspace};
+use pomelohitch_sched::instances::Wave;
+use pomelohitch_sched::job::StepSpec;
+use pomelohitch_sched::resources::Resources;
+
+#[expect(dead_code, reason = "shared with tests, which use more of it")]
+#[path = "../tests/cell/fleet.rs"]
+mod fleet;
+
+use fleet::Fleet;
+
+/// Seconds played.
+const SECONDS: u32 = 24;
+/// Length of a queue's turn, seconds.
+const TURN: u32 = 4;
+/// Steps of virtual time in a second.
+const STEPS: u32 = 100;
+/// Queues that get no work.
+const IDLE_QUEUES: usize = 1_400;
+/// Name, instances, jobs a second in its turn, tasks of a step, thousandths of a core for each,
+/// milliseconds.
+const POOLS: [(&str, u16, u32, u32, u64, u64); 4] = [
+    ("pricing", 61, 118, 8, 1_500, 640),
+    ("issuing", 69, 24, 8, 3_300, 1_300),
+    ("kiosk", 78, 148, 8, 1_500, 640),
+    ("partners", 85, 29, 8, 3_300, 1_300),
+];
+const SPARE: (&str, u16) = ("backoffice", 56);
+
+fn config() -> FleetConfig {
+    let queue = |name: String, service: &str| Queue {
+        prefix: format!("/{name}/").into(),
+        name: name.into(),
+        host: "h".into(),
+        service: service.into(),
+        attempts: 3,
+        stretch: 1.6,
+        objective: Duration::from_millis(600),
+        ..Queue::default()
+    };
+    let idle = (0..IDLE_QUEUES).map(|n| queue(format!("idle-{n}"), "pricing"));
+    let used = POOLS.iter().map(|(name, ..)| queue((*name).into(), name));
+    let pools = POOLS.iter().map(|(name, ..)| *name);
+    let spare = Service {
+        is_spare: true,
+        ..Service::default()
+    };
+    FleetConfig {
+        version: 2,
+        queues: idle.chain(used).collect(),
+        services: pools
+            .map(|name| (name.into(), Service::default()))
+            .chain([(SPARE.0.into(), spare)])
+            .collect(),
+        workspaces: vec![Workspace {
+            name: "w".into(),
+            keys: vec!["key".into()],
+            weight: 1,
+            bound: Resources::default(),
+        }],
+    }
+}
+
+fn whole_fleet() -> Fleet {
+    let mut fleet = Fleet::new(0);
+    fleet.capacity = Resources {
+        cpu: 16_000,
+        mem_mb: 65_536,
+        gpu: 0,
+    };
+    let mut index = 1;
+    let pools = POOLS.iter().map(|(name, count, ..)| (*name, *count));
+    for (name, count) in pools.chain([SPARE]) {
+        for _ in 0..count {
+            fleet.add_to(name, &format!("{name}-{index}"), index);
+            index += 1;
+        }
+    }
+    fleet.carries_out = true;
+    fleet.cfg = Arc::new(config());
+    fleet.cell.configure(fleet.cfg.clone());
+    fleet.list();
+    fleet.pass(6 * STEPS);
+    fleet
+}
+
+fn lasting(cpu: u64) -> Draft {
+    fleet::job(vec![StepSpec {
+        is_lasting: true,
+        per_endpoint: 4,
+        may_miss: 2,
+        ..fleet::step(24, cpu, 900)
+    }])
+}
+
+fn short(count: u32, cpu: u64, millis: u64) -> Draft {
+    let second = StepSpec {
+        after: vec![0],
+        ..fleet::step(count, cpu, millis)
+    };
+    fleet::job(vec![fleet::step(count, cpu, millis), second])
+}
+
+/// Hands in the jobs of one step of time.
+fn arrive(fleet: &mut Fleet, second: u32, step: u32, next_id: &mut u64) {
+    for (turn, &(name, _, rate, count, cpu, millis)) in (0..).zip(&POOLS) {
+        let is_its_turn = second / TURN % 4 == turn;
+        let rate = if is_its_turn { rate } else { rate / 80 };
+        let due = (step + 1) * rate / STEPS - step * rate / STEPS;
+        for _ in 0..due {
+            *next_id += 1;
+            let verb = Verb::Submit(Ok(short(count, cpu, millis)));
+            fleet.call(&format!("/{name}/{next_id:016x}"), verb);
+        }
+    }
+}
+
+fn main() {
+    let mut fleet = whole_fleet();
+    let mut next_id = 0;
+    for (name, ..) in POOLS {
+        for _ in 0..4 {
+            next_id += 1;
+            let verb = Verb::Submit(Ok(lasting(2_300)));
+            fleet.call(&format!("/{name}/{next_id:016x}"), verb);
+        }
+    }
+    fleet.pass(2 * STEPS);
+    let due = fleet.instances.keys().step_by(2).cloned();
+    let wave = Wave {
+        number: 1,
+        instances: due.collect(),
+        within: Duration::from_secs(27),
+        at_once: 58,
+    };
+    fleet.cell.wave(wave);
+    println!("second  starts  jobs held  moves  looks  decided in, ms");
+    for second in 0..SECONDS {
+        let starts = fleet.starts.len();
+        let moves = fleet.operations.len();
+        let (spent, looks) = (fleet.spent, fleet.looks_sent);
+        for step in 0..STEPS {
+            arrive(&mut fleet, second, step, &mut next_id);
+            fleet.pass(1);
+        }
+        println!(
+            "{second:6}  {:6}  {:9}  {:5}  {:5}  {:14.1}",
+            fleet.starts.len() - starts,
+            fleet.cell.job_count(),
+            fleet.operations.len() - moves,
+            fleet.looks_sent - looks,
+            (fleet.spent - spent).as_secs_f64() * 1000.0,
+        );
+    }
+    assert!(fleet.broken.is_empty(), "{:#?}", fleet.broken);
+}
--- a/crates/pomelohitch-sched/tests/cell/fleet.rs
+++ b/crates/pomelohitch-sched/tests/cell/fleet.rs
@@ -75,6 +75,11 @@
     pub broken: Vec<String>,
     pub starts: Vec<(TaskId, u32, EndpointId)>,
     pub cfg: Arc<FleetConfig>,
+    /// Processor time that decisions took.
+    pub spent: Duration,
+    pub looks_sent: usize,
+    /// Room of endpoints that are added, or that come back from a move.
+    pub capacity: Resources,
     looks: Vec<(Duration, LookOrder)>,
     pending: Option<Batch>,
     done: BTreeSet<TaskId>,
@@ -219,13 +224,23 @@
         }
     }
 
+    /// Forgets ends up to `noted`, and returns the tasks of those that were done.
+    fn acknowledge(&mut self, noted: u64) -> Vec<TaskId> {
+        let (old, listed) = std::mem::take(&mut self.ended)
+            .into_iter()
+            .partition(|e| e.number <= noted);
+        self.ended = listed;
+        let old: Vec<Ended> = old;
+        let done = old.into_iter().filter(|e| e.how == How::Done);
+        done.map(|e| e.task).collect()
+    }
+
     fn look(&mut self, look: &LookOrder) -> Result<Look, LookFailure> {
         if look.epoch < self.epoch {
             return Err(LookFailure::Fenced);
         }
         self.epoch = look.epoch;
         self.lease = self.lease.max(look.lease.unwrap_or_default());
-        self.ended.retain(|e| e.number > look.noted);
         Ok(Look {
             born: self.report.born,
             clock: self.clock,
@@ -283,6 +298,13 @@
             broken: Vec::new(),
             starts: Vec::new(),
             cfg: cfg.clone(),
+            spent: Duration::ZERO,
+            looks_sent: 0,
+            capacity: Resources {
+                cpu: 4000,
+                mem_mb: 4000,
+                gpu: 0,
+            },
             looks: Vec::new(),
             pending: None,
             done: BTreeSet::new(),
@@ -303,6 +325,7 @@
     pub fn add_to(&mut self, service: &str, id: &str, index: u16) {
         let report = Report {
             service: service.into(),
+            capacity: self.capacity,
             ..report(id, index)
         };
         let instance: Arc<str> = format!("m{index}").into();
@@ -375,13 +398,14 @@
 
     pub fn call_with(&mut self, path: &str, key: Option<&str>, verb: Verb) -> u64 {
         self.calls += 1;
-        self.cell.call(&Call {
+        let call = Call {
             id: self.calls,
             host: "h".into(),
             path: path.into(),
             key: key.map(Into::into),
             verb,
-        });
+        };
+        self.decide(|cell, _| cell.call(&call));
         self.calls
     }
 
@@ -407,11 +431,18 @@
             self.return_instances();
             self.answer_looks();
             self.commit();
-            let actions = self.cell.tick(self.now);
+            let actions = self.decide(|cell, now| cell.tick(now));
             self.carry_out(actions);
         }
     }
 
+    fn decide<T>(&mut self, decide: impl FnOnce(&mut Cell, Now) -> T) -> T {
+        let began = std::time::Instant::now();
+        let decided = decide(&mut self.cell, self.now);
+        self.spent += began.elapsed();
+        decided
+    }
+
     fn commit(&mut self) {
         if !self.is_log_up {
             return;
@@ -423,10 +454,11 @@
                     None => self.log.remove(&record.key),
                 };
             }
-            let actions = self.cell.committed(batch);
+            let actions = self.decide(|cell, _| cell.committed(batch));
             self.carry_out(actions);
         }
-        self.pending = self.cell.take_batch().expect("records can be encoded");
+        let batch = self.decide(|cell, _| cell.take_batch());
+        self.pending = batch.expect("records can be encoded");
     }
 
     fn answer_looks(&mut self) {
@@ -444,16 +476,18 @@
                 }
                 continue;
             };
-            if endpoint.ended.iter().any(|e| e.number > look.noted) || waited >= look.wait {
+            if look.epoch >= endpoint.epoch {
+                self.done.extend(endpoint.acknowledge(look.noted));
+            }
+            if !endpoint.ended.is_empty() || waited >= look.wait {
                 let mut answer = endpoint.look(&look);
                 if let Ok(answer) = &mut answer {
                     answer.sent_at = sent_at;
                     answer.answered_at = now;
                 }
-                self.cell.looked(&look.target, answer);
+                self.decide(|cell, _| cell.looked(&look.target, answer));
             } else {
                 // Lease and acknowledgement count from the arrival of the look.
-                endpoint.ended.retain(|e| e.number > look.noted);
                 endpoint.lease = endpoint.lease.max(look.lease.unwrap_or_default());
                 waiting.push((sent_at, look));
             }
@@ -464,7 +498,10 @@
     fn carry_out(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Look(look) => self.looks.push((self.now.steady, look)),
+                Action::Look(look) => {
+                    self.looks_sent += 1;
+                    self.looks.push((self.now.steady, look));
+                }
                 Action::Order {
                     target,
                     order,
@@ -472,7 +509,7 @@
                     ..
                 } => {
                     let outcome = self.order(&target, &order, epoch);
-                    self.cell.ordered(&target, &order, &outcome);
+                    self.decide(|cell, _| cell.ordered(&target, &order, &outcome));
                 }
                 Action::Reply { call, answer } => {
                     self.replies.insert(call, answer);
@@ -483,7 +520,7 @@
                 Action::ListInstances if self.hides_instances => self.cell.instances_unlisted(),
                 Action::ListInstances => {
                     let list = self.instances.values().cloned().collect();
-                    self.cell.instances_listed(list, self.now.steady);
+                    self.decide(|cell, now| cell.instances_listed(list, now.steady));
                 }
                 Action::Operate {
                     instance,
@@ -536,6 +573,7 @@
             self.lives += 1;
             let mut report = report(&format!("e{}", self.lives), self.lives);
             report.service = pool;
+            report.capacity = self.capacity;
             let instance = self.instances.get_mut(&id).expect("it is listed");
             instance.state = InstanceState::Up;
             instance.endpoint = Some(report.id.clone());
@@ -548,7 +586,6 @@
     }
 
     fn order(&mut self, target: &Target, order: &Order, epoch: u64) -> Outcome {
-        let done = self.done.clone();
         let Some(endpoint) = self.endpoints.get_mut(&target.id) else {
             let is_start = matches!(order, Order::Start { .. });
             self.broken
@@ -588,7 +625,7 @@
                     },
                 );
                 self.starts.push((*task, *run, target.id.clone()));
-                self.check_start(*task, &target.id, step, &done);
+                self.check_start(*task, &target.id, step);
                 Outcome::Taken
             }
             Order::Stop { task, run } => {
@@ -609,13 +646,7 @@
         }
     }
 
-    fn check_start(
-        &mut self,
-        task: TaskId,
-        at: &EndpointId,
-        step: &StepSpec,
-        done: &BTreeSet<TaskId>,
-    ) {
+    fn check_start(&mut self, task: TaskId, at: &EndpointId, step: &StepSpec) {
         let elsewhere = self
             .endpoints
             .values()
@@ -625,7 +656,7 @@
         if elsewhere > 1 {
             self.broken.push(format!("{task} runs {elsewhere} times"));
         }
-        if done.contains(&task) {
+        if self.done.contains(&task) {
             self.broken.push(format!("{task} starts after it was done"));
         }
         let endpoint = &self.endpoints[at];
