feat: the largest member that can lead does

Cause: on grown deployments 27 of 35 entry instances have 0.12 of a core and 160 MB, eight have 0.5 and 512 MB; whoever claimed first led, mostly a small one, and was out of processor time and memory. Members say how large they are. Where all are of one size nothing changes. The decision is pure, in fleet::succession; its tests fail without it.

--- a/pomelohitchd/src/fleet.rs
+++ b/pomelohitchd/src/fleet.rs
@@ -12,6 +12,7 @@
 //! * [`peers`]: calls to other entry instances.
 //! * [`members`]: follows the members and their leader in the store.
 //! * [`election`]: notices that the leader is silent and takes over.
+//! * [`succession`]: which member should lead.
 //! * [`internal`]: serves other entry instances.
 //! * [`callers`]: serves callers.
 //! * [`leader`]: the work of the leader.
@@ -28,4 +29,5 @@
 pub mod members;
 pub mod peers;
 pub mod shared;
+pub mod succession;
 pub mod wire;
--- a/pomelohitchd/src/fleet/election.rs
+++ b/pomelohitchd/src/fleet/election.rs
@@ -13,7 +13,7 @@
 
 use super::shared::{Shared, View};
 use super::wire::{self, Probe, ProbeReply};
-use super::{clock, leader, peers};
+use super::{clock, leader, peers, succession};
 
 /// How often the leader's silence is looked at.
 const TICK: Duration = Duration::from_millis(100);
@@ -48,6 +48,8 @@
         }
         let view = shared.view();
         let epoch = view.leader.as_ref().map_or(0, |l| l.epoch);
+        let power = shared.site.load().power;
+        let hold_back = hold_back + succession::deference(power, &shared.others());
         if shared.take_claim() {
             info!("asked to take over");
             leader::claim(shared, epoch, true);
@@ -65,13 +67,7 @@
 /// Whether nobody else hears the leader either.
 fn is_silent(shared: &Shared) -> bool {
     let view = shared.view();
-    let own = shared.site.load().internal;
-    let others: Vec<_> = view
-        .members
-        .values()
-        .copied()
-        .filter(|a| *a != own)
-        .collect();
+    let others = shared.peers();
     let probe = Probe { with_store: false };
     let answers = peers::ask_all::<ProbeReply>(&others, wire::PROBE, &probe);
     let is_heard = answers
--- a/pomelohitchd/src/fleet/internal.rs
+++ b/pomelohitchd/src/fleet/internal.rs
@@ -82,6 +82,7 @@
         has_store: probe.with_store && reaches_store(&shared.store(), view.members_end),
         is_leaving: shared.is_leaving(),
         up_ms: millis(clock::steady().saturating_sub(shared.began)),
+        power: shared.site.load().power,
     }
 }
 
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -163,11 +163,7 @@
     let beat = Beat {
         leader: leader.clone(),
     };
-    let members = shared.view().members;
-    let others: Vec<_> = members
-        .into_values()
-        .filter(|a| *a != leader.addr)
-        .collect();
+    let others = shared.peers();
     info!(
         epoch = leader.epoch,
         members = others.len(),
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -22,6 +22,7 @@
 use super::super::clock;
 use super::super::peers;
 use super::super::shared::{Shared, spawn, spawn_with};
+use super::super::succession::{self, successor};
 use super::super::wire::{self, Leader, Probe, ProbeReply};
 use super::duties::Duties;
 use super::journal::Journal;
@@ -44,6 +45,8 @@
 const STORE_TRUSTED_FOR: Duration = Duration::from_secs(6);
 /// How often they are asked.
 const ASK_EVERY: Duration = Duration::from_millis(600);
+/// How often larger members are asked whether they can lead.
+const COMPARE_EVERY: Duration = Duration::from_secs(1);
 /// Without the store and without any answer of other members this process stops leading: the
 /// others may have elected another leader, which counts on leases not being renewed for longer.
 const ISOLATED_AFTER: Duration = Duration::from_secs(2);
@@ -98,6 +101,8 @@
     ///
     /// Comes with whether the store answers this process at the same time.
     Probed(Vec<(SocketAddr, ProbeReply)>, bool),
+    /// What larger members answered that were asked whether they can lead.
+    Larger(Vec<(SocketAddr, ProbeReply)>),
     /// A later leader is known.
     Deposed(&'static str),
     /// The process shuts down.
@@ -141,6 +146,7 @@
     appends_lost: Option<Steady>,
     reads_lost: Option<Steady>,
     asked_at: Steady,
+    compared_at: Steady,
     end: Option<End>,
 }
 
@@ -180,6 +186,7 @@
         appends_lost: None,
         reads_lost: None,
         asked_at: Steady::ZERO,
+        compared_at: clock::steady(),
         end: None,
     };
     let end = core.lead(&parts.rx);
@@ -231,6 +238,7 @@
             self.carry_out(actions);
             self.commit();
             self.mind_store();
+            self.mind_size();
             self.lanes.prune(self.cell.endpoints());
         }
     }
@@ -263,6 +271,7 @@
             }
             Event::Reads(is_well) => self.reads_lost = lost_since(self.reads_lost, is_well),
             Event::Probed(answers, has_store) => self.take_probes(&answers, has_store),
+            Event::Larger(answers) => self.yield_to(&answers),
             Event::Deposed(why) => self.stop(why, None),
             Event::Leave => self.leave(),
         }
@@ -363,7 +372,7 @@
             return;
         }
         self.asked_at = now;
-        let others = self.others();
+        let others = self.shared.peers();
         let tx = self.tx.clone();
         let store = self.shared.store();
         let end = self.shared.view().members_end;
@@ -382,17 +391,41 @@
         }
     }
 
+    /// Asks larger members now and then whether they can lead.
+    fn mind_size(&mut self) {
+        let now = clock::steady();
+        if now < self.compared_at + COMPARE_EVERY {
+            return;
+        }
+        self.compared_at = now;
+        let power = self.shared.site.load().power;
+        let larger = succession::larger(power, &self.shared.others());
+        if larger.is_empty() {
+            return;
+        }
+        let tx = self.tx.clone();
+        let asking = spawn("ask larger members", move || {
+            let probe = Probe { with_store: true };
+            let answers = peers::ask_all::<ProbeReply>(&larger, wire::PROBE, &probe);
+            let _ = tx.send(Event::Larger(answers));
+        });
+        if let Err(error) = asking {
+            warn!(%error, "larger members can't be asked");
+        }
+    }
+
+    /// Hands the leadership over to the largest member, if it can lead.
+    fn yield_to(&mut self, larger: &[(SocketAddr, ProbeReply)]) {
+        if let Some(successor) = successor(larger) {
+            self.stop("a larger member can lead", Some(successor));
+        }
+    }
+
     fn store_lost(&self) -> Option<Steady> {
         let lost = [self.appends_lost, self.reads_lost];
         lost.into_iter().flatten().min()
     }
 
-    fn others(&self) -> Vec<SocketAddr> {
-        let own = self.shared.site.load().internal;
-        let members = self.shared.view().members;
-        members.into_values().filter(|addr| *addr != own).collect()
-    }
-
     fn take_probes(&mut self, answers: &[(SocketAddr, ProbeReply)], has_store: bool) {
         let Some(since) = self.store_lost() else {
             return;
@@ -407,7 +440,7 @@
         if let Some(successor) = successor.filter(|_| !is_back) {
             self.stop("the store answers others", Some(successor));
         }
-        let is_alone = answers.is_empty() && !self.others().is_empty();
+        let is_alone = answers.is_empty() && !self.shared.peers().is_empty();
         if is_alone && clock::steady().saturating_sub(since) > ISOLATED_AFTER {
             self.stop("neither store nor members answer", None);
         }
@@ -416,19 +449,11 @@
     /// Ends the leadership for a shutdown, with the first member that can take over.
     fn leave(&mut self) {
         let probe = Probe { with_store: true };
-        let answers = peers::ask_all::<ProbeReply>(&self.others(), wire::PROBE, &probe);
+        let answers = peers::ask_all::<ProbeReply>(&self.shared.peers(), wire::PROBE, &probe);
         self.stop("shutdown", successor(&answers));
     }
 }
 
-/// The member that should lead next: of those that reach the store, the one that started last. In
-/// a rolling restart its turn is over, while any other may be the next to go.
-#[must_use]
-pub fn successor(answers: &[(SocketAddr, ProbeReply)]) -> Option<SocketAddr> {
-    let able = answers.iter().filter(|(_, a)| a.has_store && !a.is_leaving);
-    able.min_by_key(|(_, a)| a.up_ms).map(|(addr, _)| *addr)
-}
-
 fn lost_since(since: Option<Steady>, is_well: bool) -> Option<Steady> {
     (!is_well).then(|| since.unwrap_or_else(clock::steady))
 }
--- a/pomelohitchd/src/fleet/leader/heartbeats.rs
+++ b/pomelohitchd/src/fleet/leader/heartbeats.rs
@@ -13,7 +13,7 @@
 use super::core::{Event, spawn_for};
 use crate::fleet::peers;
 use crate::fleet::shared::Shared;
-use crate::fleet::wire::{self, Alive, Beat, BeatReply, Leader};
+use crate::fleet::wire::{self, Alive, Beat, BeatReply, Leader, Member};
 
 /// How often each member is told.
 pub const EVERY: Duration = Duration::from_millis(250);
@@ -34,10 +34,10 @@
     let mut told = HashMap::new();
     let (own, tx) = (leader.clone(), events.clone());
     spawn_for("members", shared, epoch, move |shared| {
-        for (member, addr) in shared.view().members {
+        for (name, Member { addr, .. }) in shared.view().members {
             let is_other = addr != own.addr;
-            if is_other && told.insert(member.clone(), addr) != Some(addr) {
-                beat(shared, &own, member, addr, &tx);
+            if is_other && told.insert(name.clone(), addr) != Some(addr) {
+                beat(shared, &own, name, addr, &tx);
             }
         }
         std::thread::sleep(EVERY);
@@ -71,7 +71,7 @@
     };
     let tx = events.clone();
     let started = spawn_for("heartbeat", shared, epoch, move |shared| {
-        if shared.view().members.get(&member) != Some(&addr) {
+        if shared.view().members.get(&member).map(|m| m.addr) != Some(addr) {
             std::thread::sleep(EVERY);
             return;
         }
--- a/pomelohitchd/src/fleet/members.rs
+++ b/pomelohitchd/src/fleet/members.rs
@@ -91,7 +91,7 @@
         let member = value.and_then(|v| postcard::from_bytes::<Member>(v).ok());
         shared.update(|view| match member {
             Some(member) => {
-                view.members.insert(name.into(), member.addr);
+                view.members.insert(name.into(), member);
             }
             None => {
                 view.members.remove(name);
@@ -115,13 +115,13 @@
 /// Writes the own record if it isn't there as it should be.
 fn register(shared: &Shared, store: &Store) {
     let site = shared.site.load();
-    let is_registered = shared.view().members.get(&site.member) == Some(&site.internal);
-    if is_registered {
-        return;
-    }
     let member = Member {
         addr: site.internal,
+        power: site.power,
     };
+    if shared.view().members.get(&site.member) == Some(&member) {
+        return;
+    }
     let record = progress::encode(wire::member_key(&site.member), &member);
     let written = record.map(|r| store.append(Topic::Members, &[r], Guard::Free, REGISTER_WITHIN));
     match written {
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -16,7 +16,7 @@
 
 use super::clock;
 use super::leader::core::Event;
-use super::wire::Leader;
+use super::wire::{Leader, Member};
 
 /// A connection to the store that isn't made by then won't be.
 const STORE_CONNECT: Duration = Duration::from_millis(500);
@@ -28,8 +28,8 @@
 /// What is known of members, leader and store.
 #[derive(Debug, Clone, Default)]
 pub struct View {
-    /// Where each member takes calls.
-    pub members: BTreeMap<Box<str>, SocketAddr>,
+    /// Every member.
+    pub members: BTreeMap<Box<str>, Member>,
     /// The leader of the highest epoch known.
     pub leader: Option<Leader>,
     /// When the leader was last heard.
@@ -108,6 +108,20 @@
         self.changed.notify_all();
     }
 
+    /// The other members.
+    #[must_use]
+    pub fn others(&self) -> Vec<Member> {
+        let own = self.site.load().internal;
+        let members = self.view().members.into_values();
+        members.filter(|m| m.addr != own).collect()
+    }
+
+    /// Where the other members take calls.
+    #[must_use]
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.others().into_iter().map(|m| m.addr).collect()
+    }
+
     /// Takes in who leads; an older epoch than the one known changes nothing.
     ///
     /// `is_news` says that it has just begun to lead, which counts as a sign of life. A record that
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -64,13 +64,17 @@
     pub is_leaving: bool,
     /// How long its process has been running, milliseconds.
     pub up_ms: u64,
+    /// Its processors, thousandths of a core.
+    pub power: u32,
 }
 
 /// A member's record; its key is [`member_key`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// Where it takes calls of other entry instances.
     pub addr: SocketAddr,
+    /// Its processors, thousandths of a core.
+    pub power: u32,
 }
 
 /// The leader's sign of life in the store, for members that its heartbeats don't reach.
--- a/pomelohitchd/tests/fleet/leaders.rs
+++ b/pomelohitchd/tests/fleet/leaders.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use pomelohitchd::fleet::clock;
-use pomelohitchd::fleet::leader::core::successor;
 use pomelohitchd::fleet::shared::Shared;
-use pomelohitchd::fleet::wire::{Leader, ProbeReply};
+use pomelohitchd::fleet::succession::{deference, larger, successor};
+use pomelohitchd::fleet::wire::{Leader, Member, ProbeReply};
 
 use super::site::{nowhere, site};
 
@@ -16,6 +16,7 @@
         has_store: true,
         is_leaving: false,
         up_ms,
+        power: 250,
     };
     (([127, 0, 0, 1], port).into(), reply)
 }
@@ -38,6 +39,37 @@
     assert_eq!(successor(&members), None);
 }
 
+/// Entry instances of an eighth of a core were out of processor time as leaders of a fleet of 350
+/// endpoints, and every start came late; ones of half a core stood by idle.
+#[test]
+fn the_largest_member_leads_next() {
+    let mut members = [member(1, 60_000), member(2, 2_000), member(3, 61_000)];
+    members[0].1.power = 500;
+    members[1].1.power = 120;
+    members[2].1.power = 500;
+    assert_eq!(successor(&members), Some(members[0].0));
+    members[0].1.has_store = false;
+    assert_eq!(successor(&members), Some(members[2].0));
+}
+
+/// Many small members notice a silent leader together with a few large ones. The first claim wins,
+/// which would mostly be one of the small ones.
+#[test]
+fn small_members_leave_the_first_claim_to_large_ones() {
+    let sized = |power| Member {
+        addr: nowhere(),
+        power,
+    };
+    let members = [sized(120), sized(250), sized(500)];
+    assert!(deference(120, &members) > deference(500, &members));
+    assert!(deference(500, &members).is_zero());
+    assert!(
+        deference(400, &members).is_zero(),
+        "the difference is small"
+    );
+    assert_eq!(larger(200, &members), [members[2].addr]);
+}
+
 /// All processes are restarted, and read the record of a leader that is gone. Taken for a sign of
 /// life it would keep them waiting for its heartbeats for another second.
 #[test]
