fix: callers of a member share its connections to the leader

Cause: each caller's connection kept a connection to the leader of its own. A process has one client of the leader now, which keeps four connections; the leader takes 1,024 of other members. The test fails without it: 24 connections for one call at a time.

--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -5,7 +5,7 @@
 use std::sync::mpsc;
 use std::time::Duration;
 
-use pomelohitch_adapter::call::{Client, Effect, Request};
+use pomelohitch_adapter::call::{Effect, Request};
 use pomelohitch_adapter::callers as format;
 use pomelohitch_route::Head;
 use pomelohitch_sched::cell::calls::Verb;
@@ -26,8 +26,6 @@
 const PATIENCE_PART: f64 = 0.7;
 /// Time for one try at the leader.
 const TRY_WITHIN: Duration = Duration::from_millis(1200);
-/// A connection to the leader that isn't made by then won't be.
-const CONNECT: Duration = Duration::from_millis(250);
 /// Pause before another try.
 const AGAIN_AFTER: Duration = Duration::from_millis(60);
 /// When to come back if no leader is known.
@@ -147,7 +145,9 @@
     }
     let own = shared.site.load().internal;
     match shared.view().leader {
-        Some(leader) if leader.addr != own => pass_on(leader.addr, incoming, left.min(TRY_WITHIN)),
+        Some(leader) if leader.addr != own => {
+            pass_on(shared, leader.addr, incoming, left.min(TRY_WITHIN))
+        }
         _ => Try::Undone,
     }
 }
@@ -231,24 +231,7 @@
     }
 }
 
-thread_local! {
-    /// Each connection's thread keeps its own connection to the leader.
-    static TO_LEADER: std::cell::RefCell<Option<(SocketAddr, Client)>> =
-        const { std::cell::RefCell::new(None) };
-}
-
-fn client_of(leader: SocketAddr) -> Client {
-    TO_LEADER.with_borrow_mut(|kept| match kept {
-        Some((addr, client)) if *addr == leader => client.clone(),
-        _ => {
-            let client = Client::new(leader, CONNECT);
-            *kept = Some((leader, client.clone()));
-            client
-        }
-    })
-}
-
-fn pass_on(leader: SocketAddr, incoming: &Incoming, within: Duration) -> Try {
+fn pass_on(shared: &Shared, leader: SocketAddr, incoming: &Incoming, within: Duration) -> Try {
     let head = &incoming.head;
     let path = format!("{}{}", wire::CALL, head.target);
     let host = head.headers.get("Host").unwrap_or_default();
@@ -258,7 +241,7 @@
             .get("Authorization")
             .map(|a| ("Authorization", a)),
     );
-    let answer = client_of(leader).pass_on(
+    let answer = shared.leader_client(leader).pass_on(
         &head.method,
         &Request {
             step: "pass on",
--- a/pomelohitchd/src/fleet/internal.rs
+++ b/pomelohitchd/src/fleet/internal.rs
@@ -16,10 +16,15 @@
 use super::{callers, clock};
 use crate::front::{Incoming, Limits, Service};
 
-/// Limits for the few connections of other entry instances.
+/// Most connections of other entry instances. Each keeps a few for its callers' requests and opens
+/// more while those wait, for up to a second while the store is away: 100 requests a second then.
+const CONNECTIONS: usize = 1_024;
+
+/// Limits for the connections of other entry instances.
 #[must_use]
 pub fn limits() -> Limits {
     Limits {
+        connections: CONNECTIONS,
         idle: Duration::from_mins(1),
         idle_tick: Duration::from_secs(1),
         leaving_tick: Duration::from_millis(100),
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -21,6 +21,12 @@
 /// A connection to the store that isn't made by then won't be.
 const STORE_CONNECT: Duration = Duration::from_millis(500);
 
+/// A connection to the leader that isn't made by then won't be.
+const LEADER_CONNECT: Duration = Duration::from_millis(250);
+/// So many connections to the leader stay open. A call takes some 30 ms, and a member passes on
+/// some tens of calls a second.
+const LEADER_CONNECTIONS: usize = 4;
+
 /// At its start a process takes the leader for silent since so long: enough to ask the others at
 /// once whether they hear one.
 const START_SILENCE: Duration = Duration::from_secs(1);
@@ -65,6 +71,7 @@
     leading: Mutex<Option<Leading>>,
     is_leaving: AtomicBool,
     claim_asked: AtomicBool,
+    to_leader: Mutex<Option<Client>>,
 }
 
 impl Shared {
@@ -87,6 +94,7 @@
             leading: Mutex::new(None),
             is_leaving: AtomicBool::new(false),
             claim_asked: AtomicBool::new(false),
+            to_leader: Mutex::new(None),
         }
     }
 
@@ -96,6 +104,24 @@
         Store::new(Client::new(self.site.load().store, STORE_CONNECT))
     }
 
+    /// A client of the leader at `addr`, whose connections all callers of this process share.
+    ///
+    /// With one for each caller's connection, some thousand callers of a fleet used up the
+    /// connections that the leader takes, and it refused whoever came then.
+    #[must_use]
+    pub fn leader_client(&self, addr: SocketAddr) -> Client {
+        let kept = self.to_leader.lock();
+        let mut kept = kept.unwrap_or_else(PoisonError::into_inner);
+        match &*kept {
+            Some(client) if client.peer() == addr => client.clone(),
+            _ => {
+                let client = Client::keeping(addr, LEADER_CONNECT, LEADER_CONNECTIONS);
+                *kept = Some(client.clone());
+                client
+            }
+        }
+    }
+
     /// What is known now.
     #[must_use]
     pub fn view(&self) -> View {
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
 use pomelohitch_route::{Head, head};
@@ -98,3 +99,49 @@
 fn a_process_that_turns_connections_away_did_not_answer() {
     assert_eq!(told(leader(&[NO_ROOM, ACCEPTED])), (200, false));
 }
+
+/// Each connection of a caller had a connection to the leader of its own, kept for as long. With
+/// some thousand callers of many entry instances the leader had no room for another connection,
+/// and refused new jobs and reads of states with processors to spare.
+#[test]
+fn callers_share_the_connections_to_the_leader() {
+    const CALLERS: usize = 24;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let addr = listener.local_addr().expect("it is bound");
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let count = accepted.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a caller connects");
+            count.fetch_add(1, Ordering::SeqCst);
+            std::thread::spawn(move || {
+                let mut buf = [0; 4096];
+                // The body may come after the head: answered twice, the connection isn't used again.
+                while let Ok(count) = stream.read(&mut buf)
+                    && count > 0
+                {
+                    if buf[..count].ends_with(b"{}") {
+                        let _ = stream.write_all(ACCEPTED.as_bytes());
+                    }
+                }
+            });
+        }
+    });
+    let shared = Arc::new(Shared::new(site()));
+    let leader = Leader {
+        epoch: 1,
+        member: "front-a-2".into(),
+        addr,
+    };
+    assert!(shared.follow(&leader, true));
+    for _ in 0..CALLERS {
+        let shared = shared.clone();
+        let caller = std::thread::spawn(move || callers::answer(&shared, &post()).status_code);
+        assert_eq!(caller.join().expect("it is answered"), 200);
+    }
+    let accepted = accepted.load(Ordering::SeqCst);
+    assert!(
+        accepted <= 4,
+        "{accepted} connections for one call at a time"
+    );
+}
