--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -18,11 +18,11 @@
 //! A [`Batch`] holds the records of what was decided since the last one, and the actions that may
 //! be carried out once these records are durable. Batches are made durable one after another.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::config::FleetConfig;
+use crate::config::{FleetConfig, Queue};
 use crate::demand::Demand;
 use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, Epoch, JobId, QueueName, ServiceName, WorkspaceName};
@@ -31,6 +31,7 @@
 use crate::order::{Action, Due, Order, Outcome, Refusal, Target};
 use crate::progress::{self, Entry, JobState, Progress, Record};
 use crate::resources::Resources;
+use crate::urgency::Claim;
 use crate::{Now, Steady};
 
 pub mod advice;
@@ -48,6 +49,13 @@
 pub mod upkeep;
 pub mod waves;
 
+/// How often instances, leases and lasting tasks are looked after: each pass goes through all of
+/// them, and what they wait for takes a second or more.
+const TEND_EVERY: Duration = Duration::from_millis(30);
+/// Least time from one pass over the waiting tasks to the next. Starts wait for the next append in
+/// any case, and these are at least 15 ms apart.
+const SCHEDULE_EVERY: Duration = Duration::from_millis(10);
+
 /// What a cell is told about the site, and its own limits.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -117,6 +125,8 @@
     pub progress: Progress,
     /// The state that is durable, which is what callers are told.
     pub shown: JobState,
+    /// What its place among those that wait is decided by, while an occurrence is open.
+    pub claim: Option<Claim>,
 }
 
 /// Records that belong together, and what may follow once they are durable.
@@ -136,11 +146,15 @@
     settings: Settings,
     epoch: Epoch,
     cfg: Option<Arc<FleetConfig>>,
+    /// Where each queue stands in the configuration: it is asked for at each change of a job, and
+    /// there may be thousands.
+    queues: HashMap<QueueName, usize>,
+    tended_at: Steady,
+    scheduled_at: Steady,
     now: Now,
     began: Steady,
     jobs: BTreeMap<JobId, Job>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
-    looks: BTreeMap<EndpointId, looks::Plan>,
     used: BTreeMap<WorkspaceName, Resources>,
     ready: BTreeMap<ServiceName, BTreeSet<JobId>>,
     unbegun: BTreeMap<QueueName, BTreeSet<JobId>>,
@@ -211,11 +225,13 @@
             settings,
             epoch,
             cfg: None,
+            queues: HashMap::new(),
+            tended_at: Steady::ZERO,
+            scheduled_at: Steady::ZERO,
             now,
             began: now.steady,
             jobs: BTreeMap::new(),
             endpoints: BTreeMap::new(),
-            looks: BTreeMap::new(),
             used: BTreeMap::new(),
             ready: BTreeMap::new(),
             unbegun: BTreeMap::new(),
@@ -265,6 +281,8 @@
         if self.cfg.as_ref().is_some_and(|c| c.version >= cfg.version) {
             return;
         }
+        let names = cfg.queues.iter().map(|q| q.name.clone());
+        self.queues = names.zip(0..).collect();
         self.cfg = Some(cfg);
         self.index_again();
     }
@@ -273,15 +291,26 @@
     pub fn tick(&mut self, now: Now) -> Vec<Action> {
         self.now = now;
         self.open_due();
-        self.drop_ended();
-        self.release_lapsed();
-        self.tend_instances();
-        self.tend_lasting();
-        self.schedule();
+        if now.steady >= self.tended_at + TEND_EVERY {
+            self.tended_at = now.steady;
+            self.drop_ended();
+            self.release_lapsed();
+            self.tend_instances();
+            self.tend_lasting();
+        }
+        if now.steady >= self.scheduled_at + SCHEDULE_EVERY {
+            self.scheduled_at = now.steady;
+            self.schedule();
+        }
         self.plan_looks();
         std::mem::take(&mut self.outbox)
     }
 
+    /// The queue of that name.
+    fn queue(&self, name: &str) -> Option<&Queue> {
+        self.cfg.as_ref()?.queues.get(*self.queues.get(name)?)
+    }
+
     /// Takes in whether the log takes records; while it doesn't, nothing new is accepted.
     pub fn log_is_down(&mut self, is_down: bool) {
         self.is_log_down = is_down;
@@ -341,7 +370,7 @@
                 && endpoint.born == born
             {
                 endpoint.noted_durably = endpoint.noted_durably.max(noted);
-                self.looks.entry(id).or_default().hurry(self.now.steady);
+                endpoint.look.hurry(self.now.steady);
             }
         }
         let (void, due): (Vec<_>, Vec<_>) = batch
--- a/crates/pomelohitch-sched/src/cell/advice.rs
+++ b/crates/pomelohitch-sched/src/cell/advice.rs
@@ -1,6 +1,6 @@
 //! Which endpoints the policy allows for a step.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::Cell;
@@ -8,6 +8,7 @@
 use crate::id::{EndpointId, TaskId};
 use crate::job::JobSpec;
 use crate::order::Action;
+use crate::place::{Allowed, Slot};
 
 /// A question to the policy that wasn't answered is asked again after this.
 const ADVICE_RETRY: Duration = Duration::from_millis(500);
@@ -29,36 +30,35 @@
         &mut self,
         spec: &JobSpec,
         first: TaskId,
-        candidates: &[EndpointId],
-    ) -> Option<Vec<EndpointId>> {
-        let queue = self.cfg.as_ref().and_then(|c| c.queue(&spec.queue));
+        slots: &[Slot],
+    ) -> Option<Allowed> {
+        let queue = self.queue(&spec.queue);
         if queue.is_none_or(|q| q.advice.is_none()) {
-            return Some(candidates.to_vec());
+            return Some(Allowed::All);
         }
         let now = self.now.steady;
         let advice = self.advice.entry(first).or_default();
         if now < advice.valid_until {
-            let is_good = |id: &&EndpointId| {
-                let born = self.endpoints.get(*id).map(|e| e.born);
-                advice.tickets.get(*id).is_some_and(|t| Some(t.0) == born)
+            let is_good = |slot: &&Slot| {
+                let born = self.endpoints.get(&slot.id).map(|e| e.born);
+                let ticket = advice.tickets.get(&slot.id);
+                ticket.is_some_and(|t| Some(t.0) == born)
             };
-            let good: Vec<_> = candidates.iter().filter(is_good).cloned().collect();
+            let good = slots.iter().filter(is_good).map(|slot| slot.id.clone());
+            let good: BTreeSet<EndpointId> = good.collect();
             if !good.is_empty() {
-                return Some(good);
+                return Some(Allowed::Only(good));
             }
         }
         let is_asked = advice.asked_at > Steady::ZERO;
         if !is_asked || now >= advice.asked_at + ADVICE_RETRY {
             advice.asked_at = now;
-            let mut asked = candidates.to_vec();
-            asked.sort_by_key(|id| {
-                let free = self.endpoints.get(id).map(|e| e.free().cpu);
-                std::cmp::Reverse(free)
-            });
+            let mut asked: Vec<&Slot> = slots.iter().collect();
+            asked.sort_by_key(|slot| std::cmp::Reverse(slot.free.cpu));
             asked.truncate(ADVICE_ENDPOINTS);
             self.outbox.push(Action::Advise {
                 step: first,
-                endpoints: asked,
+                endpoints: asked.into_iter().map(|slot| slot.id.clone()).collect(),
             });
         }
         None
--- a/crates/pomelohitch-sched/src/cell/books.rs
+++ b/crates/pomelohitch-sched/src/cell/books.rs
@@ -36,6 +36,7 @@
                 spec,
                 progress,
                 shown,
+                claim: None,
             },
         );
         for (task, run) in runs {
@@ -95,9 +96,7 @@
 
     /// The service whose endpoints run a job's tasks now.
     pub(super) fn service_of(&self, spec: &JobSpec) -> ServiceName {
-        self.cfg
-            .as_ref()
-            .and_then(|c| c.queue(&spec.queue))
+        self.queue(&spec.queue)
             .map_or_else(|| spec.service.clone(), |q| q.service.clone())
     }
 
@@ -120,6 +119,7 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
+        let claim = self.claim(job);
         let service = self.service_of(&job.spec);
         let is_unbegun = job.progress.state == JobState::Queued && job.spec.repeat.is_none();
         let waiting = self.unbegun.entry(job.spec.queue.clone()).or_default();
@@ -135,6 +135,9 @@
         } else {
             ready.remove(&id);
         }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.claim = claim;
+        }
     }
 
     /// Books the room of a run at its endpoint, and against its workspace's bound.
--- a/crates/pomelohitch-sched/src/cell/ends.rs
+++ b/crates/pomelohitch-sched/src/cell/ends.rs
@@ -135,10 +135,8 @@
     fn attempts(&self, id: JobId) -> u32 {
         /// Where the queue is removed: what the queues of today allow at least.
         const WITHOUT_QUEUE: u32 = 3;
-        let queue = self.jobs.get(&id).map(|j| &j.spec.queue);
-        let cfg = self.cfg.as_ref();
-        queue
-            .and_then(|q| cfg?.queue(q))
+        let job = self.jobs.get(&id);
+        job.and_then(|j| self.queue(&j.spec.queue))
             .map_or(WITHOUT_QUEUE, |q| q.attempts.max(1))
     }
 
--- a/crates/pomelohitch-sched/src/cell/evict.rs
+++ b/crates/pomelohitch-sched/src/cell/evict.rs
@@ -118,15 +118,8 @@
             return false;
         };
         let service = self.service_of(&job.spec);
-        let room = step.room();
-        self.candidates(&service).iter().any(|id| {
-            let siblings = self.siblings_at(task, id);
-            self.endpoints.get(id).is_some_and(|e| {
-                let has_label = step.requires.as_deref().is_none_or(|l| e.has_label(l));
-                let is_spread = step.per_endpoint == 0 || siblings < step.per_endpoint;
-                has_label && is_spread && e.free().holds(&room)
-            })
-        })
+        let mut slots = self.slots(&service).list.into_iter();
+        slots.any(|slot| slot.may_take(step, self.siblings_at(task, &slot.id)))
     }
 
     fn siblings_at(&self, task: TaskId, id: &EndpointId) -> u32 {
--- a/crates/pomelohitch-sched/src/cell/lives.rs
+++ b/crates/pomelohitch-sched/src/cell/lives.rs
@@ -68,6 +68,7 @@
         fresh.runs = std::mem::take(&mut endpoint.runs);
         fresh.used = endpoint.used;
         fresh.lasting = endpoint.lasting;
+        fresh.look = endpoint.look;
         let runs: Vec<_> = fresh.runs.keys().copied().collect();
         *endpoint = fresh;
         for (task, run) in runs {
@@ -75,8 +76,7 @@
                 r.born = born;
             }
         }
-        let now = self.now.steady;
-        self.looks.entry(id.clone()).or_default().hurry(now);
+        self.hurry_look(id);
     }
 
     /// An endpoint's life has surely ended: its instance was taken down, or lives another one.
@@ -85,7 +85,6 @@
             return;
         };
         warn!(endpoint = %id, runs = endpoint.runs.len(), why, "endpoint gone");
-        self.looks.remove(id);
         for (task, run) in endpoint.runs.into_keys() {
             self.run_lost(task, run, why);
         }
@@ -109,7 +108,6 @@
             }
             if !is_listed {
                 self.endpoints.remove(&id);
-                self.looks.remove(&id);
             }
         }
     }
--- a/crates/pomelohitch-sched/src/cell/looks.rs
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -18,36 +18,19 @@
 /// Failed looks are tried again after at most this many times the usual pause.
 const MAX_RETRY_STEPS: u32 = 5;
 
-/// When an endpoint is looked at next.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Plan {
-    due: Steady,
-    is_under_way: bool,
-    failures: u32,
-}
-
-impl Plan {
-    /// Brings the next look forward to `now`.
-    pub fn hurry(&mut self, now: Steady) {
-        self.due = self.due.min(now);
-    }
-}
-
 impl Cell {
     /// Orders the looks that are due.
     pub(super) fn plan_looks(&mut self) {
         let now = self.now.steady;
+        let is_due = |e: &Endpoint| !e.look.is_under_way && e.look.due <= now;
         let ids: Vec<EndpointId> = self
             .endpoints
             .iter()
-            .filter(|(_, e)| self.is_look_wanted(e))
+            .filter(|(_, e)| is_due(e) && self.is_look_wanted(e))
             .map(|(id, _)| id.clone())
             .collect();
         for id in ids {
-            let plan = *self.looks.entry(id.clone()).or_default();
-            if !plan.is_under_way && plan.due <= now {
-                self.look(&id, plan);
-            }
+            self.look(&id);
         }
     }
 
@@ -63,7 +46,7 @@
         !endpoint.runs.is_empty() || (endpoint.is_listed && is_used)
     }
 
-    fn look(&mut self, id: &EndpointId, plan: Plan) {
+    fn look(&mut self, id: &EndpointId) {
         let now = self.now.steady;
         let lease_for = self.settings.lease;
         let Some(target) = self.target(id) else {
@@ -75,7 +58,7 @@
         };
         // A look that is tried again asks for no lease: while none is asked for, it is known when
         // the last one has run out, and what ran there can be started elsewhere.
-        let lease = match plan.failures {
+        let lease = match endpoint.look.failures {
             0 => endpoint.clock_ahead(now, lease_for),
             _ => None,
         };
@@ -83,7 +66,7 @@
             endpoint.lease_asked(end);
         }
         let noted = endpoint.noted_durably;
-        self.looks.entry(id.clone()).or_default().is_under_way = true;
+        endpoint.look.is_under_way = true;
         self.outbox.push(Action::Look(LookOrder {
             target,
             epoch: self.epoch,
@@ -130,7 +113,13 @@
     /// Takes in how a look went.
     pub fn looked(&mut self, target: &Target, result: Result<Look, LookFailure>) {
         let now = self.now.steady;
-        let plan = self.looks.entry(target.id.clone()).or_default();
+        if let Err(failure) = &result {
+            self.is_fenced |= *failure == LookFailure::Fenced;
+        }
+        let Some(endpoint) = self.endpoints.get_mut(&target.id) else {
+            return;
+        };
+        let plan = &mut endpoint.look;
         plan.is_under_way = false;
         match result {
             Ok(look) => {
@@ -144,7 +133,6 @@
                 if plan.failures == 1 {
                     warn!(endpoint = %target.id, addr = %target.addr, ?failure, "look failed");
                 }
-                self.is_fenced |= failure == LookFailure::Fenced;
             }
         }
     }
@@ -193,7 +181,9 @@
         // once, again and again, until the ends are durably noted.
         if !ends.is_empty() {
             let retry = self.now.steady + self.settings.look_retry;
-            self.looks.entry(id.clone()).or_default().due = retry;
+            if let Some(endpoint) = self.endpoints.get_mut(id) {
+                endpoint.look.due = retry;
+            }
         }
     }
 
@@ -316,8 +306,11 @@
         }
     }
 
-    /// How many looks at an endpoint have failed since the last that was answered.
-    pub(super) fn look_failures(&self, id: &EndpointId) -> u32 {
-        self.looks.get(id).map_or(0, |plan| plan.failures)
+    /// Looks at an endpoint as soon as may be.
+    pub(super) fn hurry_look(&mut self, id: &EndpointId) {
+        let now = self.now.steady;
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.look.hurry(now);
+        }
     }
 }
--- a/crates/pomelohitch-sched/src/cell/orders.rs
+++ b/crates/pomelohitch-sched/src/cell/orders.rs
@@ -64,7 +64,7 @@
                 self.run_lost(task, run, "its start was refused");
             }
         }
-        self.looks.entry(target.id.clone()).or_default().hurry(now);
+        self.hurry_look(&target.id);
     }
 
     fn stopped(&mut self, target: &Target, task: TaskId, run: RunNumber, outcome: &Outcome) {
@@ -74,7 +74,7 @@
         {
             r.view.stop_acked_at = Some(now);
         }
-        self.looks.entry(target.id.clone()).or_default().hurry(now);
+        self.hurry_look(&target.id);
     }
 
     pub(super) fn shun(&mut self, id: &EndpointId, time: Duration) {
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -1,6 +1,6 @@
 //! Which tasks start where.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use super::{Cell, Job};
@@ -8,7 +8,7 @@
 use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, JobId, ServiceName, TaskId};
 use crate::job::{self, JobSpec, StepSpec};
-use crate::place::{self, Candidate};
+use crate::place::{self, Allowed, Ask, Slot};
 use crate::resources::Resources;
 use crate::urgency::{Claim, Urgency};
 
@@ -33,6 +33,41 @@
     }
 }
 
+/// The endpoints of a service that may be given work, as they are while a pass lasts. Looked up
+/// one by one for each task they took more time than all other decisions.
+#[derive(Debug, Default)]
+pub(super) struct Slots {
+    pub(super) list: Vec<Slot>,
+    index: HashMap<EndpointId, usize>,
+}
+
+impl Slots {
+    fn new(list: Vec<Slot>) -> Slots {
+        let ids = list.iter().map(|slot| slot.id.clone());
+        let index = ids.zip(0..).collect();
+        Slots { list, index }
+    }
+
+    /// How many tasks of a step each slot has.
+    fn siblings(&self, counts: &BTreeMap<EndpointId, u32>) -> Vec<u32> {
+        let mut siblings = vec![0; self.list.len()];
+        for (id, count) in counts {
+            if let Some(&at) = self.index.get(id) {
+                siblings[at] = *count;
+            }
+        }
+        siblings
+    }
+
+    fn read_again(&mut self, endpoints: &BTreeMap<EndpointId, Endpoint>) {
+        for slot in &mut self.list {
+            if let Some(endpoint) = endpoints.get(&slot.id) {
+                *slot = Slot::new(&slot.id, endpoint);
+            }
+        }
+    }
+}
+
 impl Cell {
     /// Starts what can start, the most urgent job first.
     pub(super) fn schedule(&mut self) {
@@ -50,13 +85,14 @@
     }
 
     fn schedule_service(&mut self, service: &ServiceName) {
-        let candidates = self.candidates(service);
+        let mut slots = self.slots(service);
         let mut misfits = Misfits::default();
         for id in self.by_urgency(service) {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
             let spec = job.spec.clone();
+            let decided = self.gated.len();
             for (step, occurrence) in ready_steps(job) {
                 let task = TaskId {
                     job: id,
@@ -64,9 +100,11 @@
                     step,
                     index: 0,
                 };
-                self.start_step(&spec, task, &candidates, &mut misfits);
+                self.start_step(&spec, task, &mut slots, &mut misfits);
+            }
+            if self.gated.len() > decided {
+                self.index(id);
             }
-            self.index(id);
         }
         if misfits.found {
             let now = self.now.steady;
@@ -77,7 +115,7 @@
     }
 
     /// Endpoints of a service that may be given work.
-    pub(super) fn candidates(&self, service: &ServiceName) -> Vec<EndpointId> {
+    pub(super) fn slots(&self, service: &ServiceName) -> Slots {
         let is_usable = |e: &Endpoint| {
             e.is_listed
                 && !e.is_reserved
@@ -89,7 +127,7 @@
                     .is_some_and(|r| r.service == *service && !r.is_draining)
         };
         let usable = self.endpoints.iter().filter(|(_, e)| is_usable(e));
-        usable.map(|(id, _)| id.clone()).collect()
+        Slots::new(usable.map(|(id, e)| Slot::new(id, e)).collect())
     }
 
     fn by_urgency(&self, service: &ServiceName) -> Vec<JobId> {
@@ -98,18 +136,17 @@
         };
         let mut order: Vec<Urgency> = ids
             .iter()
-            .filter_map(|id| Some(self.claim(self.jobs.get(id)?)?.urgency(self.now.unix_ms)))
+            .filter_map(|id| Some(self.jobs.get(id)?.claim?.urgency(self.now.unix_ms)))
             .collect();
         order.sort_unstable();
         order.into_iter().map(|u| u.job).collect()
     }
 
     /// What a job's place is decided by.
-    fn claim(&self, job: &Job) -> Option<Claim> {
+    pub(super) fn claim(&self, job: &Job) -> Option<Claim> {
         let (occurrence, open) = job.progress.open.first_key_value()?;
         let default = Queue::default();
-        let queue = self.cfg.as_ref().and_then(|c| c.queue(&job.spec.queue));
-        let queue = queue.unwrap_or(&default);
+        let queue = self.queue(&job.spec.queue).unwrap_or(&default);
         Some(Claim {
             job: job.spec.id,
             from_ms: job.spec.due_ms(*occurrence).max(job.spec.accepted_ms),
@@ -125,32 +162,38 @@
         &mut self,
         spec: &Arc<JobSpec>,
         first: TaskId,
-        candidates: &[EndpointId],
+        slots: &mut Slots,
         misfits: &mut Misfits,
     ) {
         let step = &spec.steps[usize::from(first.step)];
         if misfits.covers(&step.room()) {
             return;
         }
-        let Some(allowed) = self.advised(spec, first, candidates) else {
+        let Some(allowed) = self.advised(spec, first, &slots.list) else {
             return;
         };
         if step.is_gang || step.is_rack_local {
-            let is_placed = self.start_together(spec, first, &allowed);
+            let may_run: Vec<_> = slots.list.iter().filter(|s| allowed.has(&s.id)).collect();
+            let is_placed = self.start_together(spec, first, &may_run);
             misfits.found |= !is_placed && self.fits_somewhere(step);
+            slots.read_again(&self.endpoints);
             return;
         }
-        let mut siblings = self.siblings(first);
+        let mut siblings = slots.siblings(&self.siblings(first));
         for task in self.waiting_tasks(first) {
             if !self.is_within_bound(spec, &step.need) {
                 return;
             }
-            let Some(endpoint) = self.place(step, task, &allowed, &siblings) else {
+            let place = self.place(step, task, &allowed, slots, &siblings);
+            let Some(place) = place else {
                 misfits.add(step);
                 misfits.found |= self.fits_somewhere(step);
                 return;
             };
-            *siblings.entry(endpoint.clone()).or_default() += 1;
+            siblings[place] += 1;
+            let slot = &mut slots.list[place];
+            slot.take(step);
+            let endpoint = slot.id.clone();
             let ticket = self.ticket(first, &endpoint);
             self.start(task, &endpoint, ticket);
         }
@@ -160,19 +203,18 @@
         &self,
         step: &StepSpec,
         task: TaskId,
-        allowed: &[EndpointId],
-        siblings: &BTreeMap<EndpointId, u32>,
-    ) -> Option<EndpointId> {
+        allowed: &Allowed,
+        slots: &Slots,
+        siblings: &[u32],
+    ) -> Option<usize> {
         let t = self.jobs.get(&task.job)?.progress.task(task)?;
-        let candidates = allowed.iter().filter_map(|id| {
-            Some(Candidate {
-                id,
-                endpoint: self.endpoints.get(id)?,
-                siblings: siblings.get(id).copied().unwrap_or(0),
-                failed_before: t.failed_at.contains(id),
-            })
-        });
-        place::choose(step, candidates).cloned()
+        let ask = Ask {
+            step,
+            allowed,
+            siblings,
+            failed_at: &t.failed_at,
+        };
+        place::choose(&slots.list, &ask)
     }
 
     /// Tasks of the step that each endpoint has.
--- a/crates/pomelohitch-sched/src/cell/together.rs
+++ b/crates/pomelohitch-sched/src/cell/together.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use super::Cell;
-use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, TaskId};
 use crate::job::{JobSpec, StepSpec};
+use crate::place::Slot;
 
 impl Cell {
     /// Starts all tasks of a step that work only, or well only, together: a gang as a whole or
@@ -18,7 +18,7 @@
         &mut self,
         spec: &Arc<JobSpec>,
         first: TaskId,
-        allowed: &[EndpointId],
+        allowed: &[&Slot],
     ) -> bool {
         let step = &spec.steps[usize::from(first.step)];
         let waiting = self.waiting_tasks(first);
@@ -69,15 +69,12 @@
         step: &StepSpec,
         first: TaskId,
         waiting: &[TaskId],
-        allowed: &[EndpointId],
+        allowed: &[&Slot],
     ) -> Option<Vec<EndpointId>> {
-        let mut racks: BTreeMap<&str, Vec<EndpointId>> = BTreeMap::new();
-        for id in allowed {
-            let rack = self.endpoints.get(id).and_then(Endpoint::rack);
-            racks
-                .entry(rack.unwrap_or_default())
-                .or_default()
-                .push(id.clone());
+        let mut racks: BTreeMap<&str, Vec<&Slot>> = BTreeMap::new();
+        for slot in allowed {
+            let rack = slot.rack().unwrap_or_default();
+            racks.entry(rack).or_default().push(slot);
         }
         let on_one_rack = racks
             .values()
@@ -91,29 +88,18 @@
         step: &StepSpec,
         first: TaskId,
         waiting: &[TaskId],
-        endpoints: &[EndpointId],
+        slots: &[&Slot],
     ) -> Option<Vec<EndpointId>> {
         let room = step.room();
         let mut siblings = self.siblings(first);
         let mut places = Vec::with_capacity(waiting.len());
-        for id in endpoints {
-            let endpoint = self.endpoints.get(id)?;
-            let has_label = step
-                .requires
-                .as_deref()
-                .is_none_or(|l| endpoint.has_label(l));
-            if !has_label {
-                continue;
-            }
-            let mut free = endpoint.free();
-            let count = siblings.entry(id.clone()).or_default();
-            while places.len() < waiting.len()
-                && free.holds(&room)
-                && (step.per_endpoint == 0 || *count < step.per_endpoint)
-            {
-                free = free.less(&room);
+        for &slot in slots {
+            let mut slot = slot.clone();
+            let count = siblings.entry(slot.id.clone()).or_default();
+            while places.len() < waiting.len() && slot.may_take(step, *count) {
+                slot.free = slot.free.less(&room);
                 *count += 1;
-                places.push(id.clone());
+                places.push(slot.id.clone());
             }
         }
         (places.len() == waiting.len()).then_some(places)
--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -47,21 +47,20 @@
     fn silent_and_absent(&self, asked_at: Steady) -> Vec<EndpointId> {
         let list = self.instances.list().values();
         let alive: BTreeSet<_> = list.filter_map(|i| i.endpoint.as_ref()).collect();
-        let is_silent = |id: &EndpointId, e: &Endpoint| {
+        let is_silent = |e: &Endpoint| {
             let was_silent = e.heard_at.is_none_or(|at| at + SILENT_FOR < asked_at);
-            was_silent && self.look_failures(id) > 0 && asked_at > self.began + SILENT_FOR
+            was_silent && e.look.failures > 0 && asked_at > self.began + SILENT_FOR
         };
         let used = self.endpoints.iter().filter(|(_, e)| !e.runs.is_empty());
-        let gone = used.filter(|(id, e)| !alive.contains(*id) && is_silent(id, e));
+        let gone = used.filter(|(id, e)| is_silent(e) && !alive.contains(*id));
         gone.map(|(id, _)| id.clone()).collect()
     }
 
     /// Whether some endpoint with work doesn't answer.
     fn has_silent(&self) -> bool {
         let now = self.now.steady;
-        let used = self.endpoints.iter().filter(|(_, e)| !e.runs.is_empty());
-        used.into_iter()
-            .any(|(id, e)| self.look_failures(id) > 0 || !e.is_heard(now, self.settings.fresh))
+        let mut used = self.endpoints.values().filter(|e| !e.runs.is_empty());
+        used.any(|e| e.look.failures > 0 || !e.is_heard(now, self.settings.fresh))
     }
 
     /// Takes in that the list couldn't be read.
@@ -117,9 +116,23 @@
             .iter()
             .filter_map(|id| self.endpoint_on(id))
             .collect();
-        for (id, endpoint) in &mut self.endpoints {
-            endpoint.is_reserved = reserved.contains(id);
-            endpoint.is_due = due.contains(id);
+        self.mark(&reserved, &due);
+    }
+
+    fn mark(&mut self, reserved: &BTreeSet<EndpointId>, due: &BTreeSet<EndpointId>) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.is_reserved = false;
+            endpoint.is_due = false;
+        }
+        for id in reserved {
+            if let Some(endpoint) = self.endpoints.get_mut(id) {
+                endpoint.is_reserved = true;
+            }
+        }
+        for id in due {
+            if let Some(endpoint) = self.endpoints.get_mut(id) {
+                endpoint.is_due = true;
+            }
         }
     }
 
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -1,6 +1,7 @@
 //! What is known of one endpoint, its clock and its lease.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::Steady;
@@ -30,7 +31,7 @@
     /// Room for tasks.
     pub capacity: Resources,
     /// Its kind and its rack.
-    pub labels: Vec<Box<str>>,
+    pub labels: Arc<[Box<str>]>,
 }
 
 /// What an endpoint answered to a look.
@@ -107,6 +108,24 @@
     answered_at: Steady,
 }
 
+/// When an endpoint is looked at next.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LookPlan {
+    /// Not before then.
+    pub due: Steady,
+    /// Whether a look hasn't ended yet.
+    pub is_under_way: bool,
+    /// How many looks have failed since the last that was answered.
+    pub failures: u32,
+}
+
+impl LookPlan {
+    /// Brings the next look forward to `now`.
+    pub fn hurry(&mut self, now: Steady) {
+        self.due = self.due.min(now);
+    }
+}
+
 /// What a run takes up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Booked {
@@ -157,6 +176,8 @@
     pub filler_pace: u32,
     /// When that share was last changed.
     pub paced_at: Steady,
+    /// When it is looked at next.
+    pub look: LookPlan,
     reading: Option<Reading>,
     /// The latest end of a lease that was ever asked for, on the endpoint's clock.
     lease_end: Duration,
@@ -185,6 +206,7 @@
             is_due: false,
             filler_pace: 100,
             paced_at: Steady::ZERO,
+            look: LookPlan::default(),
             reading: None,
             lease_end: Duration::ZERO,
         }
--- a/crates/pomelohitch-sched/src/place.rs
+++ b/crates/pomelohitch-sched/src/place.rs
@@ -1,5 +1,8 @@
 //! Which endpoint takes a task.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use crate::endpoint::Endpoint;
 use crate::id::EndpointId;
 use crate::job::StepSpec;
@@ -7,15 +10,88 @@
 
 /// One endpoint as placing sees it.
 #[derive(Debug, Clone)]
-pub struct Candidate<'a> {
+pub struct Slot {
     /// Which endpoint.
-    pub id: &'a EndpointId,
-    /// What is known of it.
-    pub endpoint: &'a Endpoint,
-    /// Tasks of the same step that it has already.
-    pub siblings: u32,
-    /// Whether the task failed there before.
-    pub failed_before: bool,
+    pub id: EndpointId,
+    /// Room that is left.
+    pub free: Resources,
+    /// How many lasting tasks it has.
+    pub lasting: usize,
+    /// Whether its instance is due for maintenance.
+    pub is_due: bool,
+    /// Whether runs fail there more often than not.
+    pub is_doubtful: bool,
+    /// Its kind and its rack.
+    pub labels: Arc<[Box<str>]>,
+}
+
+impl Slot {
+    /// The endpoint as it is now.
+    #[must_use]
+    pub fn new(id: &EndpointId, endpoint: &Endpoint) -> Slot {
+        let labels = endpoint.report.as_ref().map(|r| r.labels.clone());
+        Slot {
+            id: id.clone(),
+            free: endpoint.free(),
+            lasting: endpoint.lasting,
+            is_due: endpoint.is_due,
+            is_doubtful: is_doubtful(endpoint),
+            labels: labels.unwrap_or_default(),
+        }
+    }
+
+    /// Its rack: the label that isn't its kind.
+    #[must_use]
+    pub fn rack(&self) -> Option<&str> {
+        self.labels.get(1).map(|l| &**l)
+    }
+
+    /// Whether a task of `step` can start here, beside `siblings` others of its step.
+    #[must_use]
+    pub fn may_take(&self, step: &StepSpec, siblings: u32) -> bool {
+        let is_spread = step.per_endpoint == 0 || siblings < step.per_endpoint;
+        let has_label = |l: &str| self.labels.iter().any(|own| &**own == l);
+        is_spread && self.free.holds(&step.room()) && step.requires.as_deref().is_none_or(has_label)
+    }
+
+    /// Takes room for a task.
+    pub fn take(&mut self, step: &StepSpec) {
+        self.free = self.free.less(&step.room());
+        self.lasting += usize::from(step.is_lasting);
+    }
+}
+
+/// Which endpoints may run a step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Allowed {
+    /// All of its service.
+    All,
+    /// Those that the policy names.
+    Only(BTreeSet<EndpointId>),
+}
+
+impl Allowed {
+    /// Whether this endpoint may.
+    #[must_use]
+    pub fn has(&self, id: &EndpointId) -> bool {
+        match self {
+            Allowed::All => true,
+            Allowed::Only(ids) => ids.contains(id),
+        }
+    }
+}
+
+/// A task that needs a place.
+#[derive(Debug, Clone, Copy)]
+pub struct Ask<'a> {
+    /// Its step.
+    pub step: &'a StepSpec,
+    /// Where it may run.
+    pub allowed: &'a Allowed,
+    /// Tasks of the same step that each slot has already.
+    pub siblings: &'a [u32],
+    /// Where it failed before.
+    pub failed_at: &'a [EndpointId],
 }
 
 /// Lower is better, compared from the first field on.
@@ -28,55 +104,42 @@
     siblings: u32,
 }
 
-/// The best endpoint for one task of `step`, if any can take it.
+/// The best of `slots` for a task, if any can take it.
 ///
 /// Tasks are packed onto the fullest endpoints, lasting ones onto those that have lasting ones
 /// already and aren't due for maintenance, so that others stay empty and their instances can move or be maintained.
 #[must_use]
-pub fn choose<'a>(
-    step: &StepSpec,
-    candidates: impl Iterator<Item = Candidate<'a>>,
-) -> Option<&'a EndpointId> {
-    let room = step.room();
-    candidates
-        .filter(|c| may_take(step, &room, c))
-        .min_by_key(|c| cost(step, c))
-        .map(|c| c.id)
-}
-
-fn may_take(step: &StepSpec, room: &Resources, candidate: &Candidate<'_>) -> bool {
-    let is_spread = step.per_endpoint == 0 || candidate.siblings < step.per_endpoint;
-    let has_label = step
-        .requires
-        .as_deref()
-        .is_none_or(|l| candidate.endpoint.has_label(l));
-    is_spread && has_label && candidate.endpoint.free().holds(room)
+pub fn choose(slots: &[Slot], ask: &Ask<'_>) -> Option<usize> {
+    slots
+        .iter()
+        .zip(ask.siblings)
+        .enumerate()
+        .filter(|(_, (slot, siblings))| {
+            slot.may_take(ask.step, **siblings) && ask.allowed.has(&slot.id)
+        })
+        .min_by_key(|(_, (slot, siblings))| cost(ask, slot, **siblings))
+        .map(|(at, _)| at)
 }
 
-fn cost(step: &StepSpec, candidate: &Candidate<'_>) -> Cost {
-    let endpoint = candidate.endpoint;
-    let free = endpoint.free().cpu;
-    let is_far = step
-        .near
-        .as_deref()
-        .is_some_and(|rack| endpoint.rack() != Some(rack));
+fn cost(ask: &Ask<'_>, slot: &Slot, siblings: u32) -> Cost {
+    let near = ask.step.near.as_deref();
+    let failed_before = ask.failed_at.contains(&slot.id);
     Cost {
-        risk: 2 * u8::from(candidate.failed_before) + u8::from(is_doubtful(endpoint)),
-        is_far,
-        avoided_by_lasting: avoided_by_lasting(step, candidate),
-        free,
-        siblings: candidate.siblings,
+        risk: 2 * u8::from(failed_before) + u8::from(slot.is_doubtful),
+        is_far: near.is_some_and(|rack| slot.rack() != Some(rack)),
+        avoided_by_lasting: avoided_by_lasting(ask.step, slot, siblings),
+        free: slot.free.cpu,
+        siblings,
     }
 }
 
 /// How little an endpoint suits a lasting task, 0 for best.
-fn avoided_by_lasting(step: &StepSpec, candidate: &Candidate<'_>) -> u8 {
+fn avoided_by_lasting(step: &StepSpec, slot: &Slot, siblings: u32) -> u8 {
     if !step.is_lasting {
         return 0;
     }
-    let is_crowded = candidate.siblings >= LASTING_TOGETHER * step.may_miss.max(1);
-    let endpoint = candidate.endpoint;
-    4 * u8::from(endpoint.is_due) + 2 * u8::from(is_crowded) + u8::from(endpoint.lasting == 0)
+    let is_crowded = siblings >= LASTING_TOGETHER * step.may_miss.max(1);
+    4 * u8::from(slot.is_due) + 2 * u8::from(is_crowded) + u8::from(slot.lasting == 0)
 }
 
 /// So many lasting tasks of a step are put on one endpoint for each that may be away at once. They
--- a/crates/pomelohitch-sched/tests/cell/fleet.rs
+++ b/crates/pomelohitch-sched/tests/cell/fleet.rs
@@ -155,7 +155,7 @@
             mem_mb: 4000,
             gpu: 0,
         },
-        labels: vec!["k".into(), format!("r{}", index / 2).into()],
+        labels: ["k".into(), format!("r{}", index / 2).into()].into(),
     }
 }
 
