fix: a task that a former leader is stopping doesn't count as at work

Cause: a lasting task that is told to leave its endpoint is listed there as at work until it is gone, up to stop_grace_ms. The stop was known to its leader only; one that took over meanwhile stopped another task of the step beside it. That a task leaves stands in its job's record now before the order goes out.

--- a/crates/pomelohitch-sched/examples/cost.rs
+++ b/crates/pomelohitch-sched/examples/cost.rs
@@ -162,7 +162,7 @@
             fleet.cell.job_count(),
             fleet.operations.len() - moves,
             fleet.looks_sent - looks,
-            (fleet.spent - spent).as_secs_f64() * 1000.0,
+            fleet.spent.saturating_sub(spent).as_secs_f64() * 1000.0,
         );
     }
     assert!(fleet.broken.is_empty(), "{:#?}", fleet.broken);
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -377,6 +377,9 @@
             .actions
             .into_iter()
             .partition(|action| self.is_void_start(action));
+        for action in &due {
+            self.note_stop(action);
+        }
         for action in void {
             if let Action::Order { target, order, .. } = action {
                 self.ordered(&target, &order, &Outcome::Refused(Refusal::Unsent));
@@ -385,6 +388,18 @@
         due
     }
 
+    fn note_stop(&mut self, action: &Action) {
+        let now = self.now.steady;
+        if let Action::Order {
+            order: Order::Stop { task, run },
+            ..
+        } = action
+            && let Some(r) = self.run_mut(*task, *run)
+        {
+            r.view.stop_sent_at = Some(now);
+        }
+    }
+
     /// Whether an action is a start that waited too long for its record, or whose run was given up
     /// meanwhile. Its task may run elsewhere by now.
     fn is_void_start(&self, action: &Action) -> bool {
--- a/crates/pomelohitch-sched/src/cell/books.rs
+++ b/crates/pomelohitch-sched/src/cell/books.rs
@@ -15,7 +15,7 @@
 
 impl Cell {
     /// Takes a job into the books: one that was just accepted, or one of a former leader.
-    pub(super) fn adopt(&mut self, spec: Arc<JobSpec>, progress: Progress) {
+    pub(super) fn adopt(&mut self, spec: Arc<JobSpec>, mut progress: Progress) {
         let id = spec.id;
         let is_new = progress.next == 0 && progress.state == JobState::Queued;
         let shown = progress.state;
@@ -25,6 +25,10 @@
                 job: id,
             });
         }
+        // What a former leader told to leave may not have heard it: it is told again after a while.
+        for run in progress.runs_mut().filter(|r| r.is_leaving) {
+            run.view.stop_sent_at = Some(self.now.steady);
+        }
         let runs: Vec<_> = progress.runs(id).map(|(t, r)| (t, r.clone())).collect();
         if spec.repeat.is_none() {
             let service = self.service_of(&spec);
@@ -203,6 +207,7 @@
             number: run,
             endpoint: endpoint.clone(),
             born: target.born,
+            is_leaving: false,
             view: RunView {
                 phase: Phase::Ordered,
                 ordered_at: now,
@@ -258,6 +263,27 @@
         }
     }
 
+    /// Decides that a lasting task's run leaves its endpoint: it is recorded first and ordered
+    /// after. A leader that takes over meanwhile would take the task for one that is at work, and
+    /// stop another beside it.
+    pub(super) fn send_away(&mut self, task: TaskId, run: RunNumber) {
+        let (now, epoch) = (self.now.steady, self.epoch);
+        let Some(r) = self.run_mut(task, run) else {
+            return;
+        };
+        r.is_leaving = true;
+        let endpoint = r.endpoint.clone();
+        info!(%task, run, endpoint = %endpoint, why = "its endpoint has to be empty", "stop decided");
+        self.dirty.insert(task.job);
+        let target = self.target(&endpoint);
+        self.gated.extend(target.map(|target| Action::Order {
+            target,
+            order: Order::Stop { task, run },
+            epoch,
+            at: now,
+        }));
+    }
+
     pub(super) fn run_mut(&mut self, task: TaskId, run: RunNumber) -> Option<&mut Run> {
         let job = self.jobs.get_mut(&task.job)?;
         let runs = &mut job.progress.task_mut(task)?.runs;
--- a/crates/pomelohitch-sched/src/cell/evict.rs
+++ b/crates/pomelohitch-sched/src/cell/evict.rs
@@ -11,7 +11,7 @@
 use crate::id::{EndpointId, RunNumber, ServiceName, TaskId};
 use crate::job::StepSpec;
 use crate::order::{Action, Order};
-use crate::progress::Task;
+use crate::progress::{Run, Task};
 
 /// A lasting task is at work when its endpoint says so of all of it.
 const AT_WORK: u32 = 100;
@@ -70,7 +70,7 @@
                 continue;
             };
             if self.has_room_elsewhere(task, step) {
-                self.stop(task, run, "its endpoint has to be empty");
+                self.send_away(task, run);
             } else if let Some(job) = self.jobs.get(&task.job) {
                 cramped.insert(self.service_of(&job.spec));
             }
@@ -80,7 +80,7 @@
     fn may_evict(&self, task: TaskId, run: RunNumber, step: &StepSpec) -> bool {
         let is_settled = self
             .run(task, run)
-            .is_some_and(|r| !r.view.is_stopping() && r.view.seen_at.is_some());
+            .is_some_and(|r| !is_on_its_way(r) && r.view.seen_at.is_some());
         let is_sparable = self.away_beside(task) < step.may_miss.max(1);
         is_settled && is_sparable
     }
@@ -108,7 +108,7 @@
         task.runs.iter().any(|r| {
             let endpoint = self.endpoints.get(&r.endpoint);
             let is_heard = endpoint.is_some_and(|e| e.is_heard(now, HEARD_WITHIN));
-            is_heard && r.view.percent >= AT_WORK && !r.view.is_stopping()
+            is_heard && r.view.percent >= AT_WORK && !is_on_its_way(r)
         })
     }
 
@@ -188,6 +188,11 @@
     }
 }
 
+/// Whether a run was told to end, or is about to be.
+fn is_on_its_way(run: &Run) -> bool {
+    run.is_leaving || run.view.is_stopping()
+}
+
 /// The pace of fillers after a look at how near the worst serving task is to its target.
 ///
 /// Halving reaches a harmless pace within two or three looks, well before harm counts; speeding
--- a/crates/pomelohitch-sched/src/cell/looks.rs
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -241,6 +241,7 @@
             number,
             endpoint: id.clone(),
             born,
+            is_leaving: false,
             view: RunView::default(),
         });
         warn!(%task, run = number, endpoint = %id, "given up run is there after all");
--- a/crates/pomelohitch-sched/src/progress.rs
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -86,6 +86,9 @@
     pub endpoint: EndpointId,
     /// Which life of the endpoint.
     pub born: u64,
+    /// Whether its lasting task was told to leave the endpoint. Durable before the order goes out,
+    /// since the endpoint lists it as at work until it is gone.
+    pub is_leaving: bool,
     /// What is believed of it; not durable.
     #[serde(skip)]
     pub view: RunView,
@@ -188,6 +191,12 @@
             .get_mut(id.index as usize)
     }
 
+    /// Every run that may exist, to change.
+    pub fn runs_mut(&mut self) -> impl Iterator<Item = &mut Run> {
+        let steps = self.open.values_mut().flat_map(|o| &mut o.steps);
+        steps.flatten().flat_map(|task| &mut task.runs)
+    }
+
     /// Every run that may exist, with its task.
     pub fn runs(&self, job: JobId) -> impl Iterator<Item = (TaskId, &Run)> {
         self.open.iter().flat_map(move |(&occurrence, o)| {
--- a/crates/pomelohitch-sched/tests/cell/fleet.rs
+++ b/crates/pomelohitch-sched/tests/cell/fleet.rs
@@ -36,6 +36,8 @@
     pub fails: bool,
     /// Runs make no progress.
     pub stands_still: bool,
+    /// How long a run that is stopped goes on.
+    pub stop_grace: Duration,
     clock: Duration,
     epoch: u64,
     lease: Duration,
@@ -50,6 +52,8 @@
     left: Duration,
     room: Resources,
     is_lasting: bool,
+    /// When it ends by a stop, on the endpoint's clock.
+    stops_at: Option<Duration>,
 }
 
 #[expect(clippy::struct_excessive_bools, reason = "independent faults")]
@@ -167,6 +171,7 @@
             loses_answers: false,
             fails: false,
             stands_still: false,
+            stop_grace: Duration::ZERO,
             clock: Duration::from_secs(5),
             epoch: 0,
             lease: Duration::ZERO,
@@ -182,6 +187,12 @@
         self.runs.keys().map(|(task, _)| *task).collect()
     }
 
+    /// What runs there and wasn't told to stop.
+    pub fn staying(&self) -> usize {
+        let runs = self.runs.values();
+        runs.filter(|run| run.stops_at.is_none()).count()
+    }
+
     pub fn unacknowledged(&self) -> usize {
         self.ended.len()
     }
@@ -209,6 +220,14 @@
                 self.end(key, How::Lapsed);
             }
         }
+        let clock = self.clock;
+        let stopped = self
+            .runs
+            .extract_if(.., |_, run| run.stops_at.is_some_and(|at| at <= clock));
+        let stopped: Vec<_> = stopped.map(|(key, _)| key).collect();
+        for key in stopped {
+            self.end(key, How::Stopped);
+        }
         let how = if self.fails { How::Failed } else { How::Done };
         let mut over = Vec::new();
         for (key, run) in &mut self.runs {
@@ -431,7 +450,7 @@
             self.return_instances();
             self.answer_looks();
             self.commit();
-            let actions = self.decide(|cell, now| cell.tick(now));
+            let actions = self.decide(Cell::tick);
             self.carry_out(actions);
         }
     }
@@ -622,6 +641,7 @@
                         left: step.estimate,
                         room: step.room(),
                         is_lasting: step.is_lasting,
+                        stops_at: None,
                     },
                 );
                 self.starts.push((*task, *run, target.id.clone()));
@@ -631,7 +651,11 @@
             Order::Stop { task, run } => {
                 let over = endpoint.over.entry(*task).or_default();
                 *over = (*over).max(*run);
-                if endpoint.runs.contains_key(&(*task, *run)) {
+                let stops_at = endpoint.clock + endpoint.stop_grace;
+                if let Some(running) = endpoint.runs.get_mut(&(*task, *run)) {
+                    running.stops_at.get_or_insert(stops_at);
+                }
+                if endpoint.stop_grace.is_zero() && endpoint.runs.contains_key(&(*task, *run)) {
                     endpoint.end((*task, *run), How::Stopped);
                 }
                 Outcome::Taken
--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -5,7 +5,7 @@
 
 use pomelohitch_sched::instances::{Instance, InstanceState, Wave};
 
-use super::fleet::{Fleet, job, step};
+use super::fleet::{Endpoint, Fleet, job, step};
 
 fn wave(instances: &[&str], at_once: usize) -> Wave {
     Wave {
@@ -155,6 +155,37 @@
     assert_eq!(operated(&fleet).len(), 1);
 }
 
+/// The leader stops a lasting task whose endpoint has to be empty, and ends. Until the task is gone
+/// its endpoint lists it as at work, and the next leader stops another one beside it: two are away
+/// where one may be.
+#[test]
+fn a_task_that_a_former_leader_is_stopping_does_not_count_as_at_work() {
+    for steps_between in 1..30 {
+        let mut fleet = Fleet::new(6);
+        let mut lasting = step(3, 500, 100);
+        lasting.is_lasting = true;
+        lasting.may_miss = 1;
+        lasting.per_endpoint = 1;
+        fleet.submit("00000000000000a1", job(vec![lasting]));
+        fleet.pass(400);
+        for endpoint in fleet.endpoints.values_mut() {
+            endpoint.stop_grace = Duration::from_millis(900);
+        }
+        // The next leader looks at the first endpoint first.
+        let [first, second] = [0, 1].map(|at| fleet.starts[at].2.clone());
+        fleet.endpoint(&second).report.is_draining = true;
+        fleet.list();
+        fleet.pass(steps_between);
+        fleet.endpoint(&first).report.is_draining = true;
+        fleet.change_leader();
+        for _ in 0..400 {
+            fleet.pass(1);
+            let staying: usize = fleet.endpoints.values().map(Endpoint::staying).sum();
+            assert!(staying >= 2, "after {steps_between} steps");
+        }
+    }
+}
+
 /// An order to take an instance down is lost, and its leader ends before it knows. Counted as
 /// done, the instance would be left out while the wave is told as completed.
 #[test]
