perf: operations go out side by side, in time, and paced; lasting tasks leave due instances early

No move came for 1.8 s before, which a new leader waits for orders of the former one, though that process was gone. And 8 of 172 instances of the wave were left, since the tasks of a step of 24 leave one after another and began only with their instance's turn. - Four threads carry out operations; one that waited over 0.8 s isn't sent, as work may be on its instance by then; no more are decided in a second than the platform takes (sched::rate). - Leader and member records name the process; where another process of the former leader's member is there, it has ended. - Lasting tasks leave due instances as soon as there is room on others, as fast as their step may miss.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -30,6 +30,7 @@
 use crate::job::JobSpec;
 use crate::order::{Action, Due, Order, Outcome, Refusal, Target};
 use crate::progress::{self, Entry, JobState, Progress, Record};
+use crate::rate::Rate;
 use crate::resources::Resources;
 use crate::urgency::Claim;
 use crate::{Now, Steady};
@@ -91,6 +92,8 @@
     /// So long after the change of leader the former one may still send what it decided: its
     /// leadership was confirmed at most 1.5 s before.
     pub former_holder: Duration,
+    /// So many operations on instances a second are taken by the platform.
+    pub operations_per_s: f64,
     /// Most jobs held at once; more would take more memory than an entry instance has.
     pub max_jobs: usize,
 }
@@ -111,6 +114,7 @@
             early: Duration::ZERO,
             holder_gap: Duration::from_millis(3500),
             former_holder: Duration::from_millis(1800),
+            operations_per_s: 64.0,
             max_jobs: 50_000,
         }
     }
@@ -161,6 +165,8 @@
     due: BTreeSet<Due>,
     ended: BTreeSet<Due>,
     instances: Instances,
+    operations: Rate,
+    is_former_gone: bool,
     demand: Demand,
     emptying: BTreeSet<EndpointId>,
     unplaced: BTreeMap<ServiceName, Steady>,
@@ -222,6 +228,8 @@
 
     fn new(settings: Settings, epoch: Epoch, now: Now) -> Cell {
         Cell {
+            operations: Rate::new(settings.operations_per_s),
+            is_former_gone: false,
             settings,
             epoch,
             cfg: None,
--- a/crates/pomelohitch-sched/src/cell/evict.rs
+++ b/crates/pomelohitch-sched/src/cell/evict.rs
@@ -7,10 +7,11 @@
 
 use super::Cell;
 use crate::Steady;
-use crate::endpoint::Look;
+use crate::endpoint::{Endpoint, Look};
 use crate::id::{EndpointId, RunNumber, ServiceName, TaskId};
 use crate::job::StepSpec;
 use crate::order::{Action, Order};
+use crate::place::Slot;
 use crate::progress::{Run, Task};
 
 /// A lasting task is at work when its endpoint says so of all of it.
@@ -35,21 +36,21 @@
     /// Moves lasting tasks away from endpoints that leave or have to be empty soon, no faster
     /// than their steps allow and only while there is room elsewhere.
     pub(super) fn tend_lasting(&mut self) {
-        let leaving: Vec<EndpointId> = self
-            .endpoints
-            .iter()
-            .filter(|(_, e)| !e.runs.is_empty())
-            .filter_map(|(id, e)| {
-                let is_draining = e.report.as_ref().is_some_and(|r| r.is_draining);
-                let has_to = e.lasting > 0 && (is_draining || e.is_reserved);
-                has_to.then(|| id.clone())
-            })
-            .collect();
-        self.is_evicting = !leaving.is_empty();
+        let is_draining = |e: &Endpoint| e.report.as_ref().is_some_and(|r| r.is_draining);
+        let with_lasting = self.endpoints.iter().filter(|(_, e)| e.lasting > 0);
+        let (leaving, rest): (Vec<_>, Vec<_>) =
+            with_lasting.partition(|(_, e)| is_draining(e) || e.is_reserved);
+        let due = rest.into_iter().filter(|(_, e)| e.is_due);
+        let due: Vec<EndpointId> = due.map(|(id, _)| id.clone()).collect();
+        let leaving: Vec<EndpointId> = leaving.into_iter().map(|(id, _)| id.clone()).collect();
+        self.is_evicting = !leaving.is_empty() || !due.is_empty();
         let mut cramped = BTreeSet::new();
         for id in leaving {
             self.evict(&id, &mut cramped);
         }
+        for id in due {
+            self.evict_early(&id);
+        }
         self.cramped.retain(|service, _| cramped.contains(service));
         for service in cramped {
             let now = self.now.steady;
@@ -77,6 +78,23 @@
         }
     }
 
+    /// Lets lasting tasks leave an instance that is due, before its turn comes, for endpoints that
+    /// aren't. Tasks of a step leave one after another, at two seconds each: begun only with their
+    /// instance's turn, those of a step of 24 tasks took longer than the wave.
+    fn evict_early(&mut self, id: &EndpointId) {
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return;
+        };
+        let lasting = endpoint.runs.iter().filter(|(_, b)| b.is_lasting);
+        let runs: Vec<_> = lasting.map(|(key, _)| *key).collect();
+        for (task, run) in runs {
+            let step = self.step(task).filter(|s| self.may_evict(task, run, s));
+            if step.is_some_and(|step| self.has_lasting_room(task, step)) {
+                self.send_away(task, run);
+            }
+        }
+    }
+
     fn may_evict(&self, task: TaskId, run: RunNumber, step: &StepSpec) -> bool {
         let is_settled = self
             .run(task, run)
@@ -114,12 +132,21 @@
 
     /// Whether the task could start on another endpoint now.
     fn has_room_elsewhere(&self, task: TaskId, step: &StepSpec) -> bool {
+        self.has_room(task, step, |_| true)
+    }
+
+    /// Whether it could start on one that it needn't leave soon.
+    fn has_lasting_room(&self, task: TaskId, step: &StepSpec) -> bool {
+        self.has_room(task, step, |slot| !slot.is_due)
+    }
+
+    fn has_room(&self, task: TaskId, step: &StepSpec, is_good: impl Fn(&Slot) -> bool) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
         };
         let service = self.service_of(&job.spec);
         let mut slots = self.slots(&service).list.into_iter();
-        slots.any(|slot| slot.may_take(step, self.siblings_at(task, &slot.id)))
+        slots.any(|slot| is_good(&slot) && slot.may_take(step, self.siblings_at(task, &slot.id)))
     }
 
     fn siblings_at(&self, task: TaskId, id: &EndpointId) -> u32 {
--- a/crates/pomelohitch-sched/src/cell/follow.rs
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -3,13 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use tracing::info;
-
 use super::Cell;
 use super::schedule::waiting_cpu;
 use crate::id::{EndpointId, InstanceId, ServiceName};
 use crate::instances::{Instance, InstanceState};
-use crate::order::{Action, Operation};
+use crate::order::Operation;
 use crate::pools::{self, Candidate, Move, Pool};
 
 /// How far ahead a pool provides: the time a move takes (1.5 s), until the endpoint is listed and
@@ -44,7 +42,7 @@
         let mut emptying = BTreeSet::new();
         for Move { instance, to } in plan.moves {
             if self.is_known_empty(&instance) {
-                self.move_to(&instance, &to);
+                self.operate(&instance, Operation::Move { pool: to });
             } else {
                 emptying.extend(self.endpoint_on(&instance));
             }
@@ -67,7 +65,7 @@
         }
         for Move { instance, to } in surplus {
             if self.is_known_empty(&instance) {
-                self.move_to(&instance, &to);
+                self.operate(&instance, Operation::Move { pool: to });
             }
         }
     }
@@ -155,15 +153,4 @@
             used: endpoint.map_or(0, |e| e.used.cpu),
         }
     }
-
-    fn move_to(&mut self, id: &InstanceId, pool: &ServiceName) {
-        info!(instance = %id, pool = %pool, period_ms = self.demand.period().map(|p| p.as_millis()),
-            "move decided");
-        let now = self.now.steady;
-        self.instances.set_under_way(id, now, Some(pool.clone()));
-        self.outbox.push(Action::Operate {
-            instance: id.clone(),
-            operation: Operation::Move { pool: pool.clone() },
-        });
-    }
 }
--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -163,9 +163,38 @@
         self.instances.list().get(id)?.endpoint.clone()
     }
 
+    /// Takes in that the former leader's process has ended, so that nothing of it comes any more.
+    pub fn former_is_gone(&mut self) {
+        if !self.is_former_gone {
+            info!(epoch = self.epoch, "former leader is gone");
+        }
+        self.is_former_gone = true;
+    }
+
     /// Whether the former leader surely sends no more orders for instances.
     pub(super) fn may_operate(&self) -> bool {
-        self.now.steady >= self.began + self.settings.former_holder
+        self.is_former_gone || self.now.steady >= self.began + self.settings.former_holder
+    }
+
+    /// Orders an operation on an instance, if the platform takes one more now.
+    pub(super) fn operate(&mut self, id: &InstanceId, operation: Operation) -> bool {
+        let now = self.now.steady;
+        if !self.operations.take(now) {
+            return false;
+        }
+        info!(instance = %id, ?operation, period_ms = self.demand.period().map(|p| p.as_millis()),
+            "operation decided");
+        let to = match &operation {
+            Operation::Move { pool } => Some(pool.clone()),
+            Operation::Maintain { .. } => None,
+        };
+        self.instances.set_under_way(id, now, to);
+        self.outbox.push(Action::Operate {
+            instance: id.clone(),
+            operation,
+            at: now,
+        });
+        true
     }
 
     /// Whether a former leader's last order for this instance lies far enough back.
--- a/crates/pomelohitch-sched/src/cell/waves.rs
+++ b/crates/pomelohitch-sched/src/cell/waves.rs
@@ -53,8 +53,8 @@
             if !self.is_known_empty(id) {
                 in_use.push(id);
             } else if may_begin > 0 && self.may_operate() {
-                may_begin -= 1;
-                self.maintain(wave.wave, id);
+                let operation = Operation::Maintain { wave: wave.wave };
+                may_begin -= usize::from(self.operate(id, operation));
             }
         }
         reserved.extend(self.chosen(wave, &in_use));
@@ -120,13 +120,4 @@
         let endpoint = endpoint.and_then(|e| self.endpoints.get(&e));
         endpoint.map_or((0, 0), |e| (e.lasting, e.used.cpu))
     }
-
-    fn maintain(&mut self, wave: u64, id: &InstanceId) {
-        self.instances.set_under_way(id, self.now.steady, None);
-        info!(wave, instance = %id, "maintenance decided");
-        self.outbox.push(Action::Operate {
-            instance: id.clone(),
-            operation: Operation::Maintain { wave },
-        });
-    }
 }
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`place`]: which endpoint takes a task.
 //! * [`urgency`]: which job goes first.
 //! * [`instances`]: operations on instances, and maintenance in waves.
+//! * [`rate`]: how many calls a second may go out.
 //! * [`pools`]: which instances should move to which pool.
 //! * [`cell`]: the state that ties them together.
 #![forbid(unsafe_code)]
@@ -30,6 +31,7 @@
 pub mod place;
 pub mod pools;
 pub mod progress;
+pub mod rate;
 pub mod resources;
 pub mod urgency;
 
--- a/crates/pomelohitch-sched/src/order.rs
+++ b/crates/pomelohitch-sched/src/order.rs
@@ -173,6 +173,8 @@
         instance: InstanceId,
         /// What.
         operation: Operation,
+        /// When it was decided; one that waited too long isn't sent.
+        at: Steady,
     },
     /// Reads the platform's list of instances.
     ListInstances,
--- a/crates/pomelohitch-sched/tests/cell/fleet.rs
+++ b/crates/pomelohitch-sched/tests/cell/fleet.rs
@@ -544,6 +544,7 @@
                 Action::Operate {
                     instance,
                     operation,
+                    ..
                 } => self.operate(&instance, &operation),
                 Action::Advise { step, endpoints } => {
                     let tickets = endpoints.into_iter().map(|e| (e, "ticket".into()));
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -97,7 +97,7 @@
     let began = clock::steady();
     let store = shared.store();
     let endpoints = read_aside(shared, Topic::Endpoints)?;
-    let leader = claim_record(shared, &store, replaced)?;
+    let (leader, former) = claim_record(shared, &store, replaced)?;
     let epoch = leader.epoch;
     let _announcing = announce(shared, &leader)?;
     let fenced = again(|| store.append(Topic::Jobs, &[], epoch_guard(epoch, 0), WITHIN))?;
@@ -114,6 +114,7 @@
         lease: LEASE.min(site.bounds.longest_lease),
         keep_ended: site.bounds.keep_ended + KEEP_MARGIN,
         holder_gap: site.bounds.holder_gap + HOLDER_MARGIN,
+        operations_per_s: site.operations_per_s,
         former_holder: if is_handed_over {
             HANDED_OVER
         } else {
@@ -147,6 +148,7 @@
         tx,
         rx,
         leader,
+        former,
         offsets,
     };
     let running = spawn_with("leader", shared, move |shared| core::run(shared, parts));
@@ -195,22 +197,29 @@
 }
 
 /// Writes that this member leads from now on; the store takes one claim for each end of the topic.
-fn claim_record(shared: &Shared, store: &Store, replaced: Epoch) -> Result<Leader> {
+/// Returns who led before, too.
+fn claim_record(
+    shared: &Shared,
+    store: &Store,
+    replaced: Epoch,
+) -> Result<(Leader, Option<Leader>)> {
     let end = members::read_all(shared, store).context(StoreSnafu)?;
-    let known = shared.view().leader.map_or(0, |l| l.epoch);
+    let former = shared.view().leader;
+    let known = former.as_ref().map_or(0, |l| l.epoch);
     ensure!(known <= replaced, RacedSnafu);
     let site = shared.site.load();
     let leader = Leader {
         epoch: known + 1,
         member: site.member.clone(),
         addr: site.internal,
+        began_ms: shared.began_ms,
     };
     let record = progress::encode(wire::LEADER_KEY.into(), &leader).context(RecordSnafu)?;
     let guard = Guard::At(end.unwrap_or_default());
     match store.append(Topic::Members, &[record], guard, WITHIN) {
-        Ok(Appended::Done { .. }) => Ok(leader),
+        Ok(Appended::Done { .. }) => Ok((leader, former)),
         Ok(_) => RacedSnafu.fail(),
-        Err(source) => confirm_claim(shared, store, leader, source),
+        Err(source) => Ok((confirm_claim(shared, store, leader, source)?, former)),
     }
 }
 
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -120,6 +120,8 @@
     pub rx: Receiver<Event>,
     /// Who leads: this process.
     pub leader: Leader,
+    /// Who led before.
+    pub former: Option<Leader>,
     /// Where to read on from: what operators write, and what endpoints write.
     pub offsets: (u64, u64),
 }
@@ -147,6 +149,7 @@
     reads_lost: Option<Steady>,
     asked_at: Steady,
     compared_at: Steady,
+    former: Option<Leader>,
     end: Option<End>,
 }
 
@@ -187,6 +190,7 @@
         reads_lost: None,
         asked_at: Steady::ZERO,
         compared_at: clock::steady(),
+        former: parts.former,
         end: None,
     };
     let end = core.lead(&parts.rx);
@@ -239,6 +243,7 @@
             self.commit();
             self.mind_store();
             self.mind_size();
+            self.mind_former();
             self.lanes.prune(self.cell.endpoints());
         }
     }
@@ -321,7 +326,8 @@
                 Action::Operate {
                     instance,
                     operation,
-                } => self.duties.operate(instance, operation),
+                    at,
+                } => self.duties.operate(instance, operation, at),
                 Action::Reply { call, answer } => self.reply(call, answer),
                 Action::WaveStatus { wave, is_completed } => {
                     self.duties.wave_status(wave, is_completed);
@@ -391,6 +397,18 @@
         }
     }
 
+    /// Notices that the former leader's process has ended, by another process of that member.
+    fn mind_former(&mut self) {
+        let Some(former) = &self.former else {
+            return;
+        };
+        let member = self.shared.member(&former.member);
+        if member.is_some_and(|m| m.began_ms != former.began_ms) {
+            self.cell.former_is_gone();
+            self.former = None;
+        }
+    }
+
     /// Asks larger members now and then whether they can lead.
     fn mind_size(&mut self) {
         let now = clock::steady();
--- a/pomelohitchd/src/fleet/leader/duties.rs
+++ b/pomelohitchd/src/fleet/leader/duties.rs
@@ -1,15 +1,15 @@
 //! Calls of instances and policy, and the status of waves.
 
-use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
-use std::sync::mpsc::{self, Sender};
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use pomelohitch_adapter::records;
 use pomelohitch_adapter::store::{Guard, Topic};
 use pomelohitch_adapter::{Client, instances, policy};
 use pomelohitch_sched::order::{Operation, OperationOutcome};
-use pomelohitch_sched::{EndpointId, Epoch, InstanceId, TaskId};
+use pomelohitch_sched::{EndpointId, Epoch, InstanceId, Steady, TaskId};
 use tracing::{info, warn};
 
 use super::core::{Event, confirmed_ago};
@@ -26,28 +26,25 @@
 /// Pause before it is tried again.
 const STATUS_AGAIN: Duration = Duration::from_millis(250);
 
-enum Call {
-    List,
-    Operate(InstanceId, Operation),
-}
+/// An operation that waited so long since it was decided isn't sent: work may have been put on the
+/// instance meanwhile.
+const STALE: Duration = Duration::from_millis(800);
+/// So many operations are under way at a time. Each takes some 10 ms, and the largest site takes 215
+/// a second.
+const OPERATORS: usize = 4;
+
+/// An operation, and when it was decided.
+type Decided = (InstanceId, Operation, Steady);
 
 /// Threads that make these calls. They end when this is dropped.
 #[derive(Debug)]
 pub struct Duties {
-    calls: Sender<Call>,
+    lists: Sender<()>,
+    operations: Sender<Decided>,
     statuses: Sender<(u64, bool)>,
     questions: Sender<(TaskId, Vec<EndpointId>)>,
 }
 
-impl std::fmt::Debug for Call {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Call::List => f.write_str("List"),
-            Call::Operate(id, operation) => write!(f, "Operate({id}, {operation:?})"),
-        }
-    }
-}
-
 impl Duties {
     /// Starts the threads.
     ///
@@ -60,7 +57,8 @@
         confirmed: Arc<AtomicU64>,
     ) -> std::io::Result<Duties> {
         Ok(Duties {
-            calls: start_calls(shared, epoch, events.clone(), confirmed)?,
+            lists: start_lists(shared, events.clone())?,
+            operations: start_operations(shared, epoch, events, &confirmed)?,
             statuses: start_statuses(shared, epoch)?,
             questions: start_questions(shared, events.clone())?,
         })
@@ -68,12 +66,12 @@
 
     /// Reads the list of instances.
     pub fn list(&self) {
-        let _ = self.calls.send(Call::List);
+        let _ = self.lists.send(());
     }
 
-    /// Operates on an instance.
-    pub fn operate(&self, instance: InstanceId, operation: Operation) {
-        let _ = self.calls.send(Call::Operate(instance, operation));
+    /// Carries out an operation on an instance that was decided at `at`.
+    pub fn operate(&self, instance: InstanceId, operation: Operation, at: Steady) {
+        let _ = self.operations.send((instance, operation, at));
     }
 
     /// Tells how a wave is.
@@ -87,36 +85,13 @@
     }
 }
 
-fn start_calls(
-    shared: &Arc<Shared>,
-    epoch: Epoch,
-    events: Sender<Event>,
-    confirmed: Arc<AtomicU64>,
-) -> std::io::Result<Sender<Call>> {
+fn start_lists(shared: &Shared, events: Sender<Event>) -> std::io::Result<Sender<()>> {
     let (tx, rx) = mpsc::channel();
-    let site = shared.site.load_full();
-    let client = site.instances.map(|addr| Client::new(addr, CONNECT));
-    let shared = shared.clone();
+    let instances = shared.site.load().instances;
+    let client = instances.map(|addr| Client::new(addr, CONNECT));
     spawn("instances", move || {
-        for call in rx {
-            // What still waits when the leadership ends isn't sent: the next leader has begun.
-            if shared.leading().is_none_or(|l| l.epoch != epoch) {
-                return;
-            }
-            let event = match call {
-                Call::List => list(client.as_ref()),
-                Call::Operate(id, operation) => {
-                    let outcome = match &client {
-                        Some(client) if confirmed_ago(&confirmed) < CONFIRMED_WITHIN => {
-                            instances::operate(client, &id, &operation, &site.member, epoch)
-                        }
-                        Some(_) => OperationOutcome::Later,
-                        None => OperationOutcome::Refused,
-                    };
-                    Event::Operated(id, operation, outcome)
-                }
-            };
-            if events.send(event).is_err() {
+        for () in rx {
+            if events.send(list(client.as_ref())).is_err() {
                 return;
             }
         }
@@ -124,6 +99,81 @@
     Ok(tx)
 }
 
+fn start_operations(
+    shared: &Arc<Shared>,
+    epoch: Epoch,
+    events: &Sender<Event>,
+    confirmed: &Arc<AtomicU64>,
+) -> std::io::Result<Sender<Decided>> {
+    let (tx, rx) = mpsc::channel::<Decided>();
+    let rx = Arc::new(Mutex::new(rx));
+    for _ in 0..OPERATORS {
+        let (rx, events, confirmed) = (rx.clone(), events.clone(), confirmed.clone());
+        let mut operator = Operator::new(shared, epoch, confirmed);
+        spawn("operations", move || {
+            while let Ok((id, operation, at)) = next(&rx) {
+                let Some(outcome) = operator.operate(&id, &operation, at) else {
+                    return;
+                };
+                if events
+                    .send(Event::Operated(id, operation, outcome))
+                    .is_err()
+                {
+                    return;
+                }
+            }
+        })?;
+    }
+    Ok(tx)
+}
+
+fn next(rx: &Mutex<Receiver<Decided>>) -> Result<Decided, mpsc::RecvError> {
+    rx.lock().unwrap_or_else(PoisonError::into_inner).recv()
+}
+
+/// Carries out operations, one at a time.
+struct Operator {
+    shared: Arc<Shared>,
+    epoch: Epoch,
+    member: Box<str>,
+    client: Option<Client>,
+    confirmed: Arc<AtomicU64>,
+}
+
+impl Operator {
+    fn new(shared: &Arc<Shared>, epoch: Epoch, confirmed: Arc<AtomicU64>) -> Operator {
+        let site = shared.site.load();
+        Operator {
+            shared: shared.clone(),
+            epoch,
+            member: site.member.clone(),
+            client: site.instances.map(|addr| Client::new(addr, CONNECT)),
+            confirmed,
+        }
+    }
+
+    /// How an operation ended; `None` when the leadership has: what still waits then isn't sent,
+    /// since the next leader has begun.
+    fn operate(
+        &mut self,
+        id: &InstanceId,
+        operation: &Operation,
+        at: Steady,
+    ) -> Option<OperationOutcome> {
+        let is_leader = self.shared.leading().is_some_and(|l| l.epoch == self.epoch);
+        if !is_leader {
+            return None;
+        }
+        let is_stale = clock::steady().saturating_sub(at) > STALE;
+        let is_confirmed = confirmed_ago(&self.confirmed) < CONFIRMED_WITHIN;
+        Some(match &self.client {
+            None => OperationOutcome::Refused,
+            Some(_) if is_stale || !is_confirmed => OperationOutcome::Later,
+            Some(client) => instances::operate(client, id, operation, &self.member, self.epoch),
+        })
+    }
+}
+
 fn list(client: Option<&Client>) -> Event {
     let asked_at = clock::steady();
     let list = client.map(instances::list);
--- a/pomelohitchd/src/fleet/members.rs
+++ b/pomelohitchd/src/fleet/members.rs
@@ -118,6 +118,7 @@
     let member = Member {
         addr: site.internal,
         power: site.power,
+        began_ms: shared.began_ms,
     };
     if shared.view().members.get(&site.member) == Some(&member) {
         return;
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -64,6 +64,8 @@
 pub struct Shared {
     /// When the process started.
     pub began: Steady,
+    /// The same, milliseconds since 1970: tells this process from others of its member.
+    pub began_ms: u64,
     /// The newest settings.
     pub site: ArcSwap<Site>,
     view: Mutex<View>,
@@ -88,6 +90,7 @@
         };
         Shared {
             began: now,
+            began_ms: clock::now().unix_ms,
             site: ArcSwap::from_pointee(site),
             view: Mutex::new(view),
             changed: Condvar::new(),
@@ -134,6 +137,12 @@
         self.changed.notify_all();
     }
 
+    /// The member of that name.
+    #[must_use]
+    pub fn member(&self, name: &str) -> Option<Member> {
+        self.lock().members.get(name).copied()
+    }
+
     /// The other members.
     #[must_use]
     pub fn others(&self) -> Vec<Member> {
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -28,6 +28,8 @@
     pub member: Box<str>,
     /// Where it takes calls of other entry instances.
     pub addr: SocketAddr,
+    /// When its process started, milliseconds since 1970.
+    pub began_ms: u64,
 }
 
 /// The leader's heartbeat.
@@ -75,6 +77,8 @@
     pub addr: SocketAddr,
     /// Its processors, thousandths of a core.
     pub power: u32,
+    /// When its process started, milliseconds since 1970.
+    pub began_ms: u64,
 }
 
 /// The leader's sign of life in the store, for members that its heartbeats don't reach.
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -63,6 +63,7 @@
         epoch: 1,
         member: "front-a-2".into(),
         addr,
+        began_ms: 1,
     };
     shared.follow(&leader, true);
     let response = callers::answer(&shared, &post());
@@ -132,6 +133,7 @@
         epoch: 1,
         member: "front-a-2".into(),
         addr,
+        began_ms: 1,
     };
     assert!(shared.follow(&leader, true));
     for _ in 0..CALLERS {
--- a/pomelohitchd/tests/fleet/leaders.rs
+++ b/pomelohitchd/tests/fleet/leaders.rs
@@ -59,6 +59,7 @@
     let sized = |power| Member {
         addr: nowhere(),
         power,
+        began_ms: 1,
     };
     let members = [sized(120), sized(250), sized(500)];
     assert!(deference(120, &members) > deference(500, &members));
@@ -80,6 +81,7 @@
         epoch: 7,
         member: "front-a-2".into(),
         addr: nowhere(),
+        began_ms: 1,
     };
     assert!(shared.follow(&leader, false));
     assert_eq!(shared.view().heard_at, began);
