--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -47,6 +47,11 @@
 const ASK_EVERY: Duration = Duration::from_millis(600);
 /// How often larger members are asked whether they can lead.
 const COMPARE_EVERY: Duration = Duration::from_secs(1);
+/// The first time is so long after a take-over, before its load has built up.
+const COMPARE_FIRST: Duration = Duration::from_millis(300);
+/// Their answers are waited for so long: a small leader that is out of processor time, which has to
+/// yield most of all, took longer than the usual 0.35 s to take them in, and kept on leading.
+const COMPARE_WITHIN: Duration = Duration::from_secs(2);
 /// Without the store and without any answer of other members this process stops leading: the
 /// others may have elected another leader, which counts on leases not being renewed for longer.
 const ISOLATED_AFTER: Duration = Duration::from_secs(2);
@@ -189,7 +194,9 @@
         appends_lost: None,
         reads_lost: None,
         asked_at: Steady::ZERO,
-        compared_at: clock::steady(),
+        compared_at: clock::steady()
+            .saturating_add(COMPARE_FIRST)
+            .saturating_sub(COMPARE_EVERY),
         former: parts.former,
         end: None,
     };
@@ -424,7 +431,7 @@
         let tx = self.tx.clone();
         let asking = spawn("ask larger members", move || {
             let probe = Probe { with_store: true };
-            let answers = peers::ask_all::<ProbeReply>(&larger, wire::PROBE, &probe);
+            let answers = peers::ask_all_within(&larger, wire::PROBE, &probe, COMPARE_WITHIN);
             let _ = tx.send(Event::Larger(answers));
         });
         if let Err(error) = asking {
--- a/pomelohitchd/src/fleet/peers.rs
+++ b/pomelohitchd/src/fleet/peers.rs
@@ -70,11 +70,21 @@
     postcard::from_bytes(&body).context(MessageSnafu { path, peer })
 }
 
-/// Asks all of `peers` at once, and returns the answers that came in time.
+/// Asks all of `peers` at once, and returns the answers that came soon.
 pub fn ask_all<T: DeserializeOwned + Send + 'static>(
     peers: &[SocketAddr],
     path: &'static str,
     message: &(impl Serialize + Clone + Send + 'static),
+) -> Vec<(SocketAddr, T)> {
+    ask_all_within(peers, path, message, WITHIN)
+}
+
+/// Asks all of `peers` at once, and returns the answers that came within that time.
+pub fn ask_all_within<T: DeserializeOwned + Send + 'static>(
+    peers: &[SocketAddr],
+    path: &'static str,
+    message: &(impl Serialize + Clone + Send + 'static),
+    within: Duration,
 ) -> Vec<(SocketAddr, T)> {
     let asked: Vec<_> = peers
         .iter()
@@ -83,7 +93,7 @@
             std::thread::Builder::new()
                 .name("ask".into())
                 .stack_size(STACK)
-                .spawn(move || ask::<T>(&client(peer), path, &message, WITHIN))
+                .spawn(move || ask::<T>(&client(peer), path, &message, within))
                 .map(|thread| (peer, thread))
         })
         .collect();
