perf: pools provide for what is wanted over a second, and let go at the height of a turn

What is wanted was the highest quarter of a second, and a rise that was carried on is kept for the rest of a turn while no period is known. What is wanted is the mean around a second now; a service whose arrivals have stopped rising keeps a quarter more than it wants.

--- a/crates/pomelohitch-sched/src/demand.rs
+++ b/crates/pomelohitch-sched/src/demand.rs
@@ -29,6 +29,13 @@
 /// more than a few tasks take, thousandths of a core.
 const TURN_RATIO: f64 = 4.0;
 const TURN_PEAK: f64 = 30_000.0;
+/// What is wanted is taken as the mean over so many buckets on either side together: a job may wait
+/// for half a second and more before its objective is out of reach.
+const SMOOTHED: u64 = 4;
+/// What arrives has stopped rising when it is at most this many times what arrived before.
+const STEADY: f64 = 1.1;
+/// At the height of a turn so many times what is wanted is kept, for what arrives at random.
+const HEIGHT_MARGIN: f64 = 1.25;
 /// The rate of arriving work is taken over so many buckets.
 const RATE_BUCKETS: u64 = 3;
 /// A rise is carried on for no longer than a move takes.
@@ -104,7 +111,9 @@
         let ahead = u64::try_from(ahead.as_millis()).unwrap_or(0) / BUCKET_MS;
         let series = self.wanted.get(service);
         let at = |bucket: u64| series.and_then(|s| s.get(&bucket)).copied().unwrap_or(0.0);
-        let known = (now..=now + ahead).map(at).fold(0.0, f64::max);
+        let known = (now..=now + ahead)
+            .map(|b| smooth(&at, b))
+            .fold(0.0, f64::max);
         let Some(period) = self.period else {
             return known.max(self.trend(service, now_ms, look_ahead));
         };
@@ -115,11 +124,27 @@
     }
 
     /// The same for as long as it can be foreseen: by the period, or, before that is known, for a
-    /// service that has just had its turn. `None` if a turn may come at any time.
+    /// service that has just had its turn, or whose turn doesn't rise any more. `None` if a turn may
+    /// come at any time.
     #[must_use]
     pub fn foreseen(&self, service: &ServiceName, now_ms: UnixMs, ahead: Duration) -> Option<f64> {
-        let is_foreseen = self.period.is_some() || self.has_had_turn(service, now_ms);
-        is_foreseen.then(|| self.most(service, now_ms, ahead))
+        let most = self.most(service, now_ms, ahead);
+        if self.period.is_some() || self.has_had_turn(service, now_ms) {
+            return Some(most);
+        }
+        self.is_at_height(service, now_ms)
+            .then_some(most * HEIGHT_MARGIN)
+    }
+
+    /// Whether a service has its turn, and what arrives has stopped rising. The rise before was
+    /// carried on, and what it brought beyond the height would stay idle for the rest of the turn.
+    fn is_at_height(&self, service: &ServiceName, now_ms: UnixMs) -> bool {
+        let now = now_ms / BUCKET_MS;
+        let span = as_f64(RATE_BUCKETS * BUCKET_MS);
+        let lately = span + as_f64(now_ms % BUCKET_MS);
+        let rate = self.arrivals(service, now - RATE_BUCKETS..now + 1).work / lately;
+        let before = self.arrivals(service, now - 2 * RATE_BUCKETS..now - RATE_BUCKETS);
+        rate > TURN_PEAK && rate <= STEADY * before.work / span
     }
 
     /// Whether a service has wanted much more than it wants now.
@@ -220,10 +245,13 @@
     }
 }
 
-/// The mean of a bucket and its neighbours: single large jobs don't come again at the same time.
+/// The mean around a bucket: single large jobs don't come again at the same time, and what comes
+/// together can wait for as long.
 fn smooth(at: &impl Fn(u64) -> f64, bucket: u64) -> f64 {
-    let around = [bucket.saturating_sub(1), bucket, bucket + 1];
-    around.map(at).iter().sum::<f64>() / 3.0
+    let around = bucket.saturating_sub(SMOOTHED / 2)..=bucket + SMOOTHED / 2;
+    #[expect(clippy::cast_precision_loss, reason = "a few buckets")]
+    let count = (SMOOTHED + 1) as f64;
+    around.map(at).sum::<f64>() / count
 }
 
 /// Amounts of resources and times are far below the numbers that a float can't hold.
