fix: a pool is given an instance of the kind that its tasks need

The list of instances is read with its labels; a pool that is short because of a label asks for one that carries it. A test plays it in virtual time.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -170,7 +170,7 @@
     operates_from: Steady,
     demand: Demand,
     emptying: BTreeSet<EndpointId>,
-    unplaced: BTreeMap<ServiceName, Steady>,
+    unplaced: BTreeMap<ServiceName, schedule::Unplaced>,
     cramped: BTreeMap<ServiceName, Steady>,
     followed_at: Steady,
     surplus_since: Option<Steady>,
--- a/crates/pomelohitch-sched/src/cell/follow.rs
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -79,6 +79,7 @@
             name: name.clone(),
             is_spare: service.is_spare,
             is_short: self.is_short(name),
+            label: self.unplaced.get(name).and_then(|u| u.wanted.label.clone()),
             backlog: self.backlog(name),
             wanted: self.demand.most(name, self.now.unix_ms, AHEAD) + self.lasting_need(name),
             soon: self
@@ -105,9 +106,10 @@
     /// Whether a task of the service has found no place for a while, or none to leave an endpoint
     /// for, and no instance is on its way.
     fn is_short(&self, service: &ServiceName) -> bool {
-        let since = [&self.unplaced, &self.cramped].map(|s| s.get(service));
-        let since = since.into_iter().flatten().min();
-        let is_old = since.is_some_and(|&s| self.now.steady.saturating_sub(s) > SHORT_AFTER);
+        let unplaced = self.unplaced.get(service).map(|u| u.since);
+        let cramped = self.cramped.get(service).copied();
+        let since = unplaced.into_iter().chain(cramped).min();
+        let is_old = since.is_some_and(|s| self.now.steady.saturating_sub(s) > SHORT_AFTER);
         is_old && !self.instances.is_awaited(service)
     }
 
@@ -145,6 +147,7 @@
         Candidate {
             id: instance.id.clone(),
             pool: destination.unwrap_or(&instance.pool).clone(),
+            labels: instance.labels.clone(),
             cpu: instance.capacity.cpu,
             is_movable: is_free
                 && !has_lasting
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::{Cell, Job};
+use crate::Steady;
 use crate::config::Queue;
 use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, JobId, ServiceName, TaskId};
@@ -16,8 +17,24 @@
 #[derive(Debug, Default)]
 struct Misfits {
     rooms: Vec<Resources>,
-    /// Whether a task found no room that would fit on some empty endpoint.
-    found: bool,
+    /// What the first task needs that found no room and would fit on some empty endpoint.
+    found: Option<Wanted>,
+}
+
+/// What a task needs of an instance beside room.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(super) struct Wanted {
+    /// A label.
+    pub(super) label: Option<Box<str>>,
+}
+
+/// Tasks of a service find no place.
+#[derive(Debug, Clone)]
+pub(super) struct Unplaced {
+    /// Since when.
+    pub(super) since: Steady,
+    /// What the first of them needs.
+    pub(super) wanted: Wanted,
 }
 
 impl Misfits {
@@ -25,6 +42,16 @@
         self.rooms.iter().any(|m| room.holds(m))
     }
 
+    /// Takes in that a task of `step` found no place; `fits` says whether it would on some empty
+    /// endpoint.
+    fn find(&mut self, step: &StepSpec, fits: bool) {
+        if fits {
+            self.found.get_or_insert_with(|| Wanted {
+                label: step.requires.clone(),
+            });
+        }
+    }
+
     fn add(&mut self, step: &StepSpec) {
         let is_plain = step.requires.is_none() && step.per_endpoint == 0;
         if is_plain {
@@ -106,9 +133,11 @@
                 self.index(id);
             }
         }
-        if misfits.found {
-            let now = self.now.steady;
-            self.unplaced.entry(service.clone()).or_insert(now);
+        if let Some(wanted) = misfits.found {
+            let since = self.unplaced.get(service).map(|u| u.since);
+            let since = since.unwrap_or(self.now.steady);
+            let unplaced = Unplaced { since, wanted };
+            self.unplaced.insert(service.clone(), unplaced);
         } else {
             self.unplaced.remove(service);
         }
@@ -175,7 +204,7 @@
         if step.is_gang || step.is_rack_local {
             let may_run: Vec<_> = slots.list.iter().filter(|s| allowed.has(&s.id)).collect();
             let is_placed = self.start_together(spec, first, &may_run);
-            misfits.found |= !is_placed && self.fits_somewhere(step);
+            misfits.find(step, !is_placed && self.fits_somewhere(step));
             slots.read_again(&self.endpoints);
             return;
         }
@@ -187,7 +216,7 @@
             let place = self.place(step, task, &allowed, slots, &siblings);
             let Some(place) = place else {
                 misfits.add(step);
-                misfits.found |= self.fits_somewhere(step);
+                misfits.find(step, self.fits_somewhere(step));
                 return;
             };
             siblings[place] += 1;
--- a/crates/pomelohitch-sched/src/instances.rs
+++ b/crates/pomelohitch-sched/src/instances.rs
@@ -4,6 +4,7 @@
 //! first, which keeps new work away; what lasts is moved elsewhere, the rest ends by itself.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -38,6 +39,8 @@
     pub state: InstanceState,
     /// Room for tasks.
     pub capacity: Resources,
+    /// Its kind and its rack; both stay with it, whichever pool it is in.
+    pub labels: Arc<[Box<str>]>,
     /// The endpoint that lives on it now.
     pub endpoint: Option<EndpointId>,
 }
--- a/crates/pomelohitch-sched/src/pools.rs
+++ b/crates/pomelohitch-sched/src/pools.rs
@@ -6,6 +6,7 @@
 //! will want for a while go to the spare pool, where they are switched off and cost nothing.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use crate::id::{InstanceId, ServiceName};
 
@@ -37,6 +38,8 @@
     /// Whether a task finds no place whatever processors are free: for want of memory, or because
     /// it has to be apart from others.
     pub is_short: bool,
+    /// What an instance has to carry that is to help it, if it is short.
+    pub label: Option<Box<str>>,
 }
 
 /// An instance that may be moved.
@@ -46,6 +49,8 @@
     pub id: InstanceId,
     /// Where it is, or will be.
     pub pool: ServiceName,
+    /// Its kind and its rack.
+    pub labels: Arc<[Box<str>]>,
     /// Thousandths of a core.
     pub cpu: u64,
     /// Whether it can be moved: up, nothing under way, no lasting task on it.
@@ -99,10 +104,14 @@
     fn satisfy(&mut self) -> Vec<Move> {
         let mut moves = Vec::new();
         while let Some(needy) = self.neediest() {
-            let Some(giver) = self.giver(needy) else {
-                break;
-            };
-            moves.push(self.transfer(giver, needy));
+            match self.giver(needy) {
+                Some(giver) => moves.push(self.transfer(giver, needy)),
+                // No instance of the kind that it is short of can be spared: any helps the rest.
+                None if self.balances[needy].wanted_label().is_some() => {
+                    self.balances[needy].is_short = false;
+                }
+                None => break,
+            }
         }
         moves
     }
@@ -127,7 +136,9 @@
 
     fn giver(&self, needy: usize) -> Option<&'a Candidate> {
         let to = &self.balances[needy].pool.name;
-        let others = self.free().filter(|i| i.pool != *to);
+        let label = self.balances[needy].wanted_label();
+        let suits = |i: &&Candidate| label.is_none_or(|l| i.labels.iter().any(|own| **own == *l));
+        let others = self.free().filter(|i| i.pool != *to).filter(suits);
         let able = others.filter(|i| self.balance(i).is_some_and(|b| b.can_give(i)));
         able.min_by_key(|i| self.effort(i))
     }
@@ -224,6 +235,10 @@
         (self.wanted() / FILL - self.have).max(short)
     }
 
+    fn wanted_label(&self) -> Option<&str> {
+        self.pool.label.as_deref().filter(|_| self.is_short)
+    }
+
     fn wanted(&self) -> f64 {
         self.pool.wanted + self.pool.backlog.min(self.pool.wanted * MOST_BACKLOG)
     }
--- a/crates/pomelohitch-sched/tests/cell/fleet.rs
+++ b/crates/pomelohitch-sched/tests/cell/fleet.rs
@@ -367,6 +367,7 @@
                 pool: report.service.clone(),
                 state: InstanceState::Up,
                 capacity: report.capacity,
+                labels: report.labels.clone(),
                 endpoint: Some(report.id.clone()),
             },
         );
@@ -621,6 +622,7 @@
             report.capacity = self.capacity;
             let instance = self.instances.get_mut(&id).expect("it is listed");
             instance.state = InstanceState::Up;
+            report.labels = instance.labels.clone();
             instance.endpoint = Some(report.id.clone());
             self.cell.endpoint_listed(report.clone());
             let mut endpoint = Endpoint::new(report);
--- a/crates/pomelohitch-sched/tests/cell/pools.rs
+++ b/crates/pomelohitch-sched/tests/cell/pools.rs
@@ -99,3 +99,29 @@
     assert!(fleet.statuses.contains(&(1, true)));
     fleet.assert_sound();
 }
+
+/// Tasks need an instance of a kind that their pool has none of. Any instance that is moved there
+/// looks like help, and the tasks wait for good.
+#[test]
+fn a_pool_is_given_an_instance_of_the_kind_that_its_tasks_need() {
+    let mut fleet = fleet(3, 6);
+    let rare = |n: &str| ["i4", "i5"].contains(&n);
+    for endpoint in fleet.endpoints.values_mut() {
+        if rare(&endpoint.report.id) {
+            endpoint.report.labels = ["rare".into(), "r9".into()].into();
+        }
+    }
+    for instance in fleet.instances.values_mut() {
+        if instance.endpoint.as_deref().is_some_and(rare) {
+            instance.labels = ["rare".into(), "r9".into()].into();
+        }
+    }
+    fleet.list();
+    fleet.pass(450);
+    let mut needs = step(2, 1000, 500);
+    needs.requires = Some("rare".into());
+    fleet.submit("00000000000000a1", job(vec![needs]));
+    fleet.pass(600);
+    assert_eq!(fleet.starts.len(), 2);
+    fleet.assert_sound();
+}
