--- a/crates/pomelohitch-sched/src/cell/books.rs
+++ b/crates/pomelohitch-sched/src/cell/books.rs
@@ -273,7 +273,8 @@
         };
         r.is_leaving = true;
         let endpoint = r.endpoint.clone();
-        info!(%task, run, endpoint = %endpoint, why = "its endpoint has to be empty", "stop decided");
+        let why = "its endpoint has to be empty";
+        info!(%task, run, endpoint = %endpoint, why, "stop decided");
         self.dirty.insert(task.job);
         let target = self.target(&endpoint);
         self.gated.extend(target.map(|target| Action::Order {
