perf: the end of a turn shows by what arrives, and surplus goes while a little waits

The end of a turn is seen by what arrives; what waits counts against the surplus instead of forbidding it; a rise is carried on to twice the rate at most instead of 2.5 times.

--- a/crates/pomelohitch-sched/src/demand.rs
+++ b/crates/pomelohitch-sched/src/demand.rs
@@ -25,8 +25,8 @@
 /// How much more alike a longer period has to be than a shorter one: a multiple of the true
 /// period is as like as the period itself.
 const LONGER_BONUS: f64 = 0.05;
-/// A service has its turn behind it when it once wanted this many times what it wants now, and
-/// more than a few tasks take, thousandths of a core.
+/// A service has its turn behind it when this many times what arrives now once arrived, and more than
+/// a few tasks take, thousandths of a core.
 const TURN_RATIO: f64 = 4.0;
 const TURN_PEAK: f64 = 30_000.0;
 /// What is wanted is taken as the mean over so many buckets on either side together: a job may wait
@@ -38,11 +38,13 @@
 const HEIGHT_MARGIN: f64 = 1.25;
 /// The rate of arriving work is taken over so many buckets.
 const RATE_BUCKETS: u64 = 3;
+/// The same as a length.
+const WINDOW: usize = 3;
 /// A rise is carried on for no longer than a move takes.
 const TREND_AHEAD: Duration = Duration::from_secs(2);
 /// A rise is carried on to at most this many times the rate on top of it: a few large jobs that
 /// come together look like a steep one.
-const MOST_RISE: f64 = 1.5;
+const MOST_RISE: f64 = 1.0;
 /// Jobs arrive at random, so that a count of n is off by about its square root.
 const DOUBT: f64 = 1.0;
 
@@ -147,16 +149,23 @@
         rate > TURN_PEAK && rate <= STEADY * before.work / span
     }
 
-    /// Whether a service has wanted much more than it wants now.
+    /// Whether much more has arrived for a service than arrives now. By what is still wanted the end of
+    /// a turn would show two seconds later, since jobs go on after the last has arrived.
     fn has_had_turn(&self, service: &ServiceName, now_ms: UnixMs) -> bool {
-        let Some(series) = self.wanted.get(service) else {
+        let now = now_ms / BUCKET_MS;
+        let Some(arrived) = self.arrived.get(service) else {
             return false;
         };
-        let now = now_ms / BUCKET_MS;
-        let peak = series.range(..now).map(|(_, w)| *w).fold(0.0, f64::max);
-        let lately = series.range(now.saturating_sub(RATE_BUCKETS)..=now);
-        let lately = lately.map(|(_, w)| *w).fold(0.0, f64::max);
-        peak > TURN_PEAK && peak > TURN_RATIO * lately
+        let mut windows = std::collections::VecDeque::from([0.0; WINDOW]);
+        let mut peak: f64 = 0.0;
+        for bucket in arrived.keys().next().copied().unwrap_or(now)..=now {
+            windows.pop_front();
+            windows.push_back(arrived.get(&bucket).map_or(0.0, |a| a.work));
+            peak = peak.max(windows.iter().sum::<f64>());
+        }
+        let span = as_f64(RATE_BUCKETS * BUCKET_MS);
+        let lately = self.arrivals(service, now - RATE_BUCKETS..now + 1).work;
+        peak / span > TURN_PEAK && peak > TURN_RATIO * lately
     }
 
     /// What arriving work will take `ahead` from now, thousandths of a core: the rate of the last
--- a/crates/pomelohitch-sched/src/pools.rs
+++ b/crates/pomelohitch-sched/src/pools.rs
@@ -162,13 +162,11 @@
 
     /// An idle instance that no pool will want soon, its own or another.
     ///
-    /// While work waits for a place nothing is switched off: whether what is on its way will do
-    /// isn't known yet.
+    /// What waits for a place counts against it: whether what is on its way will do isn't known yet.
     fn idle(&self) -> Option<&'a Candidate> {
-        if self.balances.iter().any(|b| b.pool.backlog > 0.0) {
-            return None;
-        }
         let over: f64 = self.balances.iter().filter_map(Balance::over).sum();
+        let backlog: f64 = self.balances.iter().map(|b| b.pool.backlog).sum();
+        let over = over - backlog;
         let idle = self.free().filter(|i| i.used == 0);
         let mut unmissed = idle.filter(|i| {
             let balance = self.balance(i);
--- a/crates/pomelohitch-sched/tests/demand.rs
+++ b/crates/pomelohitch-sched/tests/demand.rs
@@ -76,3 +76,21 @@
     assert!(cores(&demand, &name, 30_500, AHEAD) > 40.0);
     assert!(cores(&demand, &other, 30_500, AHEAD) < 5.0);
 }
+
+/// A turn ends, and the jobs of its last second go on for two more. By what they still want the end
+/// shows only when they are done, and for as long hundreds of instances stay in a pool without work.
+#[test]
+fn the_end_of_a_turn_shows_when_nothing_arrives_any_more() {
+    let name: ServiceName = Arc::from("quotes");
+    let mut demand = Demand::default();
+    for at in (0..8_000).step_by(100) {
+        let per_step = if at < 4_000 { 6 } else { 0 };
+        for _ in 0..per_step {
+            demand.add(&name, &steps(1000, 2_000), at);
+        }
+    }
+    let foreseen = |at| demand.foreseen(&name, at, AHEAD).map(|f| f / 1000.0);
+    assert_eq!(foreseen(500), None, "it has just begun");
+    let later = foreseen(5_000).expect("nothing has arrived for a second");
+    assert!(later < 90.0, "{later} cores for what 120 were in use for");
+}
