--- a/crates/pomelohitch-sched/src/demand.rs
+++ b/crates/pomelohitch-sched/src/demand.rs
@@ -144,8 +144,11 @@
         let now = now_ms / BUCKET_MS;
         let span = as_f64(RATE_BUCKETS * BUCKET_MS);
         let lately = span + as_f64(now_ms % BUCKET_MS);
-        let rate = self.arrivals(service, now - RATE_BUCKETS..now + 1).work / lately;
-        let before = self.arrivals(service, now - 2 * RATE_BUCKETS..now - RATE_BUCKETS);
+        let rate = self
+            .arrivals(service, now.saturating_sub(RATE_BUCKETS)..now + 1)
+            .work
+            / lately;
+        let before = self.arrivals(service, earlier(now));
         rate > TURN_PEAK && rate <= STEADY * before.work / span
     }
 
@@ -164,7 +167,9 @@
             peak = peak.max(windows.iter().sum::<f64>());
         }
         let span = as_f64(RATE_BUCKETS * BUCKET_MS);
-        let lately = self.arrivals(service, now - RATE_BUCKETS..now + 1).work;
+        let lately = self
+            .arrivals(service, now.saturating_sub(RATE_BUCKETS)..now + 1)
+            .work;
         peak / span > TURN_PEAK && peak > TURN_RATIO * lately
     }
 
@@ -177,8 +182,8 @@
         let now = now_ms / BUCKET_MS;
         let span = RATE_BUCKETS * BUCKET_MS;
         let lately = span + now_ms % BUCKET_MS;
-        let rate = self.arrivals(service, now - RATE_BUCKETS..now + 1);
-        let before = self.arrivals(service, now - 2 * RATE_BUCKETS..now - RATE_BUCKETS);
+        let rate = self.arrivals(service, now.saturating_sub(RATE_BUCKETS)..now + 1);
+        let before = self.arrivals(service, earlier(now));
         let least = rate.work * (1.0 - rate.doubt()) / as_f64(lately);
         let most_before = before.work * (1.0 + before.doubt()) / as_f64(span);
         let rise = (least - most_before).max(0.0) / as_f64(u64::midpoint(lately, span));
@@ -268,3 +273,8 @@
 fn as_f64(number: u64) -> f64 {
     number as f64
 }
+
+/// The buckets before those that the rate is taken over.
+fn earlier(now: u64) -> std::ops::Range<u64> {
+    now.saturating_sub(2 * RATE_BUCKETS)..now.saturating_sub(RATE_BUCKETS)
+}
