fix: an instance that leaves for good isn't waited for as one that crashed

An instance whose endpoint had announced that it leaves is gone after 5 s. Sooner isn't safe: one whose endpoint is only replaced must still have its turn (MIXED), and how long that takes isn't said. The test fails without it.

--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -32,6 +32,7 @@
             }
         }
         let replaced = self.instances.listed(list, asked_at);
+        self.instances.leaving(self.draining_instances());
         for endpoint in replaced {
             self.endpoint_gone(&endpoint, "its instance lives another endpoint");
         }
@@ -40,6 +41,16 @@
         }
     }
 
+    fn draining_instances(&self) -> BTreeSet<InstanceId> {
+        let is_draining = |i: &&Instance| {
+            let endpoint = i.endpoint.as_ref().and_then(|e| self.endpoints.get(e));
+            let report = endpoint.and_then(|e| e.report.as_ref());
+            report.is_some_and(|r| r.is_draining)
+        };
+        let draining = self.instances.list().values().filter(is_draining);
+        draining.map(|i| i.id.clone()).collect()
+    }
+
     /// Endpoints that answer nothing and that no instance of a list lives that was asked for at
     /// `asked_at`. An instance that crashed or was switched off shows so within a second, while
     /// the leases of what it ran would have to be waited for much longer. One that is only cut off
--- a/crates/pomelohitch-sched/src/instances.rs
+++ b/crates/pomelohitch-sched/src/instances.rs
@@ -94,6 +94,7 @@
     waves: BTreeMap<u64, WaveState>,
     confirmed: BTreeMap<u64, Confirmed>,
     absent_since: BTreeMap<InstanceId, Steady>,
+    leaving: BTreeSet<InstanceId>,
     under_way: BTreeMap<InstanceId, UnderWay>,
 }
 
@@ -103,6 +104,9 @@
 const UNANSWERED_AFTER: Duration = Duration::from_millis(1500);
 /// An instance missing from the list for longer than any crash of today lasts (10 s) is gone.
 const GONE_AFTER: Duration = Duration::from_secs(16);
+/// One whose endpoint had announced that it leaves is gone after this: an instance whose endpoint is
+/// only replaced is back within two or three seconds.
+const LEFT_AFTER: Duration = Duration::from_secs(5);
 
 impl Instances {
     /// Takes in what a former leader recorded of a wave.
@@ -143,6 +147,14 @@
         replaced
     }
 
+    /// Notes that these instances are about to leave for good: their endpoints drain. All others of the
+    /// list stay.
+    pub fn leaving(&mut self, leaving: BTreeSet<InstanceId>) {
+        let list = &self.list;
+        self.leaving.retain(|id| !list.contains_key(id));
+        self.leaving.extend(leaving);
+    }
+
     /// The endpoint that lived on an instance before the operation that is under way.
     #[must_use]
     pub fn endpoint_before(&self, id: &InstanceId) -> Option<EndpointId> {
@@ -312,12 +324,17 @@
             .retain(|_, u| u.is_answered || now <= u.since + UNANSWERED_AFTER);
     }
 
-    /// Whether an instance has been missing from the list for so long that it won't come back.
-    /// One that crashed may be missing for some seconds.
+    /// Whether an instance is missing from the list and won't come back: it was about to leave, or
+    /// has been missing for long. One that crashed may be missing for some seconds.
     fn is_gone(&self, id: &InstanceId) -> bool {
         let since = self.absent_since.get(id);
         let listed_at = self.listed_at.unwrap_or_default();
-        since.is_some_and(|&since| listed_at.saturating_sub(since) > GONE_AFTER)
+        let gone_after = if self.leaving.contains(id) {
+            LEFT_AFTER
+        } else {
+            GONE_AFTER
+        };
+        since.is_some_and(|&since| listed_at.saturating_sub(since) > gone_after)
     }
 
     fn note_absent(&mut self, asked_at: Steady) {
--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -280,3 +280,24 @@
     assert!(on_due.count() <= 4);
     fleet.assert_sound();
 }
+
+/// An instance of a wave leaves for good: its endpoint drains, and the platform says that it is busy
+/// until it is gone. Waited for like one that crashed, it kept the wave from being told as completed
+/// for 16 s, long after its time.
+#[test]
+fn an_instance_that_leaves_for_good_is_not_waited_for() {
+    let mut fleet = Fleet::new(2);
+    fleet.pass(400);
+    fleet.endpoint("e0").report.is_draining = true;
+    fleet.list();
+    fleet.loses_operations = true;
+    fleet.cell.wave(wave(&["m0"], 1));
+    fleet.pass(300);
+    assert!(!fleet.statuses.contains(&(1, true)));
+    fleet.instances.remove("m0");
+    fleet.endpoints.remove("e0");
+    fleet.pass(300);
+    assert!(!fleet.statuses.contains(&(1, true)));
+    fleet.pass(400);
+    assert!(fleet.statuses.contains(&(1, true)));
+}
