--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -1,6 +1,6 @@
 //! Which tasks start where.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::{Cell, Job};
@@ -9,7 +9,7 @@
 use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, JobId, ServiceName, TaskId};
 use crate::job::{self, JobSpec, StepSpec};
-use crate::place::{self, Allowed, Ask, Slot};
+use crate::place::{self, Allowed, Ask, Slot, Slots};
 use crate::resources::Resources;
 use crate::urgency::{Claim, Urgency};
 
@@ -60,41 +60,6 @@
     }
 }
 
-/// The endpoints of a service that may be given work, as they are while a pass lasts. Looked up
-/// one by one for each task they took more time than all other decisions.
-#[derive(Debug, Default)]
-pub(super) struct Slots {
-    pub(super) list: Vec<Slot>,
-    index: HashMap<EndpointId, usize>,
-}
-
-impl Slots {
-    fn new(list: Vec<Slot>) -> Slots {
-        let ids = list.iter().map(|slot| slot.id.clone());
-        let index = ids.zip(0..).collect();
-        Slots { list, index }
-    }
-
-    /// How many tasks of a step each slot has.
-    fn siblings(&self, counts: &BTreeMap<EndpointId, u32>) -> Vec<u32> {
-        let mut siblings = vec![0; self.list.len()];
-        for (id, count) in counts {
-            if let Some(&at) = self.index.get(id) {
-                siblings[at] = *count;
-            }
-        }
-        siblings
-    }
-
-    fn read_again(&mut self, endpoints: &BTreeMap<EndpointId, Endpoint>) {
-        for slot in &mut self.list {
-            if let Some(endpoint) = endpoints.get(&slot.id) {
-                *slot = Slot::new(&slot.id, endpoint);
-            }
-        }
-    }
-}
-
 impl Cell {
     /// Starts what can start, the most urgent job first.
     pub(super) fn schedule(&mut self) {
--- a/crates/pomelohitch-sched/src/place.rs
+++ b/crates/pomelohitch-sched/src/place.rs
@@ -1,6 +1,6 @@
 //! Which endpoint takes a task.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use crate::endpoint::Endpoint;
@@ -61,6 +61,46 @@
     }
 }
 
+/// The endpoints of a service that may be given work, as they are while a pass lasts. Looked up
+/// one by one for each task they took more time than all other decisions.
+#[derive(Debug, Default)]
+pub struct Slots {
+    /// Each of them.
+    pub list: Vec<Slot>,
+    index: HashMap<EndpointId, usize>,
+}
+
+impl Slots {
+    /// These endpoints.
+    #[must_use]
+    pub fn new(list: Vec<Slot>) -> Slots {
+        let ids = list.iter().map(|slot| slot.id.clone());
+        let index = ids.zip(0..).collect();
+        Slots { list, index }
+    }
+
+    /// How many tasks of a step each slot has, by the endpoints that have some.
+    #[must_use]
+    pub fn siblings(&self, counts: &BTreeMap<EndpointId, u32>) -> Vec<u32> {
+        let mut siblings = vec![0; self.list.len()];
+        for (id, count) in counts {
+            if let Some(&at) = self.index.get(id) {
+                siblings[at] = *count;
+            }
+        }
+        siblings
+    }
+
+    /// Reads again what is free on each.
+    pub fn read_again(&mut self, endpoints: &BTreeMap<EndpointId, Endpoint>) {
+        for slot in &mut self.list {
+            if let Some(endpoint) = endpoints.get(&slot.id) {
+                *slot = Slot::new(&slot.id, endpoint);
+            }
+        }
+    }
+}
+
 /// Which endpoints may run a step.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Allowed {
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -6,6 +6,7 @@
 //! * [`watch`]: reads what operators and endpoints write into the store.
 //! * [`duties`]: calls of instances and policy, and the status of waves.
 //! * [`heartbeats`]: tells the other members who leads.
+//! * [`handover`]: when it ends in favour of another member.
 
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError};
@@ -25,6 +26,7 @@
 
 pub mod core;
 pub mod duties;
+pub mod handover;
 pub mod heartbeats;
 pub mod journal;
 pub mod lanes;
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -7,7 +7,6 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, SyncSender};
 use std::time::Duration;
 
-use pomelohitch_adapter::store::Topic;
 use pomelohitch_sched::cell::Batch;
 use pomelohitch_sched::cell::calls::{Call, Verb};
 use pomelohitch_sched::config::FleetConfig;
@@ -21,13 +20,12 @@
 
 use super::super::clock;
 use super::super::peers;
-use super::super::shared::{Shared, spawn, spawn_with};
-use super::super::succession::{self, successor};
-use super::super::wire::{self, Leader, Probe, ProbeReply};
+use super::super::shared::{Shared, spawn_with};
+use super::super::wire::{self, Leader, ProbeReply};
 use super::duties::Duties;
 use super::journal::Journal;
 use super::lanes::Lanes;
-use super::{heartbeats, watch};
+use super::{handover, heartbeats, watch};
 
 /// Without any event the state is looked at this often: starts that became due, leases, waves.
 const TICK: Duration = Duration::from_millis(25);
@@ -39,22 +37,6 @@
 const BATCH_GAP: Duration = Duration::from_millis(15);
 /// Most events taken in before the state is looked at.
 const EVENTS_AT_ONCE: usize = 1_000;
-/// The store is taken for lost after so long without an answer: the other members are asked then.
-const STORE_LOST_AFTER: Duration = Duration::from_millis(500);
-/// A store that answers a read now is taken to be back for all, unless appends fail for longer.
-const STORE_TRUSTED_FOR: Duration = Duration::from_secs(6);
-/// How often they are asked.
-const ASK_EVERY: Duration = Duration::from_millis(600);
-/// How often larger members are asked whether they can lead.
-const COMPARE_EVERY: Duration = Duration::from_secs(1);
-/// The first time is so long after a take-over, before its load has built up.
-const COMPARE_FIRST: Duration = Duration::from_millis(300);
-/// Their answers are waited for so long: a small leader that is out of processor time, which has to
-/// yield most of all, took longer than the usual 0.35 s to take them in, and kept on leading.
-const COMPARE_WITHIN: Duration = Duration::from_secs(2);
-/// Without the store and without any answer of other members this process stops leading: the
-/// others may have elected another leader, which counts on leases not being renewed for longer.
-const ISOLATED_AFTER: Duration = Duration::from_secs(2);
 
 /// A caller's request, and where its answer goes.
 #[derive(Debug)]
@@ -138,11 +120,12 @@
     successor: Option<SocketAddr>,
 }
 
-struct Core<'a> {
-    shared: &'a Arc<Shared>,
-    cell: Cell,
-    epoch: Epoch,
-    tx: Sender<Event>,
+/// The leader's one thread. What ends its leadership is in [`super::handover`].
+pub(super) struct Core<'a> {
+    pub(super) shared: &'a Arc<Shared>,
+    pub(super) cell: Cell,
+    pub(super) epoch: Epoch,
+    pub(super) tx: Sender<Event>,
     lanes: Lanes,
     journal: Journal,
     duties: Duties,
@@ -150,11 +133,11 @@
     next_call: CallId,
     is_committing: bool,
     committed_at: Steady,
-    appends_lost: Option<Steady>,
-    reads_lost: Option<Steady>,
-    asked_at: Steady,
-    compared_at: Steady,
-    former: Option<Leader>,
+    pub(super) appends_lost: Option<Steady>,
+    pub(super) reads_lost: Option<Steady>,
+    pub(super) asked_at: Steady,
+    pub(super) compared_at: Steady,
+    pub(super) former: Option<Leader>,
     end: Option<End>,
 }
 
@@ -194,9 +177,7 @@
         appends_lost: None,
         reads_lost: None,
         asked_at: Steady::ZERO,
-        compared_at: clock::steady()
-            .saturating_add(COMPARE_FIRST)
-            .saturating_sub(COMPARE_EVERY),
+        compared_at: handover::first_comparison(),
         former: parts.former,
         end: None,
     };
@@ -255,7 +236,7 @@
         }
     }
 
-    fn stop(&mut self, why: &'static str, successor: Option<SocketAddr>) {
+    pub(super) fn stop(&mut self, why: &'static str, successor: Option<SocketAddr>) {
         self.end.get_or_insert(End { why, successor });
     }
 
@@ -373,110 +354,6 @@
             }
         }
     }
-
-    /// While the store doesn't answer, asks the other members whether it answers them.
-    fn mind_store(&mut self) {
-        let now = clock::steady();
-        let Some(since) = self.store_lost() else {
-            return;
-        };
-        let is_lost = now.saturating_sub(since) > STORE_LOST_AFTER;
-        if !is_lost || now < self.asked_at + ASK_EVERY {
-            return;
-        }
-        self.asked_at = now;
-        let others = self.shared.peers();
-        let tx = self.tx.clone();
-        let store = self.shared.store();
-        let end = self.shared.view().members_end;
-        let asking = spawn("ask about the store", move || {
-            let probe = Probe { with_store: true };
-            // Side by side: a store that is silent takes its whole time-out to say so.
-            let (answers, has_store) = std::thread::scope(|scope| {
-                let own = scope.spawn(|| store.read(Topic::Members, end, Duration::ZERO).is_ok());
-                let answers = peers::ask_all::<ProbeReply>(&others, wire::PROBE, &probe);
-                (answers, own.join().unwrap_or(false))
-            });
-            let _ = tx.send(Event::Probed(answers, has_store));
-        });
-        if let Err(error) = asking {
-            warn!(%error, "other members can't be asked");
-        }
-    }
-
-    /// Notices that the former leader's process has ended, by another process of that member.
-    fn mind_former(&mut self) {
-        let Some(former) = &self.former else {
-            return;
-        };
-        let member = self.shared.member(&former.member);
-        if member.is_some_and(|m| m.began_ms != former.began_ms) {
-            self.cell.former_is_gone();
-            self.former = None;
-        }
-    }
-
-    /// Asks larger members now and then whether they can lead.
-    fn mind_size(&mut self) {
-        let now = clock::steady();
-        if now < self.compared_at + COMPARE_EVERY {
-            return;
-        }
-        self.compared_at = now;
-        let power = self.shared.site.load().power;
-        let larger = succession::larger(power, &self.shared.others());
-        if larger.is_empty() {
-            return;
-        }
-        let tx = self.tx.clone();
-        let asking = spawn("ask larger members", move || {
-            let probe = Probe { with_store: true };
-            let answers = peers::ask_all_within(&larger, wire::PROBE, &probe, COMPARE_WITHIN);
-            let _ = tx.send(Event::Larger(answers));
-        });
-        if let Err(error) = asking {
-            warn!(%error, "larger members can't be asked");
-        }
-    }
-
-    /// Hands the leadership over to the largest member, if it can lead.
-    fn yield_to(&mut self, larger: &[(SocketAddr, ProbeReply)]) {
-        if let Some(successor) = successor(larger) {
-            self.stop("a larger member can lead", Some(successor));
-        }
-    }
-
-    fn store_lost(&self) -> Option<Steady> {
-        let lost = [self.appends_lost, self.reads_lost];
-        lost.into_iter().flatten().min()
-    }
-
-    fn take_probes(&mut self, answers: &[(SocketAddr, ProbeReply)], has_store: bool) {
-        let Some(since) = self.store_lost() else {
-            return;
-        };
-        let is_back = has_store && clock::steady().saturating_sub(since) < STORE_TRUSTED_FOR;
-        if answers.iter().any(|(_, a)| a.epoch > self.epoch) {
-            self.stop("another member knows a later leader", None);
-        }
-        let successor = successor(answers);
-        let lost_ms = clock::steady().saturating_sub(since).as_millis();
-        warn!(lost_ms, answers = answers.len(), successor = ?successor, "store lost");
-        if let Some(successor) = successor.filter(|_| !is_back) {
-            self.stop("the store answers others", Some(successor));
-        }
-        let is_alone = answers.is_empty() && !self.shared.peers().is_empty();
-        if is_alone && clock::steady().saturating_sub(since) > ISOLATED_AFTER {
-            self.stop("neither store nor members answer", None);
-        }
-    }
-
-    /// Ends the leadership for a shutdown, with the first member that can take over.
-    fn leave(&mut self) {
-        let probe = Probe { with_store: true };
-        let answers = peers::ask_all::<ProbeReply>(&self.shared.peers(), wire::PROBE, &probe);
-        self.stop("shutdown", successor(&answers));
-    }
 }
 
 fn lost_since(since: Option<Steady>, is_well: bool) -> Option<Steady> {
