--- a/crates/pomelohitch-sched/src/cell/evict.rs
+++ b/crates/pomelohitch-sched/src/cell/evict.rs
@@ -98,7 +98,7 @@
     fn may_evict(&self, task: TaskId, run: RunNumber, step: &StepSpec) -> bool {
         let is_settled = self
             .run(task, run)
-            .is_some_and(|r| !is_on_its_way(r) && r.view.seen_at.is_some());
+            .is_some_and(|r| !is_ending(r) && r.view.seen_at.is_some());
         let is_sparable = self.away_beside(task) < step.may_miss.max(1);
         is_settled && is_sparable
     }
@@ -126,7 +126,7 @@
         task.runs.iter().any(|r| {
             let endpoint = self.endpoints.get(&r.endpoint);
             let is_heard = endpoint.is_some_and(|e| e.is_heard(now, HEARD_WITHIN));
-            is_heard && r.view.percent >= AT_WORK && !is_on_its_way(r)
+            is_heard && r.view.percent >= AT_WORK && !is_ending(r)
         })
     }
 
@@ -216,7 +216,7 @@
 }
 
 /// Whether a run was told to end, or is about to be.
-fn is_on_its_way(run: &Run) -> bool {
+fn is_ending(run: &Run) -> bool {
     run.is_leaving || run.view.is_stopping()
 }
 
--- a/crates/pomelohitch-sched/src/demand.rs
+++ b/crates/pomelohitch-sched/src/demand.rs
@@ -29,8 +29,8 @@
 /// a few tasks take, thousandths of a core.
 const TURN_RATIO: f64 = 4.0;
 const TURN_PEAK: f64 = 30_000.0;
-/// What is wanted is taken as the mean over so many buckets on either side together: a job may wait
-/// for half a second and more before its objective is out of reach.
+/// What is wanted is taken as the mean around a bucket, over so many neighbours on both sides
+/// together: a job may wait for half a second and more before its objective is out of reach.
 const SMOOTHED: u64 = 4;
 /// What arrives has stopped rising when it is at most this many times what arrived before.
 const STEADY: f64 = 1.1;
@@ -38,7 +38,7 @@
 const HEIGHT_MARGIN: f64 = 1.25;
 /// The rate of arriving work is taken over so many buckets.
 const RATE_BUCKETS: u64 = 3;
-/// The same as a length.
+/// The same number, as the length of a sliding window.
 const WINDOW: usize = 3;
 /// A rise is carried on for no longer than a move takes.
 const TREND_AHEAD: Duration = Duration::from_secs(2);
