fix: no refusal is passed back after a try that may have handed a job in

Cause, by reading: an entry instance tries a request again after a try without an answer, and kept only a 503 of the later try from its caller. Change: after a try that may have worked only success, or 410 for a cancel, is passed back; other refusals end in 504 at once. Reads have no effect, so that without an answer they are told 503 with Retry-After instead of 504. A job that is held is accepted again whatever comes with its id. Ruled out: answering a held job to a withdrawn key as accepted; the configuration in force forbids it. Before: the new tests fail (401, 404 and 400 passed back; a read told 504). After: they pass.

--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -87,6 +87,10 @@
         let name = &call.path[queue.prefix.len()..];
         match (&call.verb, name, id::parse_job(name)) {
             (Verb::Read, "", _) => Some(Answer::Waiting(self.waiting(queue))),
+            (Verb::Submit(_), _, Ok(job)) if self.holds_for(job, workspace.as_ref()) => {
+                self.gated.push(accepted(call.id));
+                None
+            }
             (Verb::Submit(Ok(draft)), _, Ok(job)) => {
                 self.submit(call.id, job, queue, workspace, draft)
             }
@@ -107,12 +111,8 @@
         workspace: Option<WorkspaceName>,
         draft: &Draft,
     ) -> Option<Answer> {
-        let accepted = Action::Reply {
-            call,
-            answer: Answer::Accepted,
-        };
         if self.jobs.contains_key(&id) {
-            self.gated.push(accepted);
+            self.gated.push(accepted(call));
             return None;
         }
         if self.is_log_down {
@@ -146,10 +146,16 @@
         self.fresh_specs.insert(id);
         self.dirty.insert(id);
         self.adopt(Arc::new(spec), Progress::default());
-        self.gated.push(accepted);
+        self.gated.push(accepted(call));
         None
     }
 
+    /// Whether a job is held that the workspace may see. It was accepted, whatever comes with its
+    /// id now.
+    fn holds_for(&self, id: JobId, workspace: Option<&WorkspaceName>) -> bool {
+        self.jobs.get(&id).is_some_and(|j| may_see(j, workspace))
+    }
+
     fn read(&self, id: JobId, workspace: Option<&WorkspaceName>) -> Answer {
         match self.jobs.get(&id) {
             Some(job) if may_see(job, workspace) => Answer::State(job.shown),
@@ -187,6 +193,13 @@
     }
 }
 
+fn accepted(call: CallId) -> Action {
+    Action::Reply {
+        call,
+        answer: Answer::Accepted,
+    }
+}
+
 /// A job is seen by the workspace that sent it, and by everyone if nobody's key came with it.
 fn may_see(job: &Job, workspace: Option<&WorkspaceName>) -> bool {
     job.spec.workspace.is_none() || job.spec.workspace.as_ref() == workspace
--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -94,17 +94,23 @@
 
 /// Answers a caller: the leader's answer, or after some patience that there is none.
 ///
-/// Once a try may have handed a job in, a later refusal doesn't say that it wasn't: the caller
-/// would take the job for refused while it runs.
+/// Once a try may have handed a job in, no refusal of a later try is passed back, whatever its
+/// reason: a key may be withdrawn between the two, and the caller would take the job for refused
+/// while it runs. Reads have no effect, so that every answer to them is true.
 pub fn answer(shared: &Shared, incoming: &Incoming) -> Response {
     let patience = patience(&incoming.head);
+    let has_effect = has_effect(&incoming.head.method);
     let mut may_be_done = false;
     loop {
         match try_once(shared, incoming, patience) {
-            Try::Answered(response) if may_be_done && response.status_code == 503 => {}
+            Try::Answered(response) if may_be_done && !confirms(response.status_code) => {
+                if response.status_code != UNAVAILABLE {
+                    return give_up(incoming, may_be_done);
+                }
+            }
             Try::Answered(response) => return response,
             Try::Undone => {}
-            Try::Unknown => may_be_done = true,
+            Try::Unknown => may_be_done |= has_effect,
         }
         if incoming.arrived.elapsed() + AGAIN_AFTER >= patience {
             return give_up(incoming, may_be_done);
@@ -113,6 +119,20 @@
     }
 }
 
+/// The leader can't serve the request now; it may a moment later.
+const UNAVAILABLE: u16 = 503;
+/// The job isn't held, which is also what a repeated cancel is told.
+const GONE: u16 = 410;
+
+fn has_effect(method: &str) -> bool {
+    !matches!(method, "GET" | "HEAD")
+}
+
+/// Whether an answer is true even if an earlier try was carried out.
+fn confirms(status: u16) -> bool {
+    (200..300).contains(&status) || status == GONE
+}
+
 fn patience(head: &Head) -> Duration {
     let deadline = head.headers.get(format::DEADLINE_HEADER);
     let deadline = deadline.and_then(|d| d.trim().parse().ok());
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -19,6 +19,10 @@
 const REFUSED: &str =
     "HTTP/1.1 503 Busy\r\nX-Leader-Epoch: 1\r\nRetry-After: 2\r\nContent-Length: 2\r\n\r\n{}";
 const NO_ROOM: &str = "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\n{}";
+const NO_KEY: &str = "HTTP/1.1 401 No\r\nX-Leader-Epoch: 1\r\nContent-Length: 2\r\n\r\n{}";
+const NO_QUEUE: &str = "HTTP/1.1 404 No\r\nX-Leader-Epoch: 1\r\nContent-Length: 2\r\n\r\n{}";
+const MALFORMED: &str = "HTTP/1.1 400 No\r\nX-Leader-Epoch: 1\r\nContent-Length: 2\r\n\r\n{}";
+const GONE: &str = "HTTP/1.1 410 Gone\r\nX-Leader-Epoch: 1\r\nContent-Length: 2\r\n\r\n{}";
 const UNKNOWN: &str = "HTTP/1.1 504 Unknown\r\nContent-Length: 0\r\n\r\n";
 
 /// A leader that gives these answers one after another, and the last one from then on.
@@ -46,9 +50,16 @@
 }
 
 fn post() -> Incoming {
-    let request = b"POST /q/00000000000000a1 HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 900\r\n\
-        Content-Length: 2\r\n\r\n";
-    let head: Option<Head> = head::parse(request, &head::Limits::default()).expect("it is HTTP");
+    call("POST")
+}
+
+fn call(method: &str) -> Incoming {
+    let request = format!(
+        "{method} /q/00000000000000a1 HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 900\r\n\
+        Content-Length: 2\r\n\r\n"
+    );
+    let limits = head::Limits::default();
+    let head: Option<Head> = head::parse(request.as_bytes(), &limits).expect("it is HTTP");
     Incoming {
         head: head.expect("it is whole"),
         body: b"{}".to_vec(),
@@ -58,6 +69,10 @@
 }
 
 fn told(addr: SocketAddr) -> (u16, bool) {
+    told_of(addr, &post())
+}
+
+fn told_of(addr: SocketAddr, incoming: &Incoming) -> (u16, bool) {
     let shared = Shared::new(site());
     let leader = Leader {
         epoch: 1,
@@ -66,7 +81,7 @@
         began_ms: 1,
     };
     shared.follow(&leader, true);
-    let response = callers::answer(&shared, &post());
+    let response = callers::answer(&shared, incoming);
     let has_retry = response
         .headers
         .iter()
@@ -94,6 +109,36 @@
     assert_eq!(told(leader(&[UNKNOWN, ACCEPTED])), (200, false));
 }
 
+/// The first try hands the job in and its answer is lost; then the caller's key is withdrawn, or
+/// its queue removed. Passed on, the next try's refusal would say that the job was never taken,
+/// while its tasks run and are charged.
+#[test]
+fn no_refusal_is_passed_back_after_a_try_that_may_have_worked() {
+    for refusal in [NO_KEY, NO_QUEUE, MALFORMED] {
+        assert_eq!(told(leader(&[UNKNOWN, refusal])), (504, false));
+        let cancel = call("DELETE");
+        assert_eq!(told_of(leader(&[UNKNOWN, refusal]), &cancel), (504, false));
+    }
+    assert_eq!(
+        told_of(leader(&[UNKNOWN, GONE]), &call("DELETE")),
+        (410, false)
+    );
+}
+
+/// A read has no effect, so that it can always be repeated: callers are told when.
+#[test]
+fn a_read_without_an_answer_was_not_done() {
+    assert_eq!(told_of(leader(&[UNKNOWN]), &call("GET")), (503, true));
+    assert_eq!(
+        told_of(leader(&[UNKNOWN, NO_KEY]), &call("GET")),
+        (401, false)
+    );
+    assert_eq!(
+        told_of(leader(&[UNKNOWN, GONE]), &call("GET")),
+        (410, false)
+    );
+}
+
 /// A leader that shuts down turns connections away before it reads a request. That isn't the
 /// leader's word on the request, which may still be taken by the next leader.
 #[test]
