fix: a leader stays while the store is silent for all, and the first claim wins after a restart

A member that was asked about the store waited 0.7 s for the silent store, the asker only 0.35 s: no answers, and the leader resigned as cut off. An append in the silence waited up to 1.2 s, so that work went on late after the store's return. A claim holds at the end of a topic that every registration moves: with 44 members starting together it failed as if another had claimed, and a small member claimed next, which takes seconds to read. Change: the store is tried for 0.5 s and answers are waited for 0.85 s; the first tries of an append wait 0.48 s at most; a claim is made again unless another member has claimed; a small member asks a larger one to take over before it reads, and says that the former leader may still be at work. Tests: members_answer_while_the_store_is_silent failed before (no answers); waits are told exactly.

--- a/pomelohitchd/src/fleet/election.rs
+++ b/pomelohitchd/src/fleet/election.rs
@@ -50,9 +50,9 @@
         let epoch = view.leader.as_ref().map_or(0, |l| l.epoch);
         let power = shared.site.load().power;
         let hold_back = hold_back + succession::deference(power, &shared.others());
-        if shared.take_claim() {
-            info!("asked to take over");
-            leader::claim(shared, epoch, true);
+        if let Some(claim) = shared.take_claim() {
+            info!(has_ended = claim.has_ended, "asked to take over");
+            leader::claim(shared, epoch, claim.has_ended);
         } else if is_suspect(&view, now, hold_back) && is_silent(shared) {
             leader::claim(shared, epoch, false);
         }
--- a/pomelohitchd/src/fleet/internal.rs
+++ b/pomelohitchd/src/fleet/internal.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pomelohitch_adapter::store::{Store, Topic};
+use pomelohitch_adapter::store::Topic;
 use pomelohitch_sched::Steady;
 use rouille::Response;
 use serde::Serialize;
@@ -12,7 +12,7 @@
 
 use super::leader::core::millis;
 use super::shared::Shared;
-use super::wire::{self, Beat, BeatReply, Probe, ProbeReply};
+use super::wire::{self, Beat, BeatReply, Claim, Probe, ProbeReply};
 use super::{callers, clock};
 use crate::front::{Incoming, Limits, Service};
 
@@ -49,10 +49,7 @@
     match target {
         wire::BEAT => reply(&incoming.body, |beat: Beat| take_beat(shared, &beat)),
         wire::PROBE => reply(&incoming.body, |probe: Probe| take_probe(shared, &probe)),
-        wire::CLAIM => {
-            shared.ask_claim();
-            message(&())
-        }
+        wire::CLAIM => reply(&incoming.body, |claim: Claim| shared.ask_claim(claim)),
         _ => match target.strip_prefix(wire::CALL) {
             Some(path) => callers::answer_passed_on(shared, incoming, path),
             None => Response::empty_404(),
@@ -84,7 +81,7 @@
     ProbeReply {
         epoch: known_epoch(shared),
         heard_ms,
-        has_store: probe.with_store && reaches_store(&shared.store(), view.members_end),
+        has_store: probe.with_store && reaches_store(shared, view.members_end),
         is_leaving: shared.is_leaving(),
         up_ms: millis(clock::steady().saturating_sub(shared.began)),
         power: shared.site.load().power,
@@ -95,8 +92,11 @@
     shared.view().leader.map_or(0, |l| l.epoch)
 }
 
-fn reaches_store(store: &Store, from: u64) -> bool {
-    store.read(Topic::Members, from, Duration::ZERO).is_ok()
+/// Whether the store answers this process, in a time that leaves whoever asked time for the reply.
+pub(super) fn reaches_store(shared: &Shared, from: u64) -> bool {
+    shared
+        .store()
+        .answers(Topic::Members, from, wire::STORE_TRY_WITHIN)
 }
 
 fn reply<Q: DeserializeOwned, A: Serialize>(body: &[u8], answer: impl FnOnce(Q) -> A) -> Response {
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -2,12 +2,14 @@
 //!
 //! * [`core`]: the one thread that holds the state of all jobs and decides.
 //! * [`journal`]: makes records durable.
+//! * [`patience`]: how long an append is waited for.
 //! * [`lanes`]: calls endpoints, in order for each.
 //! * [`watch`]: reads what operators and endpoints write into the store.
 //! * [`duties`]: calls of instances and policy, and the status of waves.
 //! * [`heartbeats`]: tells the other members who leads.
 //! * [`handover`]: when it ends in favour of another member.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError};
 use std::time::Duration;
@@ -21,8 +23,8 @@
 
 use super::clock;
 use super::shared::{Leading, Shared, spawn, spawn_with};
-use super::wire::{self, Beat, BeatReply, Leader};
-use super::{members, peers};
+use super::wire::{self, Beat, BeatReply, Claim, Leader, Probe, ProbeReply};
+use super::{members, peers, succession};
 
 pub mod core;
 pub mod duties;
@@ -30,6 +32,7 @@
 pub mod heartbeats;
 pub mod journal;
 pub mod lanes;
+pub mod patience;
 pub mod watch;
 
 /// Time for one call of a take-over.
@@ -37,7 +40,9 @@
 /// A step of a take-over that fails is tried so often; the claim is made by then, and nobody
 /// else leads until another member suspects this one.
 const TRIES: u32 = 4;
-/// Pause between these tries.
+/// A claim is made so often while other records move the topic's end.
+const CLAIM_TRIES: u32 = 12;
+/// Pause between tries of a step.
 const AGAIN_AFTER: Duration = Duration::from_millis(60);
 
 /// Why the leadership wasn't taken over.
@@ -52,6 +57,12 @@
     /// Another member was first.
     #[snafu(display("another member claimed the leadership first"))]
     Raced,
+    /// A larger member can lead, and was asked to.
+    #[snafu(display("left to the larger member at {peer}"))]
+    Yielded {
+        /// Who was asked.
+        peer: SocketAddr,
+    },
     /// A later leader has written already.
     #[snafu(display("fenced by a later leader"))]
     Fenced,
@@ -102,6 +113,10 @@
     let (leader, former) = claim_record(shared, &store, replaced)?;
     let epoch = leader.epoch;
     let _announcing = announce(shared, &leader)?;
+    if !is_handed_over && let Some(peer) = larger_member(shared) {
+        core::hand_over(peer, Claim { has_ended: false });
+        return YieldedSnafu { peer }.fail();
+    }
     let fenced = again(|| store.append(Topic::Jobs, &[], epoch_guard(epoch, 0), WITHIN))?;
     ensure!(matches!(fenced, Appended::Done { .. }), FencedSnafu);
     // Not before the former leader is fenced: what it has read and acted on must be seen here too.
@@ -157,6 +172,19 @@
     running.map(drop).context(ThreadSnafu)
 }
 
+/// The larger member that should lead instead, if one can. It is asked for before the records are
+/// read: a small member takes seconds for these, in which nobody leads.
+fn larger_member(shared: &Shared) -> Option<SocketAddr> {
+    let power = shared.site.load().power;
+    let larger = succession::larger(power, &shared.others());
+    if larger.is_empty() {
+        return None;
+    }
+    let probe = Probe { with_store: true };
+    let answers = peers::ask_all::<ProbeReply>(&larger, wire::PROBE, &probe);
+    succession::successor(&answers)
+}
+
 /// Tells the other members at once who leads: while the store is slow, reading all records takes
 /// seconds, in which they would suspect the silent leader and claim in turn.
 ///
@@ -200,11 +228,28 @@
 
 /// Writes that this member leads from now on; the store takes one claim for each end of the topic.
 /// Returns who led before, too.
+///
+/// Members that start together register in the same topic and move its end. Only another claim
+/// defeats this one; after anything else it is made again.
 fn claim_record(
     shared: &Shared,
     store: &Store,
     replaced: Epoch,
 ) -> Result<(Leader, Option<Leader>)> {
+    for _ in 0..CLAIM_TRIES {
+        if let Some(claimed) = try_claim(shared, store, replaced)? {
+            return Ok(claimed);
+        }
+    }
+    RacedSnafu.fail()
+}
+
+/// Makes a claim once; `None` if the topic's end has moved meanwhile.
+fn try_claim(
+    shared: &Shared,
+    store: &Store,
+    replaced: Epoch,
+) -> Result<Option<(Leader, Option<Leader>)>> {
     let end = members::read_all(shared, store).context(StoreSnafu)?;
     let former = shared.view().leader;
     let known = former.as_ref().map_or(0, |l| l.epoch);
@@ -219,9 +264,12 @@
     let record = progress::encode(wire::LEADER_KEY.into(), &leader).context(RecordSnafu)?;
     let guard = Guard::At(end.unwrap_or_default());
     match store.append(Topic::Members, &[record], guard, WITHIN) {
-        Ok(Appended::Done { .. }) => Ok((leader, former)),
-        Ok(_) => RacedSnafu.fail(),
-        Err(source) => Ok((confirm_claim(shared, store, leader, source)?, former)),
+        Ok(Appended::Done { .. }) => Ok(Some((leader, former))),
+        Ok(_) => Ok(None),
+        Err(source) => {
+            let leader = confirm_claim(shared, store, leader, source)?;
+            Ok(Some((leader, former)))
+        }
     }
 }
 
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -21,7 +21,7 @@
 use super::super::clock;
 use super::super::peers;
 use super::super::shared::{Shared, spawn_with};
-use super::super::wire::{self, Leader, ProbeReply};
+use super::super::wire::{self, Claim, Leader, ProbeReply};
 use super::duties::Duties;
 use super::journal::Journal;
 use super::lanes::Lanes;
@@ -190,16 +190,16 @@
         "leadership ended"
     );
     if let Some(successor) = end.successor {
-        hand_over(successor);
+        hand_over(successor, Claim { has_ended: true });
     }
 }
 
 /// Asks another member to take over, so that nobody has to notice the silence first.
-fn hand_over(successor: SocketAddr) {
+pub(super) fn hand_over(successor: SocketAddr, claim: Claim) {
     /// Time for the request.
     const WITHIN: Duration = Duration::from_millis(300);
     let client = peers::client(successor);
-    match peers::ask::<()>(&client, wire::CLAIM, &(), WITHIN) {
+    match peers::ask::<()>(&client, wire::CLAIM, &claim, WITHIN) {
         Ok(()) => info!(%successor, "leadership handed over"),
         Err(error) => warn!(%error, "leadership not handed over"),
     }
--- a/pomelohitchd/src/fleet/leader/handover.rs
+++ b/pomelohitchd/src/fleet/leader/handover.rs
@@ -6,7 +6,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use pomelohitch_adapter::store::Topic;
 use pomelohitch_sched::Steady;
 use tracing::warn;
 
@@ -14,14 +13,14 @@
 use crate::fleet::shared::spawn;
 use crate::fleet::succession::{self, successor};
 use crate::fleet::wire::{self, Probe, ProbeReply};
-use crate::fleet::{clock, peers};
+use crate::fleet::{clock, internal, peers};
 
 /// The store is taken for lost after so long without an answer: the other members are asked then.
 const STORE_LOST_AFTER: Duration = Duration::from_millis(500);
 /// A store that answers a read now is taken to be back for all, unless appends fail for longer.
 const STORE_TRUSTED_FOR: Duration = Duration::from_secs(6);
-/// How often they are asked.
-const ASK_EVERY: Duration = Duration::from_millis(600);
+/// How often they are asked: once they have answered, which takes long while the store is silent.
+const ASK_EVERY: Duration = Duration::from_millis(900);
 /// How often larger members are asked whether they can lead.
 const COMPARE_EVERY: Duration = Duration::from_secs(1);
 /// The first time is so long after a take-over, before its load has built up.
@@ -52,14 +51,15 @@
         self.asked_at = now;
         let others = self.shared.peers();
         let tx = self.tx.clone();
-        let store = self.shared.store();
+        let shared = self.shared.clone();
         let end = self.shared.view().members_end;
         let asking = spawn("ask about the store", move || {
             let probe = Probe { with_store: true };
             // Side by side: a store that is silent takes its whole time-out to say so.
             let (answers, has_store) = std::thread::scope(|scope| {
-                let own = scope.spawn(|| store.read(Topic::Members, end, Duration::ZERO).is_ok());
-                let answers = peers::ask_all::<ProbeReply>(&others, wire::PROBE, &probe);
+                let own = scope.spawn(|| internal::reaches_store(&shared, end));
+                let within = wire::STORE_PROBE_WITHIN;
+                let answers = peers::ask_all_within(&others, wire::PROBE, &probe, within);
                 (answers, own.join().unwrap_or(false))
             });
             let _ = tx.send(Event::Probed(answers, has_store));
--- a/pomelohitchd/src/fleet/leader/journal.rs
+++ b/pomelohitchd/src/fleet/leader/journal.rs
@@ -13,20 +13,12 @@
 
 use super::core::{Event, confirm};
 use super::epoch_guard;
+use super::patience::Patience;
 use crate::fleet::clock;
 use crate::fleet::shared::{Shared, spawn};
 
-/// An append is tried again after this many times what appends took of late. A second try is the
-/// same append to the store, so that trying early does no harm but its price.
-const PATIENCE: f64 = 6.0;
-/// But never before this, and at first, since a store at work answers within some milliseconds.
-const SHORTEST: Duration = Duration::from_millis(120);
-/// And at the latest after this.
-const LONGEST: Duration = Duration::from_millis(1200);
 /// Pause after a refusal; refused calls are priced too.
 const AGAIN_AFTER: Duration = Duration::from_millis(120);
-/// How much of the time that appends took stays at each new one.
-const FADE: f64 = 0.8;
 /// Without records to write, the leadership is confirmed this often.
 const CONFIRM_EVERY: Duration = Duration::from_millis(700);
 /// Key of the record that only confirms.
@@ -57,7 +49,7 @@
             store: shared.store(),
             epoch,
             sequence: 0,
-            took: SHORTEST.div_f64(PATIENCE),
+            patience: Patience::default(),
             is_well: true,
             events,
             confirmed,
@@ -78,7 +70,7 @@
     store: Store,
     epoch: Epoch,
     sequence: u64,
-    took: Duration,
+    patience: Patience,
     is_well: bool,
     events: Sender<Event>,
     confirmed: Arc<AtomicU64>,
@@ -131,13 +123,14 @@
     fn append(&mut self, records: &[Record]) -> Result<(), Over> {
         self.sequence += 1;
         let guard = epoch_guard(self.epoch, self.sequence);
-        let mut within = self.took.mul_f64(PATIENCE).clamp(SHORTEST, LONGEST);
+        let mut tries = 0;
         loop {
             let began = clock::steady();
+            let within = self.patience.of_try(tries);
             match self.store.append(Topic::Jobs, records, guard, within) {
                 Ok(Appended::Done { .. }) => {
                     let took = clock::steady().saturating_sub(began);
-                    self.took = self.took.mul_f64(FADE) + took.mul_f64(1.0 - FADE);
+                    self.patience.took(took);
                     metrics::histogram!("journal_append_seconds").record(took.as_secs_f64());
                     confirm(&self.confirmed);
                     self.tell(true)?;
@@ -154,7 +147,7 @@
                         info!(%error, ?within, "append tried again");
                     }
                     self.tell(false)?;
-                    within = (within * 2).min(LONGEST);
+                    tries += 1;
                     if !is_timeout || began + AGAIN_AFTER > clock::steady() {
                         std::thread::sleep(AGAIN_AFTER);
                     }
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -16,7 +16,7 @@
 
 use super::clock;
 use super::leader::core::Event;
-use super::wire::{Leader, Member};
+use super::wire::{Claim, Leader, Member};
 
 /// A connection to the store that isn't made by then won't be.
 const STORE_CONNECT: Duration = Duration::from_millis(500);
@@ -72,7 +72,7 @@
     changed: Condvar,
     leading: Mutex<Option<Leading>>,
     is_leaving: AtomicBool,
-    claim_asked: AtomicBool,
+    claim_asked: Mutex<Option<Claim>>,
     to_leader: Mutex<Option<Client>>,
 }
 
@@ -96,7 +96,7 @@
             changed: Condvar::new(),
             leading: Mutex::new(None),
             is_leaving: AtomicBool::new(false),
-            claim_asked: AtomicBool::new(false),
+            claim_asked: Mutex::new(None),
             to_leader: Mutex::new(None),
         }
     }
@@ -214,15 +214,20 @@
     }
 
     /// Asks this process to take the leadership over.
-    pub fn ask_claim(&self) {
-        self.claim_asked.store(true, Ordering::Release);
+    pub fn ask_claim(&self, claim: Claim) {
+        *self.claim_asked() = Some(claim);
         self.changed.notify_all();
     }
 
-    /// Whether this process was asked to take over, once.
+    /// With what this process was asked to take over, if it was; once.
     #[must_use]
-    pub fn take_claim(&self) -> bool {
-        self.claim_asked.swap(false, Ordering::AcqRel)
+    pub fn take_claim(&self) -> Option<Claim> {
+        self.claim_asked().take()
+    }
+
+    fn claim_asked(&self) -> MutexGuard<'_, Option<Claim>> {
+        let asked = self.claim_asked.lock();
+        asked.unwrap_or_else(PoisonError::into_inner)
     }
 
     fn lock(&self) -> MutexGuard<'_, View> {
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -1,6 +1,7 @@
 //! Messages between entry instances, and the records by which they know each other.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use pomelohitch_sched::Epoch;
 use serde::{Deserialize, Serialize};
@@ -53,6 +54,19 @@
     pub with_store: bool,
 }
 
+/// A probed member tries the store for so long: a store that is only slow has answered by then.
+pub const STORE_TRY_WITHIN: Duration = Duration::from_millis(500);
+/// A probe that has the store tried is answered within this time, also while the store is silent.
+pub const STORE_PROBE_WITHIN: Duration = Duration::from_millis(850);
+
+/// Asks a member to take over the leadership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// Whether the former leader has ended and sends nothing more. If not, whoever asks only leaves
+    /// the leadership to the member that it asks, and the former leader may still be at work.
+    pub has_ended: bool,
+}
+
 /// Answer to a probe.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProbeReply {
--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -4,5 +4,7 @@
 mod callers;
 #[path = "fleet/leaders.rs"]
 mod leaders;
+#[path = "fleet/outages.rs"]
+mod outages;
 #[path = "fleet/site.rs"]
 mod site;
