perf: orders to an endpoint go out side by side on a pool of threads

Overtaking does no harm: a stop that comes first rejects its start. Test: an order without an answer held up the eleven others before.

--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 #[path = "fleet/callers.rs"]
 mod callers;
+#[path = "fleet/lanes.rs"]
+mod lanes;
 #[path = "fleet/leaders.rs"]
 mod leaders;
 #[path = "fleet/outages.rs"]
--- /dev/null
+++ b/pomelohitchd/tests/fleet/lanes.rs
@@ -0,0 +1,101 @@
+//! Calls of the leader to endpoints.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::mpsc::{self, Receiver};
+
+use pomelohitch_sched::TaskId;
+use pomelohitch_sched::id::RunNumber;
+use pomelohitch_sched::order::{Order, Outcome, Target};
+use pomelohitchd::fleet::clock;
+use pomelohitchd::fleet::leader::core::Event;
+use pomelohitchd::fleet::leader::lanes::Lanes;
+
+const TAKEN: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"clock_ms\":1}";
+
+/// An endpoint that answers every order but those of these runs.
+fn endpoint(unanswered: &'static [RunNumber]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let addr = listener.local_addr().expect("it is bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let stream = stream.expect("the leader connects");
+            std::thread::spawn(move || answer(stream, unanswered));
+        }
+    });
+    addr
+}
+
+fn answer(mut stream: TcpStream, unanswered: &[RunNumber]) {
+    let mut buf = [0; 4096];
+    let mut received = String::new();
+    while let Ok(count) = stream.read(&mut buf)
+        && count > 0
+    {
+        received.push_str(&String::from_utf8_lossy(&buf[..count]));
+        if !received.ends_with('}') {
+            continue;
+        }
+        let is_meant = |run: &RunNumber| received.contains(&format!("\"run\":{run},"));
+        if !unanswered.iter().any(is_meant) && stream.write_all(TAKEN).is_err() {
+            return;
+        }
+        received.clear();
+    }
+}
+
+fn stop(run: RunNumber) -> Order {
+    let task = TaskId {
+        job: 1,
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    Order::Stop { task, run }
+}
+
+/// The runs whose orders ended, in order, with how.
+fn ended(events: &Receiver<Event>, count: usize) -> Vec<(RunNumber, Outcome)> {
+    let ends = events.iter().take(count).map(|event| match event {
+        Event::Ordered(_, Order::Stop { run, .. }, outcome) => (run, outcome),
+        other => panic!("{other:?}"),
+    });
+    ends.collect()
+}
+
+fn send(runs: std::ops::RangeInclusive<RunNumber>, addr: SocketAddr) -> Vec<(RunNumber, Outcome)> {
+    let (tx, rx) = mpsc::channel();
+    let mut lanes = Lanes::new(tx);
+    let target = Target {
+        id: Arc::from("e1"),
+        born: 1,
+        addr,
+    };
+    let count = runs.clone().count();
+    for run in runs {
+        lanes.order(target.clone(), stop(run), 1, clock::steady());
+    }
+    ended(&rx, count)
+}
+
+/// One order in twenty gets no answer. If the others of its endpoint wait for it, most starts of a
+/// busy endpoint come late, and those that waited longest aren't sent at all.
+#[test]
+fn an_order_without_an_answer_does_not_hold_up_its_endpoint() {
+    let ends = send(1..=12, endpoint(&[1]));
+    assert_eq!(ends.last(), Some(&(1, Outcome::Unanswered)));
+    let taken = ends
+        .iter()
+        .filter(|(_, outcome)| *outcome == Outcome::Taken);
+    assert_eq!(taken.count(), 11);
+}
+
+#[test]
+fn every_order_ends_once() {
+    let mut ends = send(1..=40, endpoint(&[]));
+    ends.sort_by_key(|(run, _)| *run);
+    let runs: Vec<RunNumber> = ends.iter().map(|(run, _)| *run).collect();
+    assert_eq!(runs, (1..=40).collect::<Vec<_>>());
+    assert!(ends.iter().all(|(_, outcome)| *outcome == Outcome::Taken));
+}
