--- /dev/null
+++ b/crates/pomelohitch-emulator/examples/emulate.rs
@@ -0,0 +1,299 @@
+//! Plays loads in virtual time, and compares policies on the same seeds.
+//!
+//! `cargo run --release -p pomelohitch-emulator --example emulate -- compare LOAD --before put-off`
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand, ValueEnum};
+use indicatif::{ProgressBar, ProgressStyle};
+use plotters::prelude::{
+    BLACK, ChartBuilder, Circle, Color, IntoDrawingArea, IntoLinspace, PathElement, SVGBackend,
+    WHITE,
+};
+use pomelohitch_emulator::compare::{self, Difference};
+use pomelohitch_emulator::load::{self, Load};
+use pomelohitch_emulator::play::Outcome;
+use pomelohitch_emulator::policies;
+use pomelohitch_sched::Settings;
+use serde::Serialize;
+use snafu::{OptionExt, ResultExt, Snafu};
+
+/// Plays loads in virtual time, and compares policies on the same seeds.
+#[derive(Debug, Parser)]
+struct Args {
+    #[command(subcommand)]
+    verb: Verb,
+    /// How many seeds.
+    #[arg(long, global = true, default_value_t = 20)]
+    seeds: u64,
+    /// The first seed.
+    #[arg(long, global = true, default_value_t = 1)]
+    from: u64,
+    /// How results are written.
+    #[arg(long, global = true, value_enum, default_value_t = Format::Text)]
+    format: Format,
+}
+
+#[derive(Debug, Subcommand)]
+enum Verb {
+    /// Plays loads with one policy.
+    Run {
+        /// Files of loads.
+        #[arg(required = true)]
+        loads: Vec<PathBuf>,
+        /// Mechanisms to switch off, separated by commas.
+        #[arg(long, default_value = "shipped")]
+        without: String,
+    },
+    /// Compares two policies.
+    Compare {
+        /// Files of loads.
+        #[arg(required = true)]
+        loads: Vec<PathBuf>,
+        /// Mechanisms that the first policy lacks.
+        #[arg(long)]
+        before: String,
+        /// Mechanisms that the second policy lacks.
+        #[arg(long, default_value = "shipped")]
+        after: String,
+    },
+    /// Switches each mechanism off in turn.
+    Ablate {
+        /// Files of loads.
+        #[arg(required = true)]
+        loads: Vec<PathBuf>,
+        /// Draws what each mechanism is worth, with its interval.
+        #[arg(long)]
+        svg: Option<PathBuf>,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+enum Format {
+    Text,
+    Csv,
+    Json,
+}
+
+#[derive(Debug, Snafu)]
+enum Error {
+    #[snafu(display("{source}"))]
+    Load { source: load::Error },
+    #[snafu(display("{names:?} names no mechanism; known are {known}"))]
+    Policy { names: String, known: String },
+    #[snafu(display("draw {}: {reason}", path.display()))]
+    Draw { path: PathBuf, reason: String },
+}
+
+type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// One line of a result.
+#[derive(Debug, Serialize)]
+struct Row<'a> {
+    load: &'a str,
+    what: &'a str,
+    #[serde(flatten)]
+    difference: Difference,
+}
+
+fn main() -> ExitCode {
+    match run(&Args::parse()) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(broken) => {
+            eprintln!("{broken} plays broke a promise");
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Returns how many plays broke a promise.
+fn run(args: &Args) -> Result<usize> {
+    let seeds: Vec<u64> = (args.from..args.from + args.seeds).collect();
+    let mut broken = 0;
+    let mut play = |load: &Load, names: &str| -> Result<Vec<Outcome>> {
+        let outcomes = compare::play_all(load, &settings(names)?, &seeds);
+        for outcome in outcomes.iter().filter(|o| !o.broken.is_empty()) {
+            broken += 1;
+            eprintln!("{:?}", outcome.broken);
+        }
+        Ok(outcomes)
+    };
+    match &args.verb {
+        Verb::Run { loads, without } => {
+            for path in loads {
+                let outcomes = play(&read(path)?, without)?;
+                let differences = compare::differences(&outcomes, &outcomes);
+                write(args.format, &name(path), without, &differences);
+            }
+        }
+        Verb::Compare {
+            loads,
+            before,
+            after,
+        } => {
+            for path in loads {
+                let load = read(path)?;
+                let (first, second) = (play(&load, before)?, play(&load, after)?);
+                let differences = compare::differences(&first, &second);
+                write(
+                    args.format,
+                    &name(path),
+                    &format!("{before} to {after}"),
+                    &differences,
+                );
+            }
+        }
+        Verb::Ablate { loads, svg } => {
+            let mut drawn = Vec::new();
+            let bar = progress(loads.len() * (policies::SWITCHES.len() + 1));
+            for path in loads {
+                let load = read(path)?;
+                let shipped = play(&load, "shipped")?;
+                bar.inc(1);
+                for (switch, _) in policies::SWITCHES {
+                    let without = play(&load, switch)?;
+                    bar.inc(1);
+                    let differences = compare::differences(&without, &shipped);
+                    write(args.format, &name(path), switch, &differences);
+                    drawn.push((format!("{} {switch}", name(path)), differences[0]));
+                }
+            }
+            bar.finish_and_clear();
+            if let Some(path) = svg {
+                draw(path, &drawn)?;
+            }
+        }
+    }
+    Ok(broken)
+}
+
+fn settings(names: &str) -> Result<Settings> {
+    let policy = policies::without(names).with_context(|| PolicySnafu {
+        names,
+        known: policies::SWITCHES.map(|(name, _)| name).join(", "),
+    })?;
+    Ok(Settings {
+        policy,
+        ..Settings::default()
+    })
+}
+
+fn read(path: &Path) -> Result<Load> {
+    load::read(path).context(LoadSnafu)
+}
+
+fn name(path: &Path) -> String {
+    path.file_stem()
+        .unwrap_or_default()
+        .to_string_lossy()
+        .into_owned()
+}
+
+fn progress(steps: usize) -> ProgressBar {
+    let bar = ProgressBar::new(u64::try_from(steps).unwrap_or(u64::MAX));
+    let style = ProgressStyle::with_template("{bar:40} {pos}/{len} {eta}");
+    style.map_or_else(|_| bar.clone(), |style| bar.clone().with_style(style))
+}
+
+fn write(format: Format, load: &str, what: &str, differences: &[Difference]) {
+    for difference in differences {
+        let row = Row {
+            load,
+            what,
+            difference: *difference,
+        };
+        let Difference {
+            figure,
+            before,
+            after,
+            difference: by,
+            interval,
+        } = row.difference;
+        match format {
+            Format::Text => {
+                let mark = if row.difference.is_sure() { "*" } else { " " };
+                println!(
+                    "{load:14} {what:24} {figure:16} {before:9.3} {after:9.3}  {by:+.4} +- {interval:.4} {mark}"
+                );
+            }
+            Format::Csv => println!("{load},{what},{figure},{before},{after},{by},{interval}"),
+            Format::Json => match serde_json::to_string(&row) {
+                Ok(line) => println!("{line}"),
+                Err(error) => eprintln!("a row can't be written: {error}"),
+            },
+        }
+    }
+}
+
+/// Draws differences with their intervals, one below the other.
+fn draw(path: &Path, drawn: &[(String, Difference)]) -> Result<()> {
+    const WIDTH: u32 = 900;
+    const ROW: u32 = 18;
+    const MARGIN: u32 = 60;
+    let rows = u32::try_from(drawn.len()).unwrap_or(u32::MAX);
+    let failed = |reason: String| Error::Draw {
+        path: path.to_path_buf(),
+        reason,
+    };
+    let reach = |(_, d): &(String, Difference)| d.difference.abs() + d.interval;
+    let widest = drawn
+        .iter()
+        .map(reach)
+        .filter(|r| r.is_finite())
+        .fold(0.01, f64::max);
+    let area = SVGBackend::new(path, (WIDTH, rows * ROW + 2 * MARGIN)).into_drawing_area();
+    area.fill(&WHITE).map_err(|e| failed(e.to_string()))?;
+    let lines = (0.0..f64::from(rows)).step(1.0);
+    let mut chart = ChartBuilder::on(&area)
+        .caption("worth of each mechanism", ("sans-serif", 16))
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(220)
+        .build_cartesian_2d(-widest..widest, lines)
+        .map_err(|e| failed(e.to_string()))?;
+    let label = |row: &f64| {
+        let at = drawn
+            .iter()
+            .enumerate()
+            .find(|(place, _)| (place_of(*place) - row).abs() < 0.5);
+        at.map_or_else(String::new, |(_, (name, _))| name.clone())
+    };
+    chart
+        .configure_mesh()
+        .y_labels(drawn.len())
+        .y_label_formatter(&label)
+        .draw()
+        .map_err(|e| failed(e.to_string()))?;
+    for (place, (_, d)) in drawn.iter().enumerate() {
+        let row = place_of(place);
+        let interval = if d.interval.is_finite() {
+            d.interval
+        } else {
+            0.0
+        };
+        let line = PathElement::new(
+            [
+                (d.difference - interval, row),
+                (d.difference + interval, row),
+            ],
+            BLACK,
+        );
+        chart
+            .draw_series([line])
+            .map_err(|e| failed(e.to_string()))?;
+        let point = Circle::new((d.difference, row), 3, BLACK.filled());
+        chart
+            .draw_series([point])
+            .map_err(|e| failed(e.to_string()))?;
+    }
+    area.present().map_err(|e| failed(e.to_string()))
+}
+
+fn place_of(place: usize) -> f64 {
+    f64::from(u32::try_from(place).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/pomelohitch-emulator/src/arrivals.rs
@@ -0,0 +1,147 @@
+//! The jobs of a load, drawn from a seed.
+
+use std::time::Duration;
+
+use pomelohitch_sched::cell::calls::Draft;
+use pomelohitch_sched::job::StepSpec;
+use pomelohitch_sched::{JobId, Resources};
+use rand::rngs::ChaCha8Rng;
+use rand::{RngExt, SeedableRng};
+
+use crate::fleet::faults::normal;
+use crate::load::{Load, Queue};
+
+/// Arrivals are drawn for spans of this length.
+const SLICE: Duration = Duration::from_millis(10);
+/// Most tasks of a step, in multiples of the mean.
+const MOST: f64 = 4.0;
+/// Memory that a task takes, MB.
+const TASK_MEM_MB: u64 = 500;
+
+/// A job that a caller hands in.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Arrival {
+    /// When, after the first caller.
+    pub at: Duration,
+    /// Its id.
+    pub id: JobId,
+    /// Which queue, by its place in the load.
+    pub queue: usize,
+    /// Which workspace, by its place in the load.
+    pub workspace: usize,
+    /// The job.
+    pub draft: Draft,
+}
+
+/// All jobs of a load, in order of time.
+#[must_use]
+pub fn draw(load: &Load, seed: u64) -> Vec<Arrival> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut arrivals = Vec::new();
+    let slices = Duration::from_secs_f64(load.seconds).as_millis() / SLICE.as_millis();
+    for slice in 0..u32::try_from(slices).unwrap_or(u32::MAX) {
+        let at = SLICE * slice;
+        for (place, queue) in load.queues.iter().enumerate() {
+            let rate = queue.per_s * rise(load, place, at);
+            for workspace in senders(load, rate, at, &mut rng) {
+                arrivals.push(Arrival {
+                    at,
+                    id: rng.random(),
+                    queue: place,
+                    workspace,
+                    draft: job(queue, &mut rng),
+                });
+            }
+        }
+    }
+    arrivals
+}
+
+/// What a queue sends now, in multiples of its mean.
+fn rise(load: &Load, queue: usize, at: Duration) -> f64 {
+    let Some(turns) = load.turns else {
+        return 1.0;
+    };
+    let passed = at.as_secs_f64() / turns.each_s;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a number of turns"
+    )]
+    let turn = passed as usize % load.queues.len();
+    if turn == queue {
+        turns.height
+    } else {
+        turns.rest
+    }
+}
+
+/// The workspaces that send a job within a slice, each as often as it does.
+fn senders(load: &Load, rate: f64, at: Duration, rng: &mut ChaCha8Rng) -> Vec<usize> {
+    let expected = rate * SLICE.as_secs_f64();
+    if load.workspaces.is_empty() {
+        return vec![0; poisson(expected, rng)];
+    }
+    let parts: f64 = load.workspaces.iter().map(|w| w.part).sum();
+    let mut senders = Vec::new();
+    for (place, workspace) in load.workspaces.iter().enumerate() {
+        let pressing = workspace.presses.filter(|span| span.holds(at));
+        let times = pressing.map_or(1.0, |span| span.strength);
+        let count = poisson(expected * workspace.part / parts * times, rng);
+        senders.extend(std::iter::repeat_n(place, count));
+    }
+    senders
+}
+
+/// How many of events come that come independently of each other.
+fn poisson(expected: f64, rng: &mut ChaCha8Rng) -> usize {
+    let limit = (-expected).exp();
+    let mut product: f64 = rng.random_range(0.0..1.0);
+    let mut count = 0;
+    while product > limit {
+        product *= rng.random_range(0.0..1.0);
+        count += 1;
+    }
+    count
+}
+
+fn job(queue: &Queue, rng: &mut ChaCha8Rng) -> Draft {
+    let steps = whole(vary(queue.steps, queue.spread, rng)).max(1);
+    let steps = (0..steps).map(|place| {
+        let before = place.checked_sub(1);
+        StepSpec {
+            count: u32::try_from(whole(vary(queue.tasks, queue.spread, rng)).max(1)).unwrap_or(1),
+            need: Resources {
+                cpu: whole(vary(queue.cpu, queue.spread, rng)).max(1),
+                mem_mb: TASK_MEM_MB,
+                gpu: 0,
+            },
+            estimate: Duration::from_secs_f64(vary(queue.work_ms, queue.spread, rng) / 1000.0),
+            after: before
+                .map(|b| u16::try_from(b).unwrap_or(u16::MAX))
+                .into_iter()
+                .collect(),
+            ..StepSpec::default()
+        }
+    });
+    Draft {
+        text: "text".into(),
+        steps: steps.collect(),
+        repeat: None,
+    }
+}
+
+/// A number around a mean.
+fn vary(mean: f64, spread: f64, rng: &mut ChaCha8Rng) -> f64 {
+    let factor = (normal(rng) * spread - spread * spread / 2.0).exp();
+    mean * factor.min(MOST)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "small numbers above 0"
+)]
+fn whole(number: f64) -> u64 {
+    number.round() as u64
+}
--- /dev/null
+++ b/crates/pomelohitch-emulator/src/compare.rs
@@ -0,0 +1,134 @@
+//! Two policies on the same seeds.
+//!
+//! A seed decides arrivals, durations and faults, so that the difference on one seed is the
+//! policy's doing. The interval of the mean difference is taken over seeds.
+
+use pomelohitch_sched::Settings;
+use serde::Serialize;
+
+use crate::load::Load;
+use crate::play::{self, Outcome};
+
+/// A figure of an outcome by its name.
+pub type Figure = (&'static str, fn(&Outcome) -> f64);
+
+/// What is compared.
+pub const FIGURES: [Figure; 9] = [
+    ("worth", |o| o.worth),
+    ("worst windows", |o| o.worst_windows),
+    ("worst queue", |o| o.worst_queue),
+    ("worst workspace", |o| o.worst_workspace),
+    ("in time", |o| o.in_time),
+    ("late", |o| o.late),
+    ("p99, s", |o| millis(o.p99_ms)),
+    ("pool seconds", |o| o.pool_s),
+    ("moves", |o| as_f64(o.moves)),
+];
+
+/// How much of one figure two policies differ by.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Difference {
+    /// Which figure.
+    pub figure: &'static str,
+    /// Its mean with the first policy.
+    pub before: f64,
+    /// Its mean with the second.
+    pub after: f64,
+    /// The mean of the differences, seed by seed.
+    pub difference: f64,
+    /// The true mean lies within this of it, 95 times of 100.
+    pub interval: f64,
+}
+
+impl Difference {
+    /// Whether the policies surely differ.
+    #[must_use]
+    pub fn is_sure(&self) -> bool {
+        self.difference.abs() > self.interval
+    }
+}
+
+/// Plays a load with each seed.
+///
+/// # Panics
+/// If a play does.
+#[must_use]
+pub fn play_all(load: &Load, settings: &Settings, seeds: &[u64]) -> Vec<Outcome> {
+    let threads = std::thread::available_parallelism().map_or(1, std::num::NonZero::get) / 2;
+    let share = seeds.len().div_ceil(threads.max(1)).max(1);
+    std::thread::scope(|scope| {
+        let parts: Vec<_> = seeds
+            .chunks(share)
+            .map(|part| {
+                scope.spawn(move || -> Vec<Outcome> {
+                    part.iter()
+                        .map(|&seed| play::play(load, settings, seed))
+                        .collect()
+                })
+            })
+            .collect();
+        let outcomes = parts
+            .into_iter()
+            .flat_map(|p| p.join().expect("a play doesn't panic"));
+        outcomes.collect()
+    })
+}
+
+/// Compares outcomes of the same seeds.
+#[must_use]
+pub fn differences(before: &[Outcome], after: &[Outcome]) -> Vec<Difference> {
+    let difference = |(name, figure): Figure| {
+        let pairs = before.iter().zip(after);
+        let differences: Vec<f64> = pairs.map(|(b, a)| figure(a) - figure(b)).collect();
+        Difference {
+            figure: name,
+            before: mean(before.iter().map(figure)),
+            after: mean(after.iter().map(figure)),
+            difference: mean(differences.iter().copied()),
+            interval: interval(&differences),
+        }
+    };
+    FIGURES.into_iter().map(difference).collect()
+}
+
+/// Half the width of the interval of the mean, by Student's distribution.
+fn interval(values: &[f64]) -> f64 {
+    let count = values.len();
+    if count < 2 {
+        return f64::INFINITY;
+    }
+    let mean = mean(values.iter().copied());
+    let squares: f64 = values.iter().map(|v| (v - mean).powi(2)).sum();
+    let variance = squares / as_f64(count - 1);
+    student(count - 1) * (variance / as_f64(count)).sqrt()
+}
+
+/// The factor for 95 of 100 at so many degrees of freedom.
+fn student(degrees: usize) -> f64 {
+    const FACTORS: [f64; 10] = [12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23];
+    const TWENTY: f64 = 2.09;
+    const MANY: f64 = 1.96;
+    match degrees {
+        0 => f64::INFINITY,
+        1..=10 => FACTORS[degrees - 1],
+        11..=30 => TWENTY,
+        _ => MANY,
+    }
+}
+
+fn mean(values: impl ExactSizeIterator<Item = f64>) -> f64 {
+    let count = values.len();
+    if count == 0 {
+        return 0.0;
+    }
+    values.sum::<f64>() / as_f64(count)
+}
+
+fn millis(millis: u64) -> f64 {
+    std::time::Duration::from_millis(millis).as_secs_f64()
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+fn as_f64(count: usize) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/crates/pomelohitch-emulator/src/fleet/endpoint.rs
@@ -0,0 +1,254 @@
+//! An endpoint that does what the platform says of endpoints.
+//!
+//! Runs hold a lease, a lower epoch is refused, ends stay listed until they are acknowledged, and
+//! a stopped run can't come later.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pomelohitch_sched::endpoint::{Ended, How, Look, Report, Running};
+use pomelohitch_sched::job::StepSpec;
+use pomelohitch_sched::order::{LookFailure, LookOrder, Order, Outcome, Refusal};
+use pomelohitch_sched::{Resources, TaskId};
+
+/// One endpoint, with the faults that it has.
+#[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "independent faults")]
+pub struct Endpoint {
+    /// What the platform's list says of it.
+    pub report: Report,
+    /// It answers nothing and takes nothing.
+    pub is_silent: bool,
+    /// Orders are carried out, but their answers are lost.
+    pub loses_answers: bool,
+    /// Every run fails.
+    pub fails: bool,
+    /// Runs make no progress.
+    pub stands_still: bool,
+    /// Runs take so many times as long.
+    pub slowness: f64,
+    /// How long a run that is stopped goes on.
+    pub stop_grace: Duration,
+    pub(super) clock: Duration,
+    pub(super) epoch: u64,
+    pub(super) lease: Duration,
+    pub(super) runs: BTreeMap<(TaskId, u32), Run>,
+    pub(super) ended: Vec<Ended>,
+    next_end: u64,
+    /// Ends up to this one were listed when the lease ran out. Noted after that they don't count
+    /// as noted, by the platform's rules.
+    lapsed_end: u64,
+    over: BTreeMap<TaskId, u32>,
+}
+
+/// One run of a task.
+#[derive(Debug)]
+pub(super) struct Run {
+    whole: Duration,
+    left: Duration,
+    pub(super) room: Resources,
+    is_lasting: bool,
+    /// When it ends by a stop, on the endpoint's clock.
+    stops_at: Option<Duration>,
+}
+
+impl Endpoint {
+    /// An endpoint that runs nothing.
+    pub(super) fn new(report: Report) -> Endpoint {
+        Endpoint {
+            report,
+            is_silent: false,
+            loses_answers: false,
+            fails: false,
+            stands_still: false,
+            slowness: 1.0,
+            stop_grace: Duration::ZERO,
+            clock: Duration::from_secs(5),
+            epoch: 0,
+            lease: Duration::ZERO,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            lapsed_end: 0,
+            over: BTreeMap::new(),
+        }
+    }
+
+    /// What runs there.
+    #[must_use]
+    pub fn running(&self) -> Vec<TaskId> {
+        self.runs.keys().map(|(task, _)| *task).collect()
+    }
+
+    /// What runs there and wasn't told to stop.
+    #[must_use]
+    pub fn staying(&self) -> usize {
+        let runs = self.runs.values();
+        runs.filter(|run| run.stops_at.is_none()).count()
+    }
+
+    /// How many ends are listed.
+    #[must_use]
+    pub fn unacknowledged(&self) -> usize {
+        self.ended.len()
+    }
+
+    fn end(&mut self, key: (TaskId, u32), how: How) {
+        self.runs.remove(&key);
+        let (task, run) = key;
+        let over = self.over.entry(task).or_default();
+        *over = (*over).max(run);
+        self.ended.push(Ended {
+            number: self.next_end,
+            task,
+            run,
+            how,
+            checkpoint: Box::default(),
+        });
+        self.next_end += 1;
+    }
+
+    /// Lets time pass: leases run out, runs end.
+    pub(super) fn pass(&mut self, time: Duration) {
+        self.clock += time;
+        if self.clock > self.lease {
+            self.lapsed_end = self.next_end - 1;
+            let lapsed: Vec<_> = self.runs.keys().copied().collect();
+            for key in lapsed {
+                self.end(key, How::Lapsed);
+            }
+        }
+        let clock = self.clock;
+        let stopped = self
+            .runs
+            .extract_if(.., |_, run| run.stops_at.is_some_and(|at| at <= clock));
+        let stopped: Vec<_> = stopped.map(|(key, _)| key).collect();
+        for key in stopped {
+            self.end(key, How::Stopped);
+        }
+        let how = if self.fails { How::Failed } else { How::Done };
+        let mut over = Vec::new();
+        for (key, run) in &mut self.runs {
+            if !self.stands_still {
+                run.left = run.left.saturating_sub(time.div_f64(self.slowness));
+            }
+            if run.left.is_zero() && (!run.is_lasting || self.fails) {
+                over.push(*key);
+            }
+        }
+        for key in over {
+            self.end(key, how);
+        }
+    }
+
+    /// Forgets ends up to `noted`, and returns the tasks that count as done by that.
+    pub(super) fn acknowledge(&mut self, noted: u64) -> Vec<TaskId> {
+        let (old, listed) = std::mem::take(&mut self.ended)
+            .into_iter()
+            .partition(|e| e.number <= noted);
+        self.ended = listed;
+        let old: Vec<Ended> = old;
+        let counts = |e: &Ended| e.how == How::Done && e.number > self.lapsed_end;
+        let done = old.into_iter().filter(counts);
+        done.map(|e| e.task).collect()
+    }
+
+    /// Carries out an order; a run that it starts takes `whole`.
+    pub(super) fn take(&mut self, order: &Order, epoch: u64, whole: Duration) -> Outcome {
+        if epoch < self.epoch {
+            return Outcome::Refused(Refusal::Fenced);
+        }
+        self.epoch = epoch;
+        match order {
+            Order::Start {
+                task,
+                run,
+                spec,
+                deadline,
+                ..
+            } => {
+                let step = &spec.steps[usize::from(task.step)];
+                self.start((*task, *run), *deadline, step, whole)
+            }
+            Order::Stop { task, run } => {
+                self.stop((*task, *run));
+                Outcome::Taken
+            }
+            Order::Pace { .. } => Outcome::Taken,
+        }
+    }
+
+    fn start(
+        &mut self,
+        key: (TaskId, u32),
+        deadline: Duration,
+        step: &StepSpec,
+        whole: Duration,
+    ) -> Outcome {
+        if deadline < self.clock {
+            return Outcome::Refused(Refusal::Late);
+        }
+        if self.over.get(&key.0).is_some_and(|&over| over >= key.1) {
+            return Outcome::Refused(Refusal::OldRun);
+        }
+        self.lease = self.lease.max(deadline);
+        let run = Run {
+            whole,
+            left: whole,
+            room: step.room(),
+            is_lasting: step.is_lasting,
+            stops_at: None,
+        };
+        self.runs.insert(key, run);
+        Outcome::Taken
+    }
+
+    fn stop(&mut self, key: (TaskId, u32)) {
+        let over = self.over.entry(key.0).or_default();
+        *over = (*over).max(key.1);
+        let stops_at = self.clock + self.stop_grace;
+        if let Some(running) = self.runs.get_mut(&key) {
+            running.stops_at.get_or_insert(stops_at);
+            if self.stop_grace.is_zero() {
+                self.end(key, How::Stopped);
+            }
+        }
+    }
+
+    /// Answers a look.
+    pub(super) fn look(&mut self, look: &LookOrder) -> Result<Look, LookFailure> {
+        if look.epoch < self.epoch {
+            return Err(LookFailure::Fenced);
+        }
+        self.epoch = look.epoch;
+        self.lease = self.lease.max(look.lease.unwrap_or_default());
+        Ok(Look {
+            born: self.report.born,
+            clock: self.clock,
+            running: self
+                .runs
+                .iter()
+                .map(|(key, run)| running(key, run))
+                .collect(),
+            ended: self.ended.clone(),
+            renewed: look.lease.is_some(),
+            ..Look::default()
+        })
+    }
+}
+
+fn running(key: &(TaskId, u32), run: &Run) -> Running {
+    let whole = run.whole.as_millis().max(1);
+    let done = 100 - run.left.as_millis() * 100 / whole;
+    Running {
+        task: key.0,
+        number: key.1,
+        checkpoint: Box::default(),
+        percent: if run.is_lasting {
+            100
+        } else {
+            u32::try_from(done).expect("it is a percentage")
+        },
+        load: 0,
+    }
+}
--- /dev/null
+++ b/crates/pomelohitch-emulator/src/play.rs
@@ -0,0 +1,461 @@
+//! Plays a load and counts what callers get.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use pomelohitch_sched::cell::calls::{Draft, Verb};
+use pomelohitch_sched::config::{FleetConfig, Queue, Service, Workspace};
+use pomelohitch_sched::id::job_text;
+use pomelohitch_sched::job::StepSpec;
+use pomelohitch_sched::order::{Answer, Operation};
+use pomelohitch_sched::progress::JobState;
+use pomelohitch_sched::{Resources, Settings, TaskId};
+use serde::Serialize;
+
+use crate::arrivals::{self, Arrival};
+use crate::fleet::{self, Faults, Fleet, STEP};
+use crate::load::Load;
+
+/// A job is worth something until this many times its objective.
+const LATE_TIMES: f64 = 3.0;
+/// What a late job is worth, beside one in time.
+const LATE_WORTH: f64 = 0.07;
+/// What a job is worth whatever its work, and what grows with it.
+const FIXED_WORTH: f64 = 0.3;
+/// Most work that counts, in multiples of its queue's mean.
+const MOST_WORK: f64 = 4.0;
+/// Length of a window.
+const WINDOW: Duration = Duration::from_secs(2);
+/// So many of the worst windows count.
+const WORST_WINDOWS: usize = 2;
+/// How long jobs may take after the last caller.
+const FINISH: Duration = Duration::from_secs(14);
+/// What a job that never ended counts as, milliseconds.
+const NEVER_MS: u128 = 600_000;
+/// A call takes so long to come and go.
+const ON_THE_WAY: Duration = Duration::from_millis(10);
+
+/// What callers got.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Outcome {
+    /// Jobs handed in.
+    pub jobs: usize,
+    /// Part of all worth that callers got.
+    pub worth: f64,
+    /// The same in the two worst windows of 2 s.
+    pub worst_windows: f64,
+    /// The same of the worst queue.
+    pub worst_queue: f64,
+    /// The same of the worst workspace that doesn't press.
+    pub worst_workspace: f64,
+    /// Part of the jobs that ended in time.
+    pub in_time: f64,
+    /// Part that ended late, but not too late to be of use.
+    pub late: f64,
+    /// Half of the jobs took no longer, milliseconds.
+    pub p50_ms: u64,
+    /// 99 of 100 took no longer, milliseconds.
+    pub p99_ms: u64,
+    /// Seconds that instances stood in pools that are not off.
+    pub pool_s: f64,
+    /// Moves of instances.
+    pub moves: usize,
+    /// Starts that were left unanswered.
+    pub starts_lost: usize,
+    /// Looks at endpoints.
+    pub looks: usize,
+    /// Promises that were broken.
+    pub broken: Vec<String>,
+}
+
+struct Sent {
+    arrival: Arrival,
+    objective: Duration,
+    worth: f64,
+    call: u64,
+    is_accepted: bool,
+    again_at: Duration,
+    took: Option<Duration>,
+}
+
+/// Plays a load with one seed.
+#[must_use]
+pub fn play(load: &Load, settings: &Settings, seed: u64) -> Outcome {
+    let mut stage = Stage::new(load, settings.clone(), seed);
+    stage.stand_idle();
+    stage.begin_lasting();
+    let end = Duration::from_secs_f64(load.seconds) + FINISH;
+    while stage.passed < end {
+        stage.step();
+    }
+    stage.outcome()
+}
+
+struct Stage<'a> {
+    load: &'a Load,
+    fleet: Fleet,
+    /// Since the first caller.
+    passed: Duration,
+    coming: std::iter::Peekable<std::vec::IntoIter<Arrival>>,
+    means: Vec<f64>,
+    open: Vec<Sent>,
+    over: Vec<Sent>,
+    leader_changes: usize,
+    pool_time: Duration,
+}
+
+impl<'a> Stage<'a> {
+    fn new(load: &'a Load, settings: Settings, seed: u64) -> Stage<'a> {
+        let mut fleet = Fleet::with(0, settings);
+        fleet.capacity = Resources {
+            cpu: load.instance.cpu,
+            mem_mb: load.instance.mem_mb,
+            gpu: 0,
+        };
+        fleet.carries_out = true;
+        fleet.faults = Faults {
+            unevenness: load.faults.unevenness,
+            seed,
+            ..Faults::default()
+        };
+        let mut index = 0;
+        for service in &load.services {
+            for _ in 0..service.instances {
+                index += 1;
+                fleet.add_to(&service.name, &format!("{}-{index}", service.name), index);
+            }
+        }
+        fleet.cfg = Arc::new(config(load));
+        fleet.cell.configure(fleet.cfg.clone());
+        fleet.list();
+        let arrivals = arrivals::draw(load, seed);
+        Stage {
+            load,
+            fleet,
+            passed: Duration::ZERO,
+            means: mean_work(load, &arrivals),
+            coming: arrivals.into_iter().peekable(),
+            open: Vec::new(),
+            over: Vec::new(),
+            leader_changes: 0,
+            pool_time: Duration::ZERO,
+        }
+    }
+
+    fn stand_idle(&mut self) {
+        let steps = Duration::from_secs_f64(self.load.lead_s).as_millis() / STEP.as_millis();
+        self.fleet.pass(u32::try_from(steps).unwrap_or(u32::MAX));
+    }
+
+    fn begin_lasting(&mut self) {
+        let mut id = 1_u64;
+        for service in &self.load.services {
+            for _ in 0..service.lasting_jobs {
+                let draft = lasting(self.load.instance.cpu);
+                let path = format!("/lasting-{}/{}", service.name, job_text(id));
+                self.fleet.call(&path, Verb::Submit(Ok(draft)));
+                id += 1;
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.strike();
+        while let Some(arrival) = self.coming.next_if(|a| a.at <= self.passed) {
+            let sent = self.send(arrival);
+            self.open.push(sent);
+        }
+        self.fleet.pass(1);
+        self.passed += STEP;
+        self.fleet.starts.clear();
+        let is_off = |pool: &str| {
+            self.fleet
+                .cfg
+                .services
+                .get(pool)
+                .is_some_and(|s| s.is_spare)
+        };
+        let paid = self
+            .fleet
+            .instances
+            .values()
+            .filter(|i| !is_off(&i.pool))
+            .count();
+        self.pool_time += STEP * u32::try_from(paid).unwrap_or(u32::MAX);
+        self.answer();
+    }
+
+    /// Lets faults begin and end.
+    fn strike(&mut self) {
+        let now = self.passed;
+        let faults = &self.load.faults;
+        let lost = faults.orders_lost.iter().filter(|span| span.holds(now));
+        self.fleet.faults.orders_lost = lost.map(|span| span.strength).fold(0.0, f64::max);
+        let is_away = faults.log_away.iter().any(|span| span.holds(now));
+        if is_away == self.fleet.is_log_up {
+            self.fleet.is_log_up = !is_away;
+            self.fleet.cell.log_is_down(is_away);
+        }
+        let slow = faults.slow.iter().find(|span| span.holds(now));
+        let slowness = slow.map_or(1.0, |span| span.strength.max(1.0));
+        for (place, endpoint) in self.fleet.endpoints.values_mut().enumerate() {
+            endpoint.slowness = if place % 10 == 0 { slowness } else { 1.0 };
+        }
+        let due = faults
+            .leader_changes_s
+            .iter()
+            .filter(|at| **at <= now.as_secs_f64())
+            .count();
+        while self.leader_changes < due {
+            self.leader_changes += 1;
+            self.fleet.change_leader();
+        }
+    }
+
+    fn send(&mut self, arrival: Arrival) -> Sent {
+        let queue = &self.load.queues[arrival.queue];
+        let chain = chain(&self.fleet, &arrival);
+        let objective = chain.mul_f64(queue.stretch) + Duration::from_millis(queue.slack_ms);
+        let work = work(&arrival.draft) / self.means[arrival.queue].max(1.0);
+        let mut sent = Sent {
+            objective,
+            worth: FIXED_WORTH + (1.0 - FIXED_WORTH) * work.min(MOST_WORK),
+            call: 0,
+            is_accepted: false,
+            again_at: Duration::ZERO,
+            took: None,
+            arrival,
+        };
+        self.hand_in(&mut sent);
+        sent
+    }
+
+    fn hand_in(&mut self, sent: &mut Sent) {
+        let queue = &self.load.queues[sent.arrival.queue];
+        let path = format!("/{}/{}", queue.name, job_text(sent.arrival.id));
+        let workspace = self.load.workspaces.get(sent.arrival.workspace);
+        let key = workspace.map_or("key", |w| &w.name);
+        let verb = Verb::Submit(Ok(sent.arrival.draft.clone()));
+        sent.call = self.fleet.call_with(&path, Some(key), verb);
+        sent.again_at = Duration::MAX;
+    }
+
+    /// Callers learn what was answered, come back when told to, and see what has ended.
+    fn answer(&mut self) {
+        let mut open = std::mem::take(&mut self.open);
+        for sent in &mut open {
+            match self.fleet.replies.remove(&sent.call) {
+                Some(Answer::Accepted) => sent.is_accepted = true,
+                Some(Answer::Refused { retry_after, .. }) => {
+                    sent.again_at = self.passed + retry_after;
+                }
+                _ => {}
+            }
+            if !sent.is_accepted && self.passed >= sent.again_at {
+                self.hand_in(sent);
+            }
+            let job = self.fleet.cell.job(sent.arrival.id);
+            let is_done = job.is_some_and(|j| j.shown == JobState::Completed);
+            if is_done {
+                sent.took = Some((self.passed + ON_THE_WAY).saturating_sub(sent.arrival.at));
+            }
+        }
+        let (over, open) = open
+            .into_iter()
+            .partition(|sent: &Sent| sent.took.is_some());
+        let over: Vec<Sent> = over;
+        self.over.extend(over);
+        self.open = open;
+    }
+
+    fn outcome(mut self) -> Outcome {
+        self.over.append(&mut self.open);
+        let all: Vec<&Sent> = self.over.iter().collect();
+        let count = |is_meant: fn(&Sent) -> bool| {
+            let meant = all.iter().filter(|sent| is_meant(sent)).count();
+            part(as_f64(meant), as_f64(all.len()))
+        };
+        let mut took = Histogram::<u64>::new(3).expect("three digits are allowed");
+        for sent in &all {
+            let millis = sent.took.map_or(NEVER_MS, |t| t.as_millis());
+            let recorded = took.record(u64::try_from(millis).unwrap_or(u64::MAX));
+            recorded.expect("the histogram grows as it has to");
+        }
+        let pressing = |sent: &Sent| {
+            let workspace = self.load.workspaces.get(sent.arrival.workspace);
+            workspace.is_some_and(|w| w.presses.is_some())
+        };
+        let calm = all.iter().copied().filter(|sent| !pressing(sent));
+        let windows = grouped(&all, |sent| {
+            sent.arrival.at.as_millis() / WINDOW.as_millis()
+        });
+        let moves = self.fleet.operations.iter();
+        Outcome {
+            jobs: all.len(),
+            worth: worth(all.iter().copied()),
+            worst_windows: mean_of_worst(windows, WORST_WINDOWS),
+            worst_queue: mean_of_worst(grouped(&all, |sent| sent.arrival.queue), 1),
+            worst_workspace: mean_of_worst(
+                grouped(&calm.collect::<Vec<_>>(), |sent| sent.arrival.workspace),
+                1,
+            ),
+            in_time: count(Sent::is_in_time),
+            late: count(Sent::is_late),
+            p50_ms: took.value_at_quantile(0.5),
+            p99_ms: took.value_at_quantile(0.99),
+            pool_s: self.pool_time.as_secs_f64(),
+            moves: moves
+                .filter(|(_, o)| matches!(o, Operation::Move { .. }))
+                .count(),
+            starts_lost: self.fleet.starts_lost,
+            looks: self.fleet.looks_sent,
+            broken: self.fleet.broken,
+        }
+    }
+}
+
+impl Sent {
+    fn is_in_time(&self) -> bool {
+        self.took.is_some_and(|took| took <= self.objective)
+    }
+
+    fn is_late(&self) -> bool {
+        let longest = self.objective.mul_f64(LATE_TIMES);
+        !self.is_in_time() && self.took.is_some_and(|took| took <= longest)
+    }
+
+    fn earned(&self) -> f64 {
+        match (self.is_in_time(), self.is_late()) {
+            (true, _) => self.worth,
+            (_, true) => self.worth * LATE_WORTH,
+            _ => 0.0,
+        }
+    }
+}
+
+fn worth<'a>(sent: impl Iterator<Item = &'a Sent> + Clone) -> f64 {
+    let earned: f64 = sent.clone().map(Sent::earned).sum();
+    part(earned, sent.map(|s| s.worth).sum())
+}
+
+fn grouped<K: Ord>(all: &[&Sent], by: impl Fn(&Sent) -> K) -> Vec<f64> {
+    let mut groups: BTreeMap<K, Vec<&Sent>> = BTreeMap::new();
+    for sent in all {
+        groups.entry(by(sent)).or_default().push(sent);
+    }
+    let worths = groups.into_values().map(|group| worth(group.into_iter()));
+    worths.collect()
+}
+
+fn mean_of_worst(mut parts: Vec<f64>, count: usize) -> f64 {
+    parts.sort_by(f64::total_cmp);
+    parts.truncate(count);
+    part(parts.iter().sum(), as_f64(parts.len()))
+}
+
+fn part(some: f64, all: f64) -> f64 {
+    if all > 0.0 { some / all } else { 1.0 }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+fn as_f64(count: usize) -> f64 {
+    count as f64
+}
+
+/// The longest chain of a job's work by how long its tasks really take.
+fn chain(fleet: &Fleet, arrival: &Arrival) -> Duration {
+    let steps = arrival.draft.steps.iter().enumerate();
+    let longest = |(place, step): (usize, &StepSpec)| {
+        let durations = (0..step.count).map(|index| {
+            let task = TaskId {
+                job: arrival.id,
+                occurrence: 0,
+                step: u16::try_from(place).unwrap_or(u16::MAX),
+                index,
+            };
+            fleet.faults.duration(task, step.estimate)
+        });
+        durations.max().unwrap_or_default()
+    };
+    steps.map(longest).sum()
+}
+
+/// Seconds of a core, by the estimates.
+fn work(draft: &Draft) -> f64 {
+    let steps = draft.steps.iter();
+    let cores = |step: &StepSpec| as_f64(usize::try_from(step.need.cpu).unwrap_or(0)) / 1000.0;
+    steps
+        .map(|s| cores(s) * f64::from(s.count) * s.estimate.as_secs_f64())
+        .sum()
+}
+
+fn mean_work(load: &Load, arrivals: &[Arrival]) -> Vec<f64> {
+    let queues = 0..load.queues.len();
+    let mean = |queue| {
+        let own = arrivals.iter().filter(|a| a.queue == queue);
+        let works: Vec<f64> = own.map(|a| work(&a.draft)).collect();
+        part(works.iter().sum(), as_f64(works.len()))
+    };
+    queues.map(mean).collect()
+}
+
+/// A job of tasks that last, a few to an instance.
+fn lasting(instance_cpu: u64) -> Draft {
+    const TASKS: u32 = 5;
+    /// A task takes this part of an instance.
+    const PART: u64 = 11;
+    fleet::job(vec![StepSpec {
+        is_lasting: true,
+        per_endpoint: 2,
+        may_miss: 1,
+        ..fleet::step(TASKS, instance_cpu / PART, 900)
+    }])
+}
+
+fn config(load: &Load) -> FleetConfig {
+    let queue = |name: &str, service: &str| Queue {
+        name: name.into(),
+        host: "h".into(),
+        prefix: format!("/{name}/").into(),
+        service: service.into(),
+        attempts: 3,
+        ..Queue::default()
+    };
+    let queues = load.queues.iter().map(|q| Queue {
+        priority: q.priority,
+        stretch: q.stretch,
+        objective: Duration::from_millis(q.slack_ms),
+        ..queue(&q.name, &q.service)
+    });
+    let names: BTreeSet<&str> = load.services.iter().map(|s| &*s.name).collect();
+    let lasting = names
+        .iter()
+        .map(|name| queue(&format!("lasting-{name}"), name));
+    let services = load.services.iter().map(|s| {
+        let service = Service {
+            is_spare: s.is_spare,
+            ..Service::default()
+        };
+        (s.name.as_ref().into(), service)
+    });
+    let workspaces = load.workspaces.iter().map(|w| Workspace {
+        name: w.name.as_ref().into(),
+        keys: vec![w.name.clone()],
+        weight: w.weight,
+        bound: Resources::default(),
+    });
+    let operators = Workspace {
+        name: "operators".into(),
+        keys: vec!["key".into()],
+        weight: 1,
+        bound: Resources::default(),
+    };
+    FleetConfig {
+        version: 2,
+        queues: queues.chain(lasting).collect(),
+        services: services.collect(),
+        workspaces: workspaces.chain([operators]).collect(),
+    }
+}
--- /dev/null
+++ b/crates/pomelohitch-emulator/src/policies.rs
@@ -0,0 +1,47 @@
+//! Policies by name.
+
+use pomelohitch_sched::policy::Policy;
+
+/// Switches one mechanism off.
+pub type Switch = (&'static str, fn(&mut Policy));
+
+/// Every mechanism that can be switched off, by what is missing then.
+pub const SWITCHES: [Switch; 11] = [
+    ("late-last", |p| p.late_last = false),
+    ("latest-start", |p| p.by_latest_start = false),
+    ("put-off", |p| p.puts_off = false),
+    ("period", |p| p.demand.uses_period = false),
+    ("rise", |p| p.demand.uses_rise = false),
+    ("height", |p| p.demand.uses_height = false),
+    ("backlog", |p| p.provides_backlog = false),
+    ("switch-off", |p| p.switches_off = false),
+    ("surplus-delay", |p| p.surplus_lasts = false),
+    ("packing", |p| p.packs = false),
+    ("doubt", |p| p.doubts_silent = false),
+];
+
+/// Sets one number.
+pub type Number = (&'static str, fn(&mut Policy, f64));
+
+/// Every number that can be set.
+pub const NUMBERS: [Number; 1] = [("late-after", |p, n| p.late_after = n)];
+
+/// The policy as shipped without the mechanisms that are named, separated by commas; `shipped` or
+/// nothing for all of them, and `NAME=NUMBER` sets a number. `None` if one isn't known.
+#[must_use]
+pub fn without(names: &str) -> Option<Policy> {
+    let mut policy = Policy::default();
+    for name in names
+        .split(',')
+        .filter(|n| !n.is_empty() && *n != "shipped")
+    {
+        if let Some((name, number)) = name.split_once('=') {
+            let (_, set) = NUMBERS.iter().find(|(known, _)| *known == name)?;
+            set(&mut policy, number.parse().ok()?);
+        } else {
+            let (_, switch) = SWITCHES.iter().find(|(known, _)| *known == name)?;
+            switch(&mut policy);
+        }
+    }
+    Some(policy)
+}
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -25,10 +25,12 @@
 use crate::config::{FleetConfig, Queue};
 use crate::demand::Demand;
 use crate::endpoint::Endpoint;
+use crate::flow::Flow;
 use crate::id::{EndpointId, Epoch, JobId, QueueName, ServiceName, WorkspaceName};
 use crate::instances::Instances;
 use crate::job::JobSpec;
 use crate::order::{Action, Due, Order, Outcome, Refusal, Target};
+use crate::policy::Policy;
 use crate::progress::{self, Entry, JobState, Progress, Record};
 use crate::rate::Rate;
 use crate::resources::Resources;
@@ -64,14 +66,17 @@
     /// about 2 s, and as short as that allows, since what a silent endpoint ran can't be started
     /// elsewhere before.
     pub lease: Duration,
-    /// After this much of an endpoint's clock a start is void, so that one that is carried out
-    /// late does nothing.
+    /// A start is void so long after its record is durable, by the endpoint's clock, so that one
+    /// that is carried out late does nothing.
     pub start_valid: Duration,
     /// A start that waited so long for its record isn't sent any more: what it was decided by may
     /// be wrong by now.
     pub start_stale: Duration,
     /// A look waits so long at the endpoint for an end.
     pub look_wait: Duration,
+    /// The same where tasks run that end by themselves. A look that is lost hides their ends until
+    /// its time is over, and the next steps of their jobs wait.
+    pub look_wait_ends: Duration,
     /// The same where tasks have to keep a target, which only looks show.
     pub look_wait_target: Duration,
     /// Least time from one look to the next, so that ends that come close together share one.
@@ -96,15 +101,18 @@
     pub operations_per_s: f64,
     /// Most jobs held at once; more would take more memory than an entry instance has.
     pub max_jobs: usize,
+    /// Which mechanisms decide.
+    pub policy: Policy,
 }
 
 impl Default for Settings {
     fn default() -> Self {
         Settings {
             lease: Duration::from_secs(6),
-            start_valid: Duration::from_millis(1500),
+            start_valid: Duration::from_millis(700),
             start_stale: Duration::from_millis(800),
             look_wait: Duration::from_millis(700),
+            look_wait_ends: Duration::from_millis(200),
             look_wait_target: Duration::from_millis(300),
             look_gap: Duration::from_millis(25),
             look_retry: Duration::from_millis(200),
@@ -116,6 +124,7 @@
             former_holder: Duration::from_millis(1800),
             operations_per_s: 64.0,
             max_jobs: 50_000,
+            policy: Policy::default(),
         }
     }
 }
@@ -153,6 +162,8 @@
     /// Where each queue stands in the configuration: it is asked for at each change of a job, and
     /// there may be thousands.
     queues: HashMap<QueueName, usize>,
+    /// The same of workspaces.
+    workspaces: HashMap<WorkspaceName, usize>,
     tended_at: Steady,
     scheduled_at: Steady,
     now: Now,
@@ -169,6 +180,9 @@
     /// From then on the former leader surely sends no more orders for instances.
     operates_from: Steady,
     demand: Demand,
+    flow: Flow,
+    /// How long answers of endpoints wait here before they are taken in, of late.
+    lag: Duration,
     emptying: BTreeSet<EndpointId>,
     unplaced: BTreeMap<ServiceName, schedule::Unplaced>,
     cramped: BTreeMap<ServiceName, Steady>,
@@ -231,10 +245,12 @@
         Cell {
             operations: Rate::new(settings.operations_per_s),
             operates_from: now.steady + settings.former_holder,
+            demand: Demand::new(settings.policy.demand),
             settings,
             epoch,
             cfg: None,
             queues: HashMap::new(),
+            workspaces: HashMap::new(),
             tended_at: Steady::ZERO,
             scheduled_at: Steady::ZERO,
             now,
@@ -247,7 +263,8 @@
             due: BTreeSet::new(),
             ended: BTreeSet::new(),
             instances: Instances::default(),
-            demand: Demand::default(),
+            flow: Flow::default(),
+            lag: Duration::ZERO,
             emptying: BTreeSet::new(),
             unplaced: BTreeMap::new(),
             cramped: BTreeMap::new(),
@@ -292,6 +309,8 @@
         }
         let names = cfg.queues.iter().map(|q| q.name.clone());
         self.queues = names.zip(0..).collect();
+        let names = cfg.workspaces.iter().map(|w| w.name.clone());
+        self.workspaces = names.zip(0..).collect();
         self.cfg = Some(cfg);
         self.index_again();
     }
@@ -374,20 +393,25 @@
                 job.shown = job.shown.max(state);
             }
         }
+        let gap = self.look_gap();
         for (id, born, noted) in batch.noted {
             if let Some(endpoint) = self.endpoints.get_mut(&id)
                 && endpoint.born == born
             {
                 endpoint.noted_durably = endpoint.noted_durably.max(noted);
-                endpoint.look.hurry(self.now.steady);
+                let heard_at = endpoint.heard_at.unwrap_or_default();
+                let due = heard_at + gap;
+                endpoint.look.hurry(due.max(self.now.steady));
             }
         }
-        let (void, due): (Vec<_>, Vec<_>) = batch
-            .actions
-            .into_iter()
-            .partition(|action| self.is_void_start(action));
-        for action in &due {
-            self.note_stop(action);
+        let (mut void, mut due) = (Vec::new(), Vec::new());
+        for mut action in batch.actions {
+            if !self.is_void_start(&action) && self.limit_start(&mut action) {
+                self.note_stop(&action);
+                due.push(action);
+            } else {
+                void.push(action);
+            }
         }
         for action in void {
             if let Action::Order { target, order, .. } = action {
@@ -409,6 +433,38 @@
         }
     }
 
+    /// Sets until when a start is valid. Returns whether that can be said: the endpoint may have
+    /// restarted since the start was decided.
+    fn limit_start(&mut self, action: &mut Action) -> bool {
+        let Action::Order {
+            target,
+            order:
+                Order::Start {
+                    task,
+                    run,
+                    deadline,
+                    ..
+                },
+            ..
+        } = action
+        else {
+            return true;
+        };
+        let (now, valid) = (self.now.steady, self.settings.start_valid);
+        let Some(endpoint) = self.endpoints.get_mut(&target.id) else {
+            return false;
+        };
+        let Some(until) = endpoint.clock_ahead(now, valid) else {
+            return false;
+        };
+        endpoint.lease_asked(until);
+        *deadline = until;
+        if let Some(r) = self.run_mut(*task, *run) {
+            r.view.void_after = Some(until);
+        }
+        true
+    }
+
     /// Whether an action is a start that waited too long for its record, or whose run was given up
     /// meanwhile. Its task may run elsewhere by now.
     fn is_void_start(&self, action: &Action) -> bool {
--- a/crates/pomelohitch-sched/src/cell/books.rs
+++ b/crates/pomelohitch-sched/src/cell/books.rs
@@ -183,17 +183,10 @@
 
     /// Decides a start: it is recorded first and ordered after.
     pub(super) fn start(&mut self, task: TaskId, endpoint: &EndpointId, ticket: Option<Box<str>>) {
-        let (now, valid) = (self.now.steady, self.settings.start_valid);
+        let now = self.now.steady;
         let Some(target) = self.target(endpoint) else {
             return;
         };
-        let Some(at) = self.endpoints.get_mut(endpoint) else {
-            return;
-        };
-        let Some(deadline) = at.clock_ahead(now, valid) else {
-            return;
-        };
-        at.lease_asked(deadline);
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -220,6 +213,7 @@
             waited_ms = self.now.unix_ms.saturating_sub(spec.accepted_ms),
             resumed = !checkpoint.is_empty(), "start decided");
         self.dirty.insert(task.job);
+        self.flow.decided();
         self.occupy(task, endpoint, target.born, run);
         self.gated.push(Action::Order {
             target,
@@ -227,7 +221,7 @@
                 task,
                 run,
                 spec,
-                deadline,
+                deadline: Duration::ZERO,
                 checkpoint,
                 ticket,
             },
--- a/crates/pomelohitch-sched/src/cell/follow.rs
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -47,7 +47,9 @@
                 emptying.extend(self.endpoint_on(&instance));
             }
         }
-        self.switch_off(plan.surplus);
+        if self.settings.policy.switches_off {
+            self.switch_off(plan.surplus);
+        }
         self.emptying.clone_from(&emptying);
         emptying
     }
@@ -60,7 +62,8 @@
             return;
         }
         let since = *self.surplus_since.get_or_insert(now);
-        if now.saturating_sub(since) < SURPLUS_FOR {
+        let lasts = self.settings.policy.surplus_lasts;
+        if lasts && now.saturating_sub(since) < SURPLUS_FOR {
             return;
         }
         for Move { instance, to } in surplus {
@@ -80,7 +83,11 @@
             is_spare: service.is_spare,
             is_short: self.is_short(name),
             label: self.unplaced.get(name).and_then(|u| u.wanted.label.clone()),
-            backlog: self.backlog(name),
+            backlog: if self.settings.policy.provides_backlog {
+                self.backlog(name)
+            } else {
+                0.0
+            },
             wanted: self.demand.most(name, self.now.unix_ms, AHEAD) + self.lasting_need(name),
             soon: self
                 .demand
--- a/crates/pomelohitch-sched/src/cell/looks.rs
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -15,6 +15,14 @@
 /// The most ends that an endpoint lists at once; the platform's own limit. A longer list may
 /// leave out the end of a run that is missing from it.
 const ENDS_LISTED: usize = 500;
+/// Answers that are taken in within this time don't wait.
+const USUAL_LAG: Duration = Duration::from_millis(8);
+/// Looks are held back for so many times as long as answers wait.
+const LOOKS_HELD_BACK: u32 = 4;
+/// But for no longer than this.
+const MOST_HELD_BACK: Duration = Duration::from_millis(200);
+/// How much of the time that answers waited stays at each new one.
+const LAG_FADE: f64 = 0.98;
 /// Failed looks are tried again after at most this many times the usual pause.
 const MAX_RETRY_STEPS: u32 = 5;
 
@@ -76,6 +84,17 @@
         }));
     }
 
+    /// Least time from an answer to the next look at the same endpoint. Where answers wait to be
+    /// taken in, more looks would only make them wait longer.
+    pub(super) fn look_gap(&self) -> Duration {
+        let behind = self.lag.saturating_sub(USUAL_LAG) * LOOKS_HELD_BACK;
+        self.settings.look_gap + behind.min(MOST_HELD_BACK)
+    }
+
+    fn note_lag(&mut self, lag: Duration) {
+        self.lag = self.lag.mul_f64(LAG_FADE) + lag.mul_f64(1.0 - LAG_FADE);
+    }
+
     /// The first look, and looks that are to settle something, don't wait.
     fn look_wait(&self, id: &EndpointId) -> Duration {
         let Some(endpoint) = self.endpoints.get(id) else {
@@ -87,6 +106,8 @@
         });
         if endpoint.looked_at.is_none() || !endpoint.lease_confirmed || is_unsettled {
             Duration::ZERO
+        } else if endpoint.runs.values().any(|booked| !booked.is_lasting) {
+            self.settings.look_wait_ends
         } else if self.has_target(endpoint) || self.has_news_to_come(endpoint) {
             self.settings.look_wait_target
         } else {
@@ -113,9 +134,11 @@
     /// Takes in how a look went.
     pub fn looked(&mut self, target: &Target, result: Result<Look, LookFailure>) {
         let now = self.now.steady;
-        if let Err(failure) = &result {
-            self.is_fenced |= *failure == LookFailure::Fenced;
+        match &result {
+            Ok(look) => self.note_lag(now.saturating_sub(look.answered_at)),
+            Err(failure) => self.is_fenced |= *failure == LookFailure::Fenced,
         }
+        let gap = self.look_gap();
         let Some(endpoint) = self.endpoints.get_mut(&target.id) else {
             return;
         };
@@ -124,12 +147,13 @@
         match result {
             Ok(look) => {
                 plan.failures = 0;
-                plan.due = now + self.settings.look_gap;
+                plan.due = now + gap;
                 self.take_look(&target.id, &look);
             }
             Err(failure) => {
                 plan.failures = (plan.failures + 1).min(MAX_RETRY_STEPS);
-                plan.due = now + self.settings.look_retry * plan.failures;
+                // The first one may only have been lost: it is repeated at once.
+                plan.due = now + self.settings.look_retry * (plan.failures - 1);
                 if plan.failures == 1 {
                     warn!(endpoint = %target.id, addr = %target.addr, ?failure, "look failed");
                 }
@@ -154,6 +178,7 @@
         if endpoint.looked_at.is_none() {
             info!(endpoint = %id, running = look.running.len(), ended = look.ended.len(), "first look");
         }
+        endpoint.is_doubted = false;
         endpoint.looked_at = Some(look.sent_at);
         endpoint.heard_at = Some(look.answered_at);
         endpoint.lease_confirmed |= look.renewed;
@@ -184,8 +209,9 @@
         {
             // What is listed again hasn't been acknowledged yet: the next look would be answered
             // at once, again and again, until the ends are durably noted.
-            let is_durable = last.number <= endpoint.noted_durably;
-            endpoint.look.due = if is_durable { self.now.steady } else { retry };
+            if last.number > endpoint.noted_durably {
+                endpoint.look.due = retry;
+            }
         }
     }
 
@@ -299,8 +325,9 @@
             }
             Phase::Ordered | Phase::Taken { .. } => {}
             Phase::Unanswered => {
+                let is_void = view.void_after.is_some_and(|until| look.clock > until);
                 let is_rejected = view.stop_acked_at.is_some_and(|at| look.sent_at > at);
-                if is_rejected {
+                if is_void || is_rejected {
                     self.run_lost(task, number, "its start was not carried out");
                 } else {
                     self.stop(task, number, "its start was not answered");
--- a/crates/pomelohitch-sched/src/cell/orders.rs
+++ b/crates/pomelohitch-sched/src/cell/orders.rs
@@ -14,8 +14,6 @@
 /// An endpoint that had no room, or wasn't there, gets no work for so long, by which time it was
 /// looked at again.
 const BRIEF_SHUN: Duration = Duration::from_millis(300);
-/// An endpoint that didn't answer a start gets no work for so long.
-const SILENT_SHUN: Duration = Duration::from_millis(800);
 
 impl Cell {
     /// Takes in how an order ended.
@@ -24,6 +22,11 @@
             warn!(endpoint = %target.id, ?order, "order fenced");
             self.is_fenced = true;
         }
+        if is_answer(outcome)
+            && let Some(endpoint) = self.endpoints.get_mut(&target.id)
+        {
+            endpoint.is_doubted = false;
+        }
         match order {
             Order::Start { task, run, .. } => self.started(target, *task, *run, outcome),
             Order::Stop { task, run } => self.stopped(target, *task, *run, outcome),
@@ -33,6 +36,7 @@
 
     fn started(&mut self, target: &Target, task: TaskId, run: RunNumber, outcome: &Outcome) {
         let now = self.now.steady;
+        self.flow.answered(now);
         let Some(r) = self.run_mut(task, run) else {
             return;
         };
@@ -47,8 +51,9 @@
                 if r.view.phase == Phase::Ordered {
                     r.view.phase = Phase::Unanswered;
                 }
-                self.shun(&target.id, SILENT_SHUN);
-                self.stop(task, run, "its start was not answered");
+                if let Some(endpoint) = self.endpoints.get_mut(&target.id) {
+                    endpoint.is_doubted = true;
+                }
             }
             Outcome::Refused(refusal) => {
                 info!(%task, run, endpoint = %target.id, ?refusal, "start refused");
@@ -77,6 +82,7 @@
         self.hurry_look(&target.id);
     }
 
+    /// Gives an endpoint no work for a while.
     pub(super) fn shun(&mut self, id: &EndpointId, time: Duration) {
         let until = self.now.steady + time;
         if let Some(endpoint) = self.endpoints.get_mut(id) {
@@ -84,3 +90,11 @@
         }
     }
 }
+
+/// Whether the endpoint itself has said how an order ended.
+fn is_answer(outcome: &Outcome) -> bool {
+    !matches!(
+        outcome,
+        Outcome::Unanswered | Outcome::Refused(Refusal::Unsent | Refusal::Elsewhere)
+    )
+}
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -2,16 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use super::{Cell, Job};
 use crate::Steady;
 use crate::config::Queue;
 use crate::endpoint::Endpoint;
-use crate::id::{EndpointId, JobId, ServiceName, TaskId};
+use crate::id::{EndpointId, JobId, ServiceName, TaskId, WorkspaceName};
 use crate::job::{self, JobSpec, StepSpec};
 use crate::place::{self, Allowed, Ask, Slot, Slots};
 use crate::resources::Resources;
-use crate::urgency::{Claim, Urgency};
+use crate::urgency::{self, Claim, Room};
 
 /// Needs that found no room in this pass: what is larger finds none either.
 #[derive(Debug, Default)]
@@ -79,7 +80,7 @@
     fn schedule_service(&mut self, service: &ServiceName) {
         let mut slots = self.slots(service);
         let mut misfits = Misfits::default();
-        for id in self.by_urgency(service) {
+        for id in self.by_urgency(service, &slots) {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
@@ -114,6 +115,7 @@
             e.is_listed
                 && !e.is_reserved
                 && e.lease_confirmed
+                && (!e.is_doubted || !self.settings.policy.doubts_silent)
                 && e.shunned_until <= self.now.steady
                 && e.is_fresh(self.now.steady, self.settings.fresh)
                 && e.report
@@ -124,16 +126,39 @@
         Slots::new(usable.map(|(id, e)| Slot::new(id, e)).collect())
     }
 
-    fn by_urgency(&self, service: &ServiceName) -> Vec<JobId> {
+    fn by_urgency(&self, service: &ServiceName, slots: &Slots) -> Vec<JobId> {
         let Some(ids) = self.ready.get(service) else {
             return Vec::new();
         };
-        let mut order: Vec<Urgency> = ids
+        let claims: Vec<Claim> = ids
             .iter()
-            .filter_map(|id| Some(self.jobs.get(id)?.claim?.urgency(self.now.unix_ms)))
+            .filter_map(|id| self.jobs.get(id)?.claim)
             .collect();
-        order.sort_unstable();
-        order.into_iter().map(|u| u.job).collect()
+        let room = self.room(service, slots, &claims);
+        urgency::order(&claims, &room, self.now.unix_ms, &self.settings.policy)
+    }
+
+    /// What the endpoints of a service can take on, beside what they run.
+    fn room(&self, service: &ServiceName, slots: &Slots, claims: &[Claim]) -> Room {
+        /// What runs has this part of its time still to go, on average.
+        const LEFT: f64 = 0.5;
+        let endpoints = slots.list.iter().filter_map(|s| self.endpoints.get(&s.id));
+        let (mut cpu, mut used) = (0, 0);
+        for endpoint in endpoints {
+            let lasting = endpoint.runs.values().filter(|b| b.is_lasting);
+            let lasting: u64 = lasting.map(|b| b.room.cpu).sum();
+            let capacity = endpoint.report.as_ref().map_or(0, |r| r.capacity.cpu);
+            cpu += capacity.saturating_sub(lasting);
+            used += endpoint.used.cpu.saturating_sub(lasting);
+        }
+        let steps: u32 = claims.iter().map(|c| c.steps_left).sum();
+        let chains: Duration = claims.iter().map(|c| c.chain_left).sum();
+        let task = chains.checked_div(steps).unwrap_or_default();
+        Room {
+            cpu: as_f64(cpu),
+            under_way: as_f64(used) * LEFT * task.as_secs_f64() * 1000.0,
+            awaited: as_f64(self.instances.awaited_cpu(service)),
+        }
     }
 
     /// What a job's place is decided by.
@@ -141,17 +166,33 @@
         let (occurrence, open) = job.progress.open.first_key_value()?;
         let default = Queue::default();
         let queue = self.queue(&job.spec.queue).unwrap_or(&default);
+        let (owner, weight) = self.owner(job.spec.workspace.as_ref());
         Some(Claim {
             job: job.spec.id,
             from_ms: job.spec.due_ms(*occurrence).max(job.spec.accepted_ms),
             chain: job::chain(&job.spec.steps, |_| true),
             chain_left: open.chain_left(&job.spec.steps),
+            steps_left: open.steps_left(),
+            work_left: open.waiting_work(&job.spec.steps),
+            has_begun: open.has_begun(),
+            is_lasting: job.spec.steps.iter().any(|s| s.is_lasting),
             stretch: queue.stretch,
             slack: queue.objective,
             priority: queue.priority,
+            owner,
+            weight,
         })
     }
 
+    /// A workspace's place in the configuration and its weight. Jobs of a public queue, or of a
+    /// workspace that was removed, count as those of one more workspace.
+    fn owner(&self, workspace: Option<&WorkspaceName>) -> (u32, u64) {
+        let place = workspace.and_then(|name| self.workspaces.get(name));
+        let weight = place.and_then(|&at| Some(self.cfg.as_ref()?.workspaces.get(at)?.weight));
+        let place = place.and_then(|&at| u32::try_from(at).ok());
+        (place.unwrap_or(u32::MAX), weight.unwrap_or(1))
+    }
+
     fn start_step(
         &mut self,
         spec: &Arc<JobSpec>,
@@ -175,7 +216,7 @@
         }
         let mut siblings = slots.siblings(&self.siblings(first));
         for task in self.waiting_tasks(first) {
-            if !self.is_within_bound(spec, &step.need) {
+            if !self.is_within_bound(spec, &step.need) || !self.flow.has_room() {
                 return;
             }
             let place = self.place(step, task, &allowed, slots, &siblings);
@@ -207,6 +248,7 @@
             allowed,
             siblings,
             failed_at: &t.failed_at,
+            packs: self.settings.policy.packs,
         };
         place::choose(&slots.list, &ask)
     }
@@ -251,6 +293,12 @@
     }
 }
 
+/// Amounts of processors are far below the numbers that a float can't hold.
+#[expect(clippy::cast_precision_loss)]
+fn as_f64(number: u64) -> f64 {
+    number as f64
+}
+
 /// Steps whose turn has come and that have tasks waiting, with their occurrence.
 fn ready_steps(job: &Job) -> Vec<(u16, u32)> {
     let mut ready = Vec::new();
--- a/crates/pomelohitch-sched/src/demand.rs
+++ b/crates/pomelohitch-sched/src/demand.rs
@@ -11,6 +11,7 @@
 use crate::UnixMs;
 use crate::id::ServiceName;
 use crate::job::StepSpec;
+use crate::policy::Foresight;
 
 /// Length of one bucket of the series, milliseconds: a job's steps take two or more.
 const BUCKET_MS: u64 = 250;
@@ -73,9 +74,19 @@
     last: u64,
     period: Option<u64>,
     looked_at: u64,
+    foresight: Foresight,
 }
 
 impl Demand {
+    /// Nothing is known yet.
+    #[must_use]
+    pub fn new(foresight: Foresight) -> Demand {
+        Demand {
+            foresight,
+            ..Demand::default()
+        }
+    }
+
     /// Takes in that work came at `at_ms`.
     pub fn add(&mut self, service: &ServiceName, steps: &[StepSpec], at_ms: UnixMs) {
         let bucket = at_ms / BUCKET_MS;
@@ -117,7 +128,9 @@
             .map(|b| smooth(&at, b))
             .fold(0.0, f64::max);
         let Some(period) = self.period else {
-            return known.max(self.trend(service, now_ms, look_ahead));
+            let rising = self.foresight.uses_rise;
+            let trend = || self.trend(service, now_ms, look_ahead);
+            return known.max(if rising { trend() } else { 0.0 });
         };
         let before = (now..=now + ahead)
             .map(|b| smooth(&at, b - period))
@@ -131,6 +144,9 @@
     #[must_use]
     pub fn foreseen(&self, service: &ServiceName, now_ms: UnixMs, ahead: Duration) -> Option<f64> {
         let most = self.most(service, now_ms, ahead);
+        if !self.foresight.uses_height {
+            return self.period.map(|_| most);
+        }
         if self.period.is_some() || self.has_had_turn(service, now_ms) {
             return Some(most);
         }
@@ -223,7 +239,11 @@
             *series = series.split_off(&oldest);
         }
         self.first = self.first.map(|first| first.max(oldest));
-        self.period = self.find_period(now);
+        self.period = self
+            .foresight
+            .uses_period
+            .then(|| self.find_period(now))
+            .flatten();
     }
 
     fn find_period(&self, now: u64) -> Option<u64> {
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -170,6 +170,10 @@
     pub lease_confirmed: bool,
     /// Not used for new work until then.
     pub shunned_until: Steady,
+    /// Whether it has answered nothing since it left a start unanswered. Such an endpoint gets no
+    /// work: it may be gone. One that has answered since only lost that order, and where one order
+    /// in some is lost, leaving it out for a fixed time would idle most of a busy pool.
+    pub is_doubted: bool,
     /// Failed and done runs of late, for telling a broken endpoint; fades.
     pub failures: f64,
     /// Runs that ended well of late; fades.
@@ -207,6 +211,7 @@
             heard_at: None,
             lease_confirmed: false,
             shunned_until: Steady::ZERO,
+            is_doubted: false,
             failures: 0.0,
             successes: 0.0,
             is_reserved: false,
--- a/crates/pomelohitch-sched/src/instances.rs
+++ b/crates/pomelohitch-sched/src/instances.rs
@@ -256,6 +256,17 @@
         self.under_way.get(id)?.to.as_ref()
     }
 
+    /// Thousandths of a core of the instances that are on their way to the pool.
+    #[must_use]
+    pub fn awaited_cpu(&self, pool: &ServiceName) -> u64 {
+        let is_coming = |i: &&Instance| match self.under_way.get(&i.id) {
+            Some(under_way) => under_way.to.as_ref() == Some(pool),
+            None => i.state == InstanceState::Moving && i.pool == *pool,
+        };
+        let coming = self.list.values().filter(is_coming);
+        coming.map(|i| i.capacity.cpu).sum()
+    }
+
     /// Whether an instance is on its way to the pool.
     #[must_use]
     pub fn is_awaited(&self, pool: &ServiceName) -> bool {
@@ -348,25 +359,35 @@
         }
     }
 
+    /// Whether every instance of a wave is back from its maintenance, or gone for good.
+    ///
+    /// One that has been maintained may be on its way to another pool: pools follow demand all the
+    /// time, and a large wave would hardly ever find all of its instances at rest.
+    fn is_over(&self, number: u64) -> bool {
+        let Some(state) = self.waves.get(&number) else {
+            return false;
+        };
+        let confirmed = self.confirmed.get(&number);
+        let is_done = |id: &InstanceId| {
+            let is_maintained = confirmed.is_some_and(|c| c.instances.contains(id));
+            match self.under_way.get(id) {
+                Some(under_way) => is_maintained && under_way.to.is_some(),
+                None => is_maintained || self.is_gone(id),
+            }
+        };
+        self.listed_at.is_some() && state.wave.instances.iter().all(is_done)
+    }
+
     /// Waves whose status has changed, with the record that has to be durable before it is told.
     ///
     /// # Errors
     /// If a record can't be encoded, which for these types doesn't happen.
     pub fn statuses(&mut self) -> progress::Result<Vec<(u64, bool, Option<Record>)>> {
         let mut changed = Vec::new();
-        let remaining = self.remaining();
         let numbers: Vec<u64> = self.waves.keys().copied().collect();
         for number in numbers {
             let was_completed = self.is_completed(number);
-            let is_listed = self.listed_at.is_some();
-            let left = remaining.iter().find(|r| r.wave == number);
-            let is_over = left.is_some_and(|r| r.left.is_empty()) && is_listed;
-            let is_busy = self.waves[&number]
-                .wave
-                .instances
-                .iter()
-                .any(|id| self.under_way.contains_key(id));
-            let is_completed = was_completed || (is_over && !is_busy);
+            let is_completed = was_completed || self.is_over(number);
             let mut record = None;
             if is_completed && !was_completed {
                 let confirmed = self.confirmed.entry(number).or_default();
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -8,9 +8,11 @@
 //! * [`resources`]: processors, memory and accelerators.
 //! * [`config`]: queues, services and workspaces in force.
 //! * [`job`]: what a caller asks for, and the check of it.
+//! * [`policy`]: which mechanisms decide.
 //! * [`progress`]: how far a job is; the durable records.
 //! * [`demand`]: what each service will want.
 //! * [`endpoint`]: what is known of one endpoint, its clock and its lease.
+//! * [`flow`]: how many starts may be on their way.
 //! * [`order`]: what goes out and how it ended.
 //! * [`place`]: which endpoint takes a task.
 //! * [`urgency`]: which job goes first.
@@ -24,11 +26,13 @@
 pub mod config;
 pub mod demand;
 pub mod endpoint;
+pub mod flow;
 pub mod id;
 pub mod instances;
 pub mod job;
 pub mod order;
 pub mod place;
+pub mod policy;
 pub mod pools;
 pub mod progress;
 pub mod rate;
--- a/crates/pomelohitch-sched/src/order.rs
+++ b/crates/pomelohitch-sched/src/order.rs
@@ -31,7 +31,8 @@
         run: RunNumber,
         /// Whose text goes along.
         spec: Arc<JobSpec>,
-        /// The order is void after this point of the endpoint's clock.
+        /// The order is void after this point of the endpoint's clock; set once its record is
+        /// durable.
         deadline: Duration,
         /// Where to go on; empty for the start.
         checkpoint: Box<str>,
--- a/crates/pomelohitch-sched/src/place.rs
+++ b/crates/pomelohitch-sched/src/place.rs
@@ -132,6 +132,8 @@
     pub siblings: &'a [u32],
     /// Where it failed before.
     pub failed_at: &'a [EndpointId],
+    /// Whether it goes to the fullest endpoint that can take it, else to the emptiest.
+    pub packs: bool,
 }
 
 /// Lower is better, compared from the first field on.
@@ -168,7 +170,11 @@
         risk: 2 * u8::from(failed_before) + u8::from(slot.is_doubtful),
         is_far: near.is_some_and(|rack| slot.rack() != Some(rack)),
         avoided_by_lasting: avoided_by_lasting(ask.step, slot, siblings),
-        free: slot.free.cpu,
+        free: if ask.packs {
+            slot.free.cpu
+        } else {
+            u64::MAX - slot.free.cpu
+        },
         siblings,
     }
 }
--- a/crates/pomelohitch-sched/src/progress.rs
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -111,6 +111,8 @@
     pub stop_sent_at: Option<Steady>,
     /// When a stop was last acknowledged.
     pub stop_acked_at: Option<Steady>,
+    /// Its start is void after this point of the endpoint's clock.
+    pub void_after: Option<Duration>,
     /// The share that it is paced to; `None` for all.
     pub pace: Option<u32>,
 }
@@ -168,6 +170,35 @@
         self.steps.iter().flatten().all(|t| t.is_done)
     }
 
+    /// How many steps have tasks that aren't done.
+    #[must_use]
+    pub fn steps_left(&self) -> u32 {
+        let left = self
+            .steps
+            .iter()
+            .filter(|tasks| tasks.iter().any(|t| !t.is_done));
+        u32::try_from(left.count()).unwrap_or(u32::MAX)
+    }
+
+    /// What the tasks take that neither run nor are done, by their estimates: thousandths of a core
+    /// times milliseconds.
+    #[must_use]
+    pub fn waiting_work(&self, steps: &[StepSpec]) -> f64 {
+        let work = self.steps.iter().zip(steps).map(|(tasks, step)| {
+            let waiting = tasks.iter().filter(|t| !t.is_done && t.runs.is_empty());
+            let count = u32::try_from(waiting.count()).unwrap_or(u32::MAX);
+            let cpu = u32::try_from(step.room().cpu).unwrap_or(u32::MAX);
+            f64::from(count) * f64::from(cpu) * step.estimate.as_secs_f64() * 1000.0
+        });
+        work.sum()
+    }
+
+    /// Whether some task has run.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.steps.iter().flatten().any(|t| t.last_run > 0)
+    }
+
     /// The longest chain of estimates that is left.
     #[must_use]
     pub fn chain_left(&self, steps: &[StepSpec]) -> Duration {
--- a/crates/pomelohitch-sched/tests/cell/ends.rs
+++ b/crates/pomelohitch-sched/tests/cell/ends.rs
@@ -214,3 +214,37 @@
     fleet.pass(50);
     assert_eq!(fleet.replies[&cancelled], Answer::Cancelled);
 }
+
+/// An endpoint starts a run, and its answer is lost. The run goes on; stopped for want of an answer
+/// it would have to begin again elsewhere, and its job would be late.
+#[test]
+fn a_run_whose_start_was_only_not_answered_goes_on() {
+    let mut fleet = Fleet::new(1);
+    fleet.endpoint("e0").loses_answers = true;
+    fleet.submit(ID, job(vec![step(3, 1000, 600)]));
+    fleet.pass(300);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    assert_eq!(fleet.starts.len(), 3);
+    fleet.assert_sound();
+}
+
+/// One order in ten gets no answer and is carried out seconds later. Callers see jobs that take
+/// seconds longer if the endpoint gets no work for a while after each, since then most of a busy
+/// pool stands idle, and if a task waits for a stop and a look that may be lost as well.
+#[test]
+fn work_goes_on_where_some_orders_are_lost() {
+    let mut fleet = Fleet::new(6);
+    fleet.faults.orders_lost = 0.1;
+    for id in 1..=12_u64 {
+        fleet.submit(&format!("{id:016x}"), job(vec![step(6, 500, 300)]));
+        fleet.pass(20);
+    }
+    fleet.pass(150);
+    let completed = (1..=12_u64).filter(|id| {
+        let state = fleet.state(&format!("{id:016x}"));
+        state == Answer::State(JobState::Completed)
+    });
+    assert_eq!(completed.count(), 12);
+    fleet.pass(1_200);
+    fleet.assert_sound();
+}
--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pomelohitch_sched::instances::{Instance, InstanceState, Wave};
+use pomelohitch_sched::Resources;
+use pomelohitch_sched::instances::{Instance, InstanceState, Instances, Wave};
+use pomelohitch_sched::order::OperationOutcome;
 
 use super::fleet::{Endpoint, Fleet, job, step};
 
@@ -294,3 +296,70 @@
     fleet.pass(400);
     assert!(fleet.statuses.contains(&(1, true)));
 }
+
+/// Every instance of a wave has been maintained, and pools that follow demand move some of them all
+/// the time. Operators would wait for the word that their wave is done until the load ends.
+#[test]
+fn a_wave_is_done_while_its_instances_move_between_pools() {
+    let mut instances = Instances::default();
+    let list: Vec<Instance> = (0..3).map(|n| instance(n, InstanceState::Up)).collect();
+    let second = Duration::from_secs(1);
+    instances.listed(list.clone(), second);
+    instances.wave(
+        Wave {
+            number: 1,
+            instances: list.iter().map(|i| i.id.clone()).collect(),
+            within: Duration::from_secs(20),
+            at_once: 3,
+        },
+        second,
+    );
+    for i in &list {
+        instances.set_under_way(&i.id, second, None);
+        let recorded = instances.operated(&i.id, Some(1), OperationOutcome::Taken, second);
+        assert!(recorded.is_ok_and(|record| record.is_some()));
+    }
+    assert_eq!(told(&mut instances), [(1, false)], "they are down");
+    instances.listed(list.clone(), 5 * second);
+    instances.set_under_way(&list[0].id, 5 * second, Some("issuing".into()));
+    assert_eq!(told(&mut instances), [(1, true)]);
+}
+
+/// An instance of a wave moves to another pool before it was maintained. It still has to be.
+#[test]
+fn a_wave_is_not_done_before_all_of_it_was_maintained() {
+    let mut instances = Instances::default();
+    let second = Duration::from_secs(1);
+    instances.listed(vec![instance(0, InstanceState::Up)], second);
+    instances.wave(
+        Wave {
+            number: 1,
+            instances: vec!["m0".into()],
+            within: Duration::from_secs(20),
+            at_once: 3,
+        },
+        second,
+    );
+    instances.set_under_way(&"m0".into(), second, Some("issuing".into()));
+    assert_eq!(told(&mut instances), [(1, false)]);
+}
+
+fn instance(number: u16, state: InstanceState) -> Instance {
+    Instance {
+        id: format!("m{number}").into(),
+        pool: "pricing".into(),
+        state,
+        capacity: Resources::default(),
+        labels: Arc::default(),
+        endpoint: Some(format!("e{number}").into()),
+    }
+}
+
+/// What is said of waves now: number, and whether it is done.
+fn told(instances: &mut Instances) -> Vec<(u64, bool)> {
+    let statuses = instances.statuses().expect("records can be encoded");
+    statuses
+        .into_iter()
+        .map(|(number, is_done, _)| (number, is_done))
+        .collect()
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/tests/urgency.rs
@@ -0,0 +1,141 @@
+//! Which jobs go first when not all can be in time.
+
+use std::time::Duration;
+
+use pomelohitch_sched::policy::Policy;
+use pomelohitch_sched::urgency::{Claim, Room, order};
+
+const NOW: u64 = 1_000_000;
+
+/// A job that came now: `work` is in seconds of a core, and its chain takes a second.
+fn claim(job: u64, work: f64) -> Claim {
+    Claim {
+        job,
+        from_ms: NOW,
+        chain: Duration::from_secs(1),
+        chain_left: Duration::from_secs(1),
+        steps_left: 1,
+        work_left: work * 1_000_000.0,
+        has_begun: false,
+        is_lasting: false,
+        stretch: 1.6,
+        slack: Duration::from_millis(600),
+        priority: 0,
+        owner: 0,
+        weight: 1,
+    }
+}
+
+/// So many cores, which nothing uses.
+fn cores(count: f64) -> Room {
+    Room {
+        cpu: count * 1000.0,
+        ..Room::default()
+    }
+}
+
+fn ordered(claims: &[Claim], room: &Room) -> Vec<u64> {
+    order(claims, room, NOW, &Policy::default())
+}
+
+#[test]
+fn with_room_for_all_the_latest_start_decides() {
+    let mut claims = [claim(1, 8.0), claim(2, 1.0), claim(3, 1.0)];
+    claims[0].from_ms -= 300;
+    claims[2].from_ms -= 200;
+    assert_eq!(ordered(&claims, &cores(100.0)), [1, 3, 2]);
+}
+
+/// Five jobs come at once, and the pool can do a little more than half of their work in time. By
+/// the latest start alone the large one would be served first, and all others would be late.
+#[test]
+fn the_job_waits_whose_work_frees_most() {
+    let mut claims = [4.0, 2.0, 2.0, 12.0, 2.0].map(|work| claim(0, work));
+    for (job, claim) in (1..).zip(&mut claims) {
+        claim.job = job;
+    }
+    claims[3].from_ms -= 50;
+    assert_eq!(ordered(&claims, &cores(3.0)), [1, 2, 3, 5, 4]);
+}
+
+/// One workspace sends six times what the others send. Its own jobs wait, though each of them is
+/// smaller than those of the others.
+#[test]
+fn a_workspace_that_presses_waits_itself() {
+    let mut claims: Vec<Claim> = (1..=16).map(|job| claim(job, 1.0)).collect();
+    for (place, claim) in claims.iter_mut().enumerate() {
+        let is_pressing = place >= 4;
+        claim.owner = u32::from(is_pressing);
+        claim.work_left = if is_pressing { 900_000.0 } else { 1_000_000.0 };
+    }
+    let first: Vec<u64> = ordered(&claims, &cores(2.0)).into_iter().take(8).collect();
+    let calm = first.iter().filter(|job| **job <= 4).count();
+    assert_eq!(calm, 4, "{first:?}");
+}
+
+/// A workspace of four times the weight may ask for four times as much.
+#[test]
+fn what_a_workspace_may_ask_goes_by_its_weight() {
+    let mut claims: Vec<Claim> = (1..=15).map(|job| claim(job, 1.0)).collect();
+    for (place, claim) in claims.iter_mut().enumerate() {
+        let is_large = place < 12;
+        claim.owner = u32::from(is_large);
+        claim.weight = if is_large { 4 } else { 1 };
+    }
+    let room = cores(2.0);
+    let order = ordered(&claims, &room);
+    let in_time = 7;
+    let small = order[..in_time].iter().filter(|job| **job > 12).count();
+    assert!((1..=2).contains(&small), "{order:?}");
+}
+
+/// What has begun isn't put off: what was done of it would be for nothing.
+#[test]
+fn a_job_that_has_begun_is_not_put_off() {
+    let mut claims = [claim(1, 12.0), claim(2, 2.0), claim(3, 2.0)];
+    claims[0].has_begun = true;
+    let order = ordered(&claims, &cores(2.0));
+    assert_eq!(order.iter().position(|job| *job == 1), Some(0));
+}
+
+/// Jobs that can't be in time any more wait for those that can, and those that are too late to be
+/// of use for both.
+#[test]
+fn late_jobs_wait() {
+    let mut claims = [claim(1, 1.0), claim(2, 1.0), claim(3, 1.0)];
+    claims[0].from_ms -= 9_000;
+    claims[1].from_ms -= 3_500;
+    assert_eq!(ordered(&claims, &cores(100.0)), [3, 2, 1]);
+}
+
+/// Estimates are rough: a job that will be a little late by them may well be in time.
+#[test]
+fn a_job_that_is_a_little_behind_is_not_given_up() {
+    let mut claims = [claim(1, 1.0), claim(2, 1.0)];
+    claims[0].from_ms -= 1_400;
+    assert_eq!(ordered(&claims, &cores(100.0)), [1, 2]);
+}
+
+/// Instances that are on their way to the pool count for what is due after they have come.
+#[test]
+fn instances_on_their_way_count() {
+    let mut claims = [claim(1, 3.0), claim(2, 3.0), claim(3, 3.0)];
+    claims[2].work_left = 4_000_000.0;
+    claims[2].from_ms -= 100;
+    let room = Room {
+        awaited: 8_000.0,
+        ..cores(1.0)
+    };
+    assert_eq!(ordered(&claims, &room), [3, 1, 2]);
+    assert_eq!(ordered(&claims, &cores(1.0)), [1, 3, 2]);
+}
+
+/// A lasting task has to come back. Its job came long ago; taken for a late one it would wait behind
+/// all others for as long as the pool is full.
+#[test]
+fn lasting_tasks_come_first() {
+    let mut claims = [claim(1, 1.0), claim(2, 1.0)];
+    claims[1].from_ms -= 60_000;
+    claims[1].is_lasting = true;
+    assert_eq!(ordered(&claims, &cores(0.1)), [2, 1]);
+}
