--- a/crates/pomelohitch-emulator/src/policies.rs
+++ b/crates/pomelohitch-emulator/src/policies.rs
@@ -33,14 +33,14 @@
     ("most-backlog", |p, n| p.margins.most_backlog = n),
     ("height", |p, n| p.margins.height = n),
     ("most-rise", |p, n| p.margins.most_rise = n),
-    ("soon-ms", |p, n| {
-        p.margins.soon = Duration::from_secs_f64(n.max(0.0) / 1000.0)
-    }),
-    ("surplus-ms", |p, n| {
-        p.margins.surplus_for = Duration::from_secs_f64(n.max(0.0) / 1000.0)
-    }),
+    ("soon-ms", |p, n| p.margins.soon = millis(n)),
+    ("surplus-ms", |p, n| p.margins.surplus_for = millis(n)),
 ];
 
+fn millis(number: f64) -> Duration {
+    Duration::from_secs_f64(number.max(0.0) / 1000.0)
+}
+
 /// The policy as shipped without the mechanisms that are named, separated by commas; `shipped` or
 /// nothing for all of them, and `NAME=NUMBER` sets a number. `None` if one isn't known.
 #[must_use]
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -185,7 +185,8 @@
     lag: Duration,
     emptying: BTreeSet<EndpointId>,
     unplaced: BTreeMap<ServiceName, schedule::Unplaced>,
-    cramped: BTreeMap<ServiceName, Steady>,
+    /// Services whose lasting tasks find no endpoint to leave for, and since when.
+    blocked: BTreeMap<ServiceName, Steady>,
     followed_at: Steady,
     surplus_since: Option<Steady>,
     advice: BTreeMap<crate::TaskId, advice::Advice>,
@@ -267,7 +268,7 @@
             lag: Duration::ZERO,
             emptying: BTreeSet::new(),
             unplaced: BTreeMap::new(),
-            cramped: BTreeMap::new(),
+            blocked: BTreeMap::new(),
             followed_at: Steady::ZERO,
             surplus_since: None,
             advice: BTreeMap::new(),
--- a/crates/pomelohitch-sched/src/cell/evict.rs
+++ b/crates/pomelohitch-sched/src/cell/evict.rs
@@ -44,23 +44,23 @@
         let due: Vec<EndpointId> = due.map(|(id, _)| id.clone()).collect();
         let leaving: Vec<EndpointId> = leaving.into_iter().map(|(id, _)| id.clone()).collect();
         self.is_evicting = !leaving.is_empty() || !due.is_empty();
-        let mut cramped = BTreeSet::new();
+        let mut blocked = BTreeSet::new();
         for id in leaving {
-            self.evict(&id, &mut cramped);
+            self.evict(&id, &mut blocked);
         }
         for id in due {
             self.evict_early(&id);
         }
-        self.cramped.retain(|service, _| cramped.contains(service));
-        for service in cramped {
+        self.blocked.retain(|service, _| blocked.contains(service));
+        for service in blocked {
             let now = self.now.steady;
-            self.cramped.entry(service).or_insert(now);
+            self.blocked.entry(service).or_insert(now);
         }
     }
 
-    /// `cramped` collects services whose lasting tasks find no room elsewhere: their pools have to
+    /// `blocked` collects services whose lasting tasks find no room elsewhere: their pools have to
     /// grow before the instance can be empty.
-    fn evict(&mut self, id: &EndpointId, cramped: &mut BTreeSet<ServiceName>) {
+    fn evict(&mut self, id: &EndpointId, blocked: &mut BTreeSet<ServiceName>) {
         let Some(endpoint) = self.endpoints.get(id) else {
             return;
         };
@@ -73,7 +73,7 @@
             if self.has_room_elsewhere(task, step) {
                 self.send_away(task, run);
             } else if let Some(job) = self.jobs.get(&task.job) {
-                cramped.insert(self.service_of(&job.spec));
+                blocked.insert(self.service_of(&job.spec));
             }
         }
     }
--- a/crates/pomelohitch-sched/src/cell/follow.rs
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -108,8 +108,8 @@
     /// for, and no instance is on its way.
     fn is_short(&self, service: &ServiceName) -> bool {
         let unplaced = self.unplaced.get(service).map(|u| u.since);
-        let cramped = self.cramped.get(service).copied();
-        let since = unplaced.into_iter().chain(cramped).min();
+        let blocked = self.blocked.get(service).copied();
+        let since = unplaced.into_iter().chain(blocked).min();
         let is_old = since.is_some_and(|s| self.now.steady.saturating_sub(s) > SHORT_AFTER);
         is_old && !self.instances.is_awaited(service)
     }
--- a/crates/pomelohitch-sched/src/cell/orders.rs
+++ b/crates/pomelohitch-sched/src/cell/orders.rs
@@ -10,10 +10,10 @@
 use crate::progress::Phase;
 
 /// An endpoint that says it is unwell gets no work for so long.
-const UNWELL_SHUN: Duration = Duration::from_millis(1500);
+const UNWELL_AVOIDED: Duration = Duration::from_millis(1500);
 /// An endpoint that had no room, or wasn't there, gets no work for so long, by which time it was
 /// looked at again.
-const BRIEF_SHUN: Duration = Duration::from_millis(300);
+const BRIEF_AVOIDED: Duration = Duration::from_millis(300);
 
 impl Cell {
     /// Takes in how an order ended.
@@ -57,12 +57,12 @@
             }
             Outcome::Refused(refusal) => {
                 info!(%task, run, endpoint = %target.id, ?refusal, "start refused");
-                let shun = match refusal {
-                    Refusal::Unwell => UNWELL_SHUN,
-                    Refusal::Room | Refusal::Elsewhere => BRIEF_SHUN,
+                let avoid = match refusal {
+                    Refusal::Unwell => UNWELL_AVOIDED,
+                    Refusal::Room | Refusal::Elsewhere => BRIEF_AVOIDED,
                     _ => Duration::ZERO,
                 };
-                self.shun(&target.id, shun);
+                self.avoid(&target.id, avoid);
                 if *refusal == Refusal::Ticket {
                     self.advice.remove(&TaskId { index: 0, ..task });
                 }
@@ -83,10 +83,10 @@
     }
 
     /// Gives an endpoint no work for a while.
-    pub(super) fn shun(&mut self, id: &EndpointId, time: Duration) {
+    pub(super) fn avoid(&mut self, id: &EndpointId, time: Duration) {
         let until = self.now.steady + time;
         if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.shunned_until = endpoint.shunned_until.max(until);
+            endpoint.avoided_until = endpoint.avoided_until.max(until);
         }
     }
 }
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -116,7 +116,7 @@
                 && !e.is_reserved
                 && e.lease_confirmed
                 && (!e.is_doubted || !self.settings.policy.doubts_silent)
-                && e.shunned_until <= self.now.steady
+                && e.avoided_until <= self.now.steady
                 && e.is_fresh(self.now.steady, self.settings.fresh)
                 && e.report
                     .as_ref()
--- a/crates/pomelohitch-sched/src/cell/stalls.rs
+++ b/crates/pomelohitch-sched/src/cell/stalls.rs
@@ -16,11 +16,11 @@
 /// which takes up to 0.6 s.
 const STALLED_AFTER: Duration = Duration::from_secs(1);
 /// An endpoint with such a run gets no work for so long, and again with each look that shows one.
-const STALLED_SHUN: Duration = Duration::from_secs(3);
+const STALLED_AVOIDED: Duration = Duration::from_secs(3);
 /// A task is taken elsewhere so often; if it stands still there too, the fault is its own.
 const MOST_ENDPOINTS: usize = 2;
-/// If more than this part of a service's endpoints are shunned, it is not they that are at fault.
-const MOST_SHUNNED: f64 = 0.3;
+/// If more than this part of a service's endpoints are avoided, it is not they that are at fault.
+const MOST_AVOIDED: f64 = 0.3;
 
 impl Cell {
     /// Stops runs at an endpoint that stand still, so that they start elsewhere.
@@ -29,11 +29,11 @@
         let stalled: Vec<_> = listed
             .filter(|&(task, run)| self.is_stalled(task, run, look))
             .collect();
-        if stalled.is_empty() || !self.may_shun(id) {
+        if stalled.is_empty() || !self.may_avoid(id) {
             return;
         }
         warn!(endpoint = %id, runs = stalled.len(), "runs stand still");
-        self.shun(id, STALLED_SHUN);
+        self.avoid(id, STALLED_AVOIDED);
         for (task, run) in stalled {
             self.leave_endpoint(id, task, run);
         }
@@ -53,17 +53,17 @@
         })
     }
 
-    fn may_shun(&self, id: &EndpointId) -> bool {
+    fn may_avoid(&self, id: &EndpointId) -> bool {
         let now = self.now.steady;
         let service = |e: &crate::endpoint::Endpoint| e.report.as_ref().map(|r| r.service.clone());
         let own = self.endpoints.get(id).and_then(service);
         let peers = self.endpoints.iter().filter(|(_, e)| service(e) == own);
-        let (mut all, mut shunned) = (0_u32, 0_u32);
+        let (mut all, mut avoided) = (0_u32, 0_u32);
         for (peer, endpoint) in peers {
             all += 1;
-            shunned += u32::from(peer != id && endpoint.shunned_until > now);
+            avoided += u32::from(peer != id && endpoint.avoided_until > now);
         }
-        f64::from(shunned) <= f64::from(all) * MOST_SHUNNED
+        f64::from(avoided) <= f64::from(all) * MOST_AVOIDED
     }
 
     fn leave_endpoint(&mut self, id: &EndpointId, task: TaskId, run: RunNumber) {
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -169,7 +169,7 @@
     /// short one.
     pub lease_confirmed: bool,
     /// Not used for new work until then.
-    pub shunned_until: Steady,
+    pub avoided_until: Steady,
     /// Whether it has answered nothing since it left a start unanswered. Such an endpoint gets no
     /// work: it may be gone. One that has answered since only lost that order, and where one order
     /// in some is lost, leaving it out for a fixed time would idle most of a busy pool.
@@ -210,7 +210,7 @@
             looked_at: None,
             heard_at: None,
             lease_confirmed: false,
-            shunned_until: Steady::ZERO,
+            avoided_until: Steady::ZERO,
             is_doubted: false,
             failures: 0.0,
             successes: 0.0,
--- a/crates/pomelohitch-sched/src/place.rs
+++ b/crates/pomelohitch-sched/src/place.rs
@@ -61,8 +61,8 @@
     }
 }
 
-/// The endpoints of a service that may be given work, as they are while a pass lasts. Looked up
-/// one by one for each task they took more time than all other decisions.
+/// The endpoints of a service that may be given work, as they are while a pass lasts, so that they
+/// aren't looked up again for each task.
 #[derive(Debug, Default)]
 pub struct Slots {
     /// Each of them.
--- a/crates/pomelohitch-sched/tests/demand.rs
+++ b/crates/pomelohitch-sched/tests/demand.rs
@@ -107,7 +107,7 @@
             cpu: 10_000,
             ..Resources::default()
         },
-        estimate: Duration::from_millis(1_000),
+        estimate: Duration::from_secs(1),
         ..StepSpec::default()
     };
     let second = 1_000;
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -229,9 +229,9 @@
             let actions = self.cell.tick(clock::now());
             self.carry_out(actions);
             self.commit();
-            self.mind_store();
-            self.mind_size();
-            self.mind_former();
+            self.check_store();
+            self.check_size();
+            self.check_former();
             self.lanes.prune(self.cell.endpoints());
         }
     }
--- a/pomelohitchd/src/fleet/leader/handover.rs
+++ b/pomelohitchd/src/fleet/leader/handover.rs
@@ -26,8 +26,8 @@
 const COMPARE_EVERY: Duration = Duration::from_secs(1);
 /// The first time is so long after a take-over, before its load has built up.
 const COMPARE_FIRST: Duration = Duration::from_millis(300);
-/// Their answers are waited for so long: a small leader that is out of processor time, which has to
-/// yield most of all, took longer than the usual 0.35 s to take them in, and kept on leading.
+/// Their answers are waited for so long: a small leader that is out of processor time has to yield
+/// most of all, and takes long to take them in.
 const COMPARE_WITHIN: Duration = Duration::from_secs(2);
 /// Without the store and without any answer of other members this process stops leading: the
 /// others may have elected another leader, which counts on leases not being renewed for longer.
@@ -40,7 +40,7 @@
 
 impl Core<'_> {
     /// While the store doesn't answer, asks the other members whether it answers them.
-    pub(super) fn mind_store(&mut self) {
+    pub(super) fn check_store(&mut self) {
         let now = clock::steady();
         let Some(since) = self.store_lost() else {
             return;
@@ -71,7 +71,7 @@
     }
 
     /// Notices that the former leader's process has ended, by another process of that member.
-    pub(super) fn mind_former(&mut self) {
+    pub(super) fn check_former(&mut self) {
         let Some(former) = &self.former else {
             return;
         };
@@ -83,7 +83,7 @@
     }
 
     /// Asks larger members now and then whether they can lead.
-    pub(super) fn mind_size(&mut self) {
+    pub(super) fn check_size(&mut self) {
         let now = clock::steady();
         if now < self.compared_at + COMPARE_EVERY {
             return;
--- a/pomelohitchd/src/fleet/logs.rs
+++ b/pomelohitchd/src/fleet/logs.rs
@@ -6,8 +6,8 @@
 
 /// Lines that wait to be written; more are dropped and counted rather than waited for.
 const BUFFERED_LINES: usize = 8_192;
-/// Lines that wait are written together up to so many bytes: a call of the system for each line took
-/// more than writing it.
+/// Lines that wait are written together up to so many bytes, which saves a call of the system for
+/// each line.
 const WRITTEN_AT_ONCE: usize = 4 * 1024;
 
 /// Ends the writing of lines when dropped, after what waits was written.
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -109,8 +109,8 @@
 
     /// A client of the leader at `addr`, whose connections all callers of this process share.
     ///
-    /// With one for each caller's connection, some thousand callers of a fleet used up the
-    /// connections that the leader takes, and it refused whoever came then.
+    /// With one for each caller's connection, some thousand callers of a fleet would use up the
+    /// connections that the leader takes.
     #[must_use]
     pub fn leader_client(&self, addr: SocketAddr) -> Client {
         let kept = self.to_leader.lock();
