perf: appends to the store go out side by side

Change: up to four appends on their way, numbered, each on a connection of its own; the store takes them in order, so that one that is durable says the same of all before it. Tests: numbered appends are taken once and in order, with answers lost and parts of large batches; faults in any order now include a slow log; the load is played with one and with four at a time.

--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -3,7 +3,7 @@
 //! Each start is checked against the promises: room, one run of a task at a time, steps in order,
 //! none after a noted end.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
     Action, Answer, LookFailure, LookOrder, Operation, OperationOutcome, Order, Outcome, Refusal,
     Target,
 };
-use pomelohitch_sched::{Cell, EndpointId, Now, Resources, Settings, TaskId};
+use pomelohitch_sched::{Cell, EndpointId, Now, Resources, Settings, Steady, TaskId};
 
 pub use self::endpoint::Endpoint;
 pub use self::faults::Faults;
@@ -30,6 +30,8 @@
 pub const STEP: Duration = Duration::from_millis(10);
 /// Unix time at which every test begins.
 pub const BEGAN_MS: u64 = 1_000_000;
+/// Appends behind others begin at least so far apart.
+const APPEND_GAP: Duration = Duration::from_millis(120);
 /// An order without an answer by then is taken for lost.
 const ORDER_WITHIN: Duration = Duration::from_millis(150);
 /// A look may take so much longer than it was told to wait.
@@ -62,6 +64,10 @@
     pub log: BTreeMap<Box<str>, Box<[u8]>>,
     /// While false, nothing becomes durable.
     pub is_log_up: bool,
+    /// How long the log takes for an append.
+    pub log_delay: Duration,
+    /// So many appends may be on their way.
+    pub appends_at_once: usize,
     /// While true, the list of instances can't be read.
     pub hides_instances: bool,
     /// Whether operations take effect after their time.
@@ -95,7 +101,9 @@
     looks: Vec<WaitingLook>,
     delayed: Vec<Delayed>,
     luck: Luck,
-    pending: Option<Batch>,
+    /// Batches on their way to the log, and when each is there.
+    pending: VecDeque<(Steady, Batch)>,
+    taken_at: Steady,
     done: BTreeSet<TaskId>,
     calls: u64,
 }
@@ -202,6 +210,8 @@
             instances: BTreeMap::new(),
             log: BTreeMap::new(),
             is_log_up: true,
+            log_delay: Duration::ZERO,
+            appends_at_once: 4,
             hides_instances: false,
             carries_out: false,
             returning: Vec::new(),
@@ -225,7 +235,8 @@
             looks: Vec::new(),
             delayed: Vec::new(),
             luck: Luck::new(0),
-            pending: None,
+            pending: VecDeque::new(),
+            taken_at: Steady::ZERO,
             done: BTreeSet::new(),
             calls: 0,
         };
@@ -320,7 +331,7 @@
         let faults = faults.iter().map(|fault| format!("a record: {fault}"));
         self.broken.extend(faults);
         self.cell = cell;
-        self.pending = None;
+        self.pending.clear();
         self.looks.clear();
         self.cell.configure(self.cfg.clone());
         self.list();
@@ -391,7 +402,8 @@
         if !self.is_log_up {
             return;
         }
-        if let Some(batch) = self.pending.take() {
+        let now = self.now.steady;
+        while let Some((_, batch)) = self.pending.pop_front_if(|(due, _)| *due <= now) {
             for record in &batch.records {
                 match &record.value {
                     Some(value) => self.log.insert(record.key.clone(), value.clone()),
@@ -401,8 +413,16 @@
             let actions = self.decide(|cell, _| cell.committed(batch));
             self.carry_out(actions);
         }
+        let is_behind = !self.pending.is_empty();
+        let is_early = is_behind && now < self.taken_at + APPEND_GAP;
+        if is_early || self.pending.len() >= self.appends_at_once {
+            return;
+        }
         let batch = self.decide(|cell, _| cell.take_batch());
-        self.pending = batch.expect("records can be encoded");
+        if let Some(batch) = batch.expect("records can be encoded") {
+            self.taken_at = now;
+            self.pending.push_back((now + self.log_delay, batch));
+        }
     }
 
     fn answer_looks(&mut self) {
--- a/crates/pomelohitch-emulator/src/load.rs
+++ b/crates/pomelohitch-emulator/src/load.rs
@@ -52,6 +52,9 @@
     /// How long the fleet stands idle before, seconds.
     #[serde(default = "lead")]
     pub lead_s: f64,
+    /// So many appends to the log may be on their way.
+    #[serde(default = "appends_at_once")]
+    pub appends_at_once: usize,
     /// What each instance has.
     pub instance: Instance,
     /// Pools with their instances.
@@ -187,6 +190,9 @@
     /// The log takes no records.
     #[serde(default)]
     pub log_away: Vec<Span>,
+    /// The log takes `strength` seconds for an append.
+    #[serde(default)]
+    pub log_slow: Vec<Span>,
     /// The part of `strength` of a tenth, rounded up, of the endpoints works that much slower.
     #[serde(default)]
     pub slow: Vec<Span>,
@@ -199,6 +205,10 @@
     10.0
 }
 
+fn appends_at_once() -> usize {
+    4
+}
+
 fn spread() -> f64 {
     0.45
 }
@@ -242,6 +252,11 @@
     };
     demand((1.0..=600.0).contains(&load.seconds), "seconds", "1 to 600")?;
     demand((1.0..=60.0).contains(&load.lead_s), "lead_s", "1 to 60")?;
+    demand(
+        (1..=100).contains(&load.appends_at_once),
+        "appends_at_once",
+        "1 to 100",
+    )?;
     demand(load.instance.cpu > 0, "instance.cpu", "more than 0")?;
     demand(!load.queues.is_empty(), "queues", "one or more")?;
     let instances: u32 = load.services.iter().map(|s| u32::from(s.instances)).sum();
--- a/crates/pomelohitch-emulator/src/play.rs
+++ b/crates/pomelohitch-emulator/src/play.rs
@@ -115,6 +115,7 @@
             gpu: 0,
         };
         fleet.carries_out = true;
+        fleet.appends_at_once = load.appends_at_once;
         fleet.faults = Faults {
             unevenness: load.faults.unevenness,
             seed,
@@ -198,6 +199,9 @@
             self.fleet.is_log_up = !is_away;
             self.fleet.cell.log_is_down(is_away);
         }
+        let slow_log = faults.log_slow.iter().find(|span| span.holds(now));
+        let delay = slow_log.map_or(0.0, |span| span.strength.max(0.0));
+        self.fleet.log_delay = Duration::from_secs_f64(delay);
         let slow = faults.slow.iter().find(|span| span.holds(now));
         let slowness = slow.map_or(1.0, |span| span.strength.max(1.0));
         for (place, endpoint) in self.fleet.endpoints.values_mut().enumerate() {
--- a/crates/pomelohitch-emulator/tests/loads.rs
+++ b/crates/pomelohitch-emulator/tests/loads.rs
@@ -42,6 +42,7 @@
         "orders-lost.toml",
         "one-presses.toml",
         "log-away.toml",
+        "log-slow.toml",
         "steady.toml",
     ] {
         for outcome in play_all(&load(name), &Settings::default(), &SEEDS) {
@@ -114,3 +115,17 @@
     assert!(!policy.rescues);
     assert!((policy.late_after - 2.0).abs() < f64::EPSILON);
 }
+
+/// The log takes a quarter of a second for an append. With one at a time each record waits for up to
+/// two of them, and most jobs of a turn are late by that.
+#[test]
+fn more_callers_are_served_in_time_with_appends_side_by_side() {
+    let together = load("log-slow.toml");
+    let one_by_one = Load {
+        appends_at_once: 1,
+        ..together.clone()
+    };
+    let before = play_all(&one_by_one, &Settings::default(), &SEEDS);
+    let after = play_all(&together, &Settings::default(), &SEEDS);
+    assert!(mean(&after, "in time") > mean(&before, "in time") + 0.04);
+}
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -16,7 +16,8 @@
 //! * [`waves`]: maintenance in waves.
 //!
 //! A [`Batch`] holds the records of what was decided since the last one, and the actions that may
-//! be carried out once these records are durable. Batches are made durable one after another.
+//! be carried out once these records are durable. Several batches may be on their way; they become
+//! durable in the order in which they were taken.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
--- a/crates/pomelohitch-sched/tests/cell/random.rs
+++ b/crates/pomelohitch-sched/tests/cell/random.rs
@@ -1,5 +1,7 @@
 //! Faults in any order: whatever comes, no promise is broken and every job ends.
 
+use std::time::Duration;
+
 use bolero::check;
 
 use pomelohitch_sched::job::StepSpec;
@@ -13,7 +15,7 @@
 /// What happens next; `which` names an endpoint and how long it takes.
 fn disturb(fleet: &mut Fleet, what: u8, which: u8) {
     let id = format!("e{}", which % ENDPOINTS);
-    match what % 8 {
+    match what % 9 {
         0 => fleet.endpoint(&id).is_silent = true,
         1 => fleet.endpoint(&id).is_silent = false,
         2 => fleet.endpoint(&id).loses_answers = which < 128,
@@ -21,6 +23,7 @@
         4 => fleet.change_leader(),
         5 => fleet.is_log_up = which < 128,
         6 => fleet.list(),
+        7 => fleet.log_delay = Duration::from_millis(u64::from(which % 4) * 130),
         _ => {}
     }
     fleet.pass(u32::from(which % 64) + 1);
@@ -39,6 +42,7 @@
         disturb(&mut fleet, what, which);
     }
     fleet.is_log_up = true;
+    fleet.log_delay = Duration::ZERO;
     for endpoint in fleet.endpoints.values_mut() {
         endpoint.is_silent = false;
         endpoint.loses_answers = false;
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -1,6 +1,6 @@
 //! The one thread that holds the state of all jobs and decides.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -23,7 +23,7 @@
 use super::super::shared::{Shared, spawn_with};
 use super::super::wire::{self, Claim, Leader, ProbeReply};
 use super::duties::Duties;
-use super::journal::Journal;
+use super::journal::{self, Journal, Sequence};
 use super::lanes::Lanes;
 use super::{handover, heartbeats, watch};
 
@@ -35,6 +35,9 @@
 /// Batches begin at least so far apart: each append is priced, and 15 ms beside work of half a
 /// second don't show.
 const BATCH_GAP: Duration = Duration::from_millis(15);
+/// The same while others are on their way: a store that answers slowly has so many under way that
+/// a record waits for little more than one answer.
+const BATCH_GAP_BEHIND: Duration = Duration::from_millis(120);
 /// Most events taken in before the state is looked at.
 const EVENTS_AT_ONCE: usize = 1_000;
 
@@ -78,8 +81,8 @@
     Operated(InstanceId, Operation, OperationOutcome),
     /// The policy answered.
     Advised(TaskId, Vec<(EndpointId, Box<str>)>, Duration),
-    /// A batch is durable.
-    Committed(Batch),
+    /// Everything up to this append is durable.
+    Committed(Sequence),
     /// The store answers, or doesn't, to appends.
     Appends(bool),
     /// The store answers, or doesn't, to reads of what operators write.
@@ -131,7 +134,9 @@
     duties: Duties,
     calls: HashMap<CallId, SyncSender<Answer>>,
     next_call: CallId,
-    is_committing: bool,
+    /// What is on its way to the store, by the number of its last append; a confirmation of the
+    /// leadership has no batch.
+    committing: VecDeque<(Sequence, Option<Batch>)>,
     committed_at: Steady,
     pub(super) appends_lost: Option<Steady>,
     pub(super) reads_lost: Option<Steady>,
@@ -147,13 +152,12 @@
     let epoch = parts.leader.epoch;
     let confirmed = Arc::new(AtomicU64::new(millis(clock::steady())));
     let tx = parts.tx;
-    let started =
-        Journal::start(shared, epoch, tx.clone(), confirmed.clone()).and_then(|journal| {
-            let duties = Duties::start(shared, epoch, &tx, &confirmed)?;
-            watch::start(shared, epoch, &tx, parts.offsets)?;
-            heartbeats::start(shared, &parts.leader, &tx)?;
-            Ok((journal, duties, Lanes::start(tx.clone())?))
-        });
+    let started = Journal::start(shared, epoch, &tx, &confirmed).and_then(|journal| {
+        let duties = Duties::start(shared, epoch, &tx, &confirmed)?;
+        watch::start(shared, epoch, &tx, parts.offsets)?;
+        heartbeats::start(shared, &parts.leader, &tx)?;
+        Ok((journal, duties, Lanes::start(tx.clone())?))
+    });
     let (journal, duties, lanes) = match started {
         Ok(started) => started,
         Err(error) => {
@@ -172,7 +176,7 @@
         duties,
         calls: HashMap::new(),
         next_call: 0,
-        is_committing: false,
+        committing: VecDeque::new(),
         committed_at: Steady::ZERO,
         appends_lost: None,
         reads_lost: None,
@@ -257,7 +261,7 @@
             Event::Instances(None, _) => self.cell.instances_unlisted(),
             Event::Operated(id, operation, outcome) => self.cell.operated(&id, &operation, outcome),
             Event::Advised(step, tickets, valid) => self.cell.advised_of(step, tickets, valid),
-            Event::Committed(batch) => self.take_committed(batch),
+            Event::Committed(sequence) => self.take_committed(sequence),
             Event::Appends(is_well) => {
                 self.cell.log_is_down(!is_well);
                 self.appends_lost = lost_since(self.appends_lost, is_well);
@@ -294,10 +298,14 @@
         }
     }
 
-    fn take_committed(&mut self, batch: Batch) {
-        self.is_committing = false;
-        let actions = self.cell.committed(batch);
-        self.carry_out(actions);
+    /// Carries out what waited for records that are durable now, in the order of its decision.
+    fn take_committed(&mut self, sequence: Sequence) {
+        while let Some((_, batch)) = self.committing.pop_front_if(|(last, _)| *last <= sequence) {
+            if let Some(batch) = batch {
+                let actions = self.cell.committed(batch);
+                self.carry_out(actions);
+            }
+        }
     }
 
     fn carry_out(&mut self, actions: Vec<Action>) {
@@ -334,19 +342,32 @@
 
     fn commit(&mut self) {
         let now = clock::steady();
-        if self.is_committing || now < self.committed_at + BATCH_GAP {
+        let is_behind = !self.committing.is_empty();
+        let gap = if is_behind {
+            BATCH_GAP_BEHIND
+        } else {
+            BATCH_GAP
+        };
+        if self.committing.len() >= journal::AT_ONCE || now < self.committed_at + gap {
             return;
         }
         match self.cell.take_batch() {
-            Ok(None) => {}
+            Ok(None) => {
+                if !is_behind && now >= self.committed_at + journal::CONFIRM_EVERY {
+                    let sequence = self.journal.confirm(self.epoch);
+                    self.committing.push_back((sequence, None));
+                    self.committed_at = now;
+                }
+            }
             Ok(Some(batch)) if batch.records.is_empty() => {
                 let actions = self.cell.committed(batch);
                 self.carry_out(actions);
             }
-            Ok(Some(batch)) => {
-                self.is_committing = true;
+            Ok(Some(mut batch)) => {
                 self.committed_at = now;
-                self.journal.commit(batch);
+                let records = std::mem::take(&mut batch.records);
+                let sequence = self.journal.commit(records);
+                self.committing.push_back((sequence, Some(batch)));
             }
             Err(error) => {
                 error!(%error, "records can't be encoded");
--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 #[path = "fleet/callers.rs"]
 mod callers;
+#[path = "fleet/journal.rs"]
+mod journal;
 #[path = "fleet/lanes.rs"]
 mod lanes;
 #[path = "fleet/leaders.rs"]
--- /dev/null
+++ b/pomelohitchd/tests/fleet/journal.rs
@@ -0,0 +1,147 @@
+//! Records on their way to the store.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex, mpsc};
+
+use pomelohitch_sched::progress::Record;
+use pomelohitchd::fleet::leader::core::Event;
+use pomelohitchd::fleet::leader::journal::{Journal, Sequence};
+use pomelohitchd::fleet::shared::{Leading, Shared};
+
+use super::site::site;
+
+const EPOCH: u64 = 7;
+
+/// What a store has taken, in order, and whose first answers it still loses.
+#[derive(Default)]
+struct Taken {
+    sequences: Vec<Sequence>,
+    losing: Vec<Sequence>,
+}
+
+/// A store that takes appends in sequence and loses the first answers to some.
+fn store(losing: &[Sequence]) -> (SocketAddr, Arc<Mutex<Taken>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let addr = listener.local_addr().expect("it is bound");
+    let taken = Arc::new(Mutex::new(Taken {
+        losing: losing.to_vec(),
+        ..Taken::default()
+    }));
+    let shared = taken.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (stream, taken) = (stream.expect("a writer connects"), shared.clone());
+            std::thread::spawn(move || serve(stream, &taken));
+        }
+    });
+    (addr, taken)
+}
+
+fn serve(mut stream: TcpStream, taken: &Mutex<Taken>) {
+    let mut buf = [0; 4096];
+    while let Ok(count) = stream.read(&mut buf)
+        && count > 0
+    {
+        let text = String::from_utf8_lossy(&buf[..count]).into_owned();
+        let Some((_, rest)) = text.split_once("seq_no=") else {
+            continue;
+        };
+        let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+        let sequence = digits.parse().expect("it is a number");
+        let answer = take(&mut taken.lock().expect("no test panics here"), sequence);
+        if let Some(answer) = answer
+            && stream.write_all(answer.as_bytes()).is_err()
+        {
+            return;
+        }
+    }
+}
+
+fn take(taken: &mut Taken, sequence: Sequence) -> Option<&'static str> {
+    let next = taken.sequences.len() as Sequence + 1;
+    if sequence > next {
+        return Some("HTTP/1.1 409 No\r\nContent-Length: 16\r\n\r\n{\"reason\":\"seq\"}");
+    }
+    if sequence == next {
+        taken.sequences.push(sequence);
+    }
+    if let Some(at) = taken.losing.iter().position(|lost| *lost == sequence) {
+        taken.losing.remove(at);
+        return None;
+    }
+    Some("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"end\":1}")
+}
+
+/// Commits so many batches of a record each, and waits until all are durable.
+fn commit_all(addr: SocketAddr, count: Sequence) {
+    let mut site = site();
+    site.store = addr;
+    let shared = Arc::new(Shared::new(site));
+    let (tx, rx) = mpsc::channel();
+    shared.set_leading(Some(Leading {
+        epoch: EPOCH,
+        events: tx.clone(),
+    }));
+    let confirmed = Arc::new(AtomicU64::new(0));
+    let journal = Journal::start(&shared, EPOCH, &tx, &confirmed);
+    let mut journal = journal.expect("there is room for threads");
+    for number in 1..=count {
+        let record = Record {
+            key: format!("p{number}").into(),
+            value: Some(vec![1].into()),
+        };
+        assert_eq!(journal.commit(vec![record]), number);
+    }
+    let is_last = |event: Event| matches!(event, Event::Committed(last) if last == count);
+    assert!(rx.into_iter().any(is_last));
+    shared.set_leading(None);
+}
+
+/// Several appends are on their way, and one overtakes another. The store takes them in their order
+/// all the same, each once.
+#[test]
+fn appends_side_by_side_are_taken_in_their_order() {
+    let (addr, taken) = store(&[]);
+    commit_all(addr, 12);
+    let taken = taken.lock().expect("no test panics here");
+    assert_eq!(taken.sequences, (1..=12).collect::<Vec<_>>());
+}
+
+/// The answers to some appends are lost. They are tried again, and what comes after them is taken in
+/// its order; nothing is taken twice.
+#[test]
+fn lost_answers_leave_no_gap() {
+    let (addr, taken) = store(&[1, 4]);
+    commit_all(addr, 6);
+    let taken = taken.lock().expect("no test panics here");
+    assert_eq!(taken.sequences, (1..=6).collect::<Vec<_>>());
+}
+
+/// A batch is larger than one append may be.
+#[test]
+fn a_large_batch_is_written_in_parts() {
+    let (addr, taken) = store(&[]);
+    let mut site = site();
+    site.store = addr;
+    let shared = Arc::new(Shared::new(site));
+    let (tx, rx) = mpsc::channel();
+    shared.set_leading(Some(Leading {
+        epoch: EPOCH,
+        events: tx.clone(),
+    }));
+    let confirmed = Arc::new(AtomicU64::new(0));
+    let journal = Journal::start(&shared, EPOCH, &tx, &confirmed);
+    let mut journal = journal.expect("there is room for threads");
+    let large = |number: u32| Record {
+        key: format!("j{number}").into(),
+        value: Some(vec![0; 700_000].into()),
+    };
+    assert_eq!(journal.commit((1..=3).map(large).collect()), 3);
+    let is_last = |event: &Event| matches!(event, Event::Committed(3));
+    assert!(rx.iter().any(|event| is_last(&event)));
+    shared.set_leading(None);
+    let taken = taken.lock().expect("no test panics here");
+    assert_eq!(taken.sequences, [1, 2, 3]);
+}
