--- /dev/null
+++ b/crates/pomelohitch-emulator/src/fleet/log.rs
@@ -0,0 +1,32 @@
+//! Batches on their way to the log.
+
+use super::{APPEND_GAP, Fleet};
+
+impl Fleet {
+    pub(super) fn commit(&mut self) {
+        if !self.is_log_up {
+            return;
+        }
+        let now = self.now.steady;
+        while let Some((_, batch)) = self.pending.pop_front_if(|(due, _)| *due <= now) {
+            for record in &batch.records {
+                match &record.value {
+                    Some(value) => self.log.insert(record.key.clone(), value.clone()),
+                    None => self.log.remove(&record.key),
+                };
+            }
+            let actions = self.decide(|cell, _| cell.committed(batch));
+            self.carry_out(actions);
+        }
+        let is_behind = !self.pending.is_empty();
+        let is_early = is_behind && now < self.taken_at + APPEND_GAP;
+        if is_early || self.pending.len() >= self.appends_at_once {
+            return;
+        }
+        let batch = self.decide(|cell, _| cell.take_batch());
+        if let Some(batch) = batch.expect("records can be encoded") {
+            self.taken_at = now;
+            self.pending.push_back((now + self.log_delay, batch));
+        }
+    }
+}
--- /dev/null
+++ b/crates/pomelohitch-emulator/src/fleet/orders.rs
@@ -0,0 +1,155 @@
+//! Orders on their way to endpoints, and the check of each start.
+
+use std::time::Duration;
+
+use pomelohitch_sched::job::StepSpec;
+use pomelohitch_sched::order::{Action, Order, Outcome, Refusal, Target};
+use pomelohitch_sched::{EndpointId, Resources, TaskId};
+
+use super::faults::Delayed;
+use super::{Fleet, WaitingLook};
+
+impl Fleet {
+    pub(super) fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Look(look) => {
+                    self.looks_sent += 1;
+                    self.looks.push(WaitingLook {
+                        sent_at: self.now.steady,
+                        order: look,
+                        has_arrived: false,
+                        is_lost: self.luck.strikes(self.faults.orders_lost),
+                    });
+                }
+                Action::Order {
+                    target,
+                    order,
+                    epoch,
+                    ..
+                } => {
+                    self.send(&target, &order, epoch);
+                }
+                Action::Reply { call, answer } => {
+                    self.replies.insert(call, answer);
+                }
+                Action::WaveStatus { wave, is_completed } => {
+                    self.statuses.push((wave, is_completed));
+                }
+                Action::ListInstances if self.hides_instances => self.cell.instances_unlisted(),
+                Action::ListInstances => {
+                    let list = self.instances.values().cloned().collect();
+                    self.decide(|cell, now| cell.instances_listed(list, now.steady));
+                }
+                Action::Operate {
+                    instance,
+                    operation,
+                    ..
+                } => self.operate(&instance, &operation),
+                Action::Advise { step, endpoints } => {
+                    let tickets = endpoints.into_iter().map(|e| (e, "ticket".into()));
+                    let valid = Duration::from_secs(3);
+                    self.cell.advised_of(step, tickets.collect(), valid);
+                }
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, target: &Target, order: &Order, epoch: u64) {
+        if self.luck.strikes(self.faults.orders_lost) {
+            self.starts_lost += usize::from(matches!(order, Order::Start { .. }));
+            self.delayed
+                .extend(self.luck.late(target, order, epoch, self.now.steady));
+            return;
+        }
+        let outcome = self.order(target, order, epoch);
+        self.decide(|cell, _| cell.ordered(target, order, &outcome));
+    }
+
+    /// Orders that were left unanswered count as lost after a while, and are carried out later.
+    pub(super) fn end_delayed(&mut self) {
+        let now = self.now.steady;
+        let due = self.delayed.extract_if(.., |d| d.at <= now);
+        for delayed in due.collect::<Vec<_>>() {
+            let Delayed {
+                target,
+                order,
+                epoch,
+                is_carried_out,
+                ..
+            } = delayed;
+            if is_carried_out && self.endpoints.contains_key(&target.id) {
+                self.order(&target, &order, epoch);
+            } else if !is_carried_out {
+                self.decide(|cell, _| cell.ordered(&target, &order, &Outcome::Unanswered));
+            }
+        }
+    }
+
+    pub(super) fn order(&mut self, target: &Target, order: &Order, epoch: u64) -> Outcome {
+        let Some(endpoint) = self.endpoints.get_mut(&target.id) else {
+            let is_start = matches!(order, Order::Start { .. });
+            self.broken
+                .extend(is_start.then(|| format!("a start for {}, which was moved", target.id)));
+            return Outcome::Refused(Refusal::Elsewhere);
+        };
+        if endpoint.is_silent {
+            return Outcome::Unanswered;
+        }
+        let whole = match order {
+            Order::Start { task, spec, .. } => {
+                let estimate = spec.steps[usize::from(task.step)].estimate;
+                self.faults.duration(*task, estimate)
+            }
+            _ => Duration::ZERO,
+        };
+        let outcome = endpoint.take(order, epoch, whole);
+        let loses_answers = endpoint.loses_answers;
+        if let Order::Start {
+            task, run, spec, ..
+        } = order
+            && outcome == Outcome::Taken
+        {
+            self.starts.push((*task, *run, target.id.clone()));
+            self.check_start(*task, &target.id, &spec.steps[usize::from(task.step)]);
+        }
+        if loses_answers {
+            Outcome::Unanswered
+        } else {
+            outcome
+        }
+    }
+
+    pub(super) fn check_start(&mut self, task: TaskId, at: &EndpointId, step: &StepSpec) {
+        let elsewhere = self
+            .endpoints
+            .values()
+            .flat_map(|e| e.runs.keys())
+            .filter(|(t, _)| *t == task)
+            .count();
+        if elsewhere > 1 {
+            self.broken.push(format!("{task} runs {elsewhere} times"));
+        }
+        if self.done.contains(&task) {
+            self.broken.push(format!("{task} starts after it was done"));
+        }
+        let endpoint = &self.endpoints[at];
+        let mut used = Resources::default();
+        for run in endpoint.runs.values() {
+            used += &run.room;
+        }
+        if !endpoint.report.capacity.holds(&used) {
+            self.broken.push(format!("{at} is over its room"));
+        }
+        for &after in &step.after {
+            let is_done = self.cell.job(task.job).is_some_and(|j| {
+                let open = j.progress.open.get(&task.occurrence);
+                open.is_some_and(|o| o.is_step_done(after))
+            });
+            if !is_done {
+                self.broken
+                    .push(format!("{task} starts before step {after}"));
+            }
+        }
+    }
+}
--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -120,7 +120,6 @@
 #[must_use]
 pub fn order(claims: &[Claim], room: &Room, now_ms: UnixMs, policy: &Policy) -> Vec<JobId> {
     let mut places: Vec<Place<'_>> = claims.iter().map(|c| place(c, now_ms, policy)).collect();
-    places.sort_unstable_by_key(Place::key);
     if policy.puts_off {
         put_off(&mut places, room, now_ms);
     }
