--- a/pomelohitchd/tests/fleet/journal.rs
+++ b/pomelohitchd/tests/fleet/journal.rs
@@ -74,29 +74,51 @@
     Some("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"end\":1}")
 }
 
+/// The journal of a leader whose store is at `addr`.
+struct Running {
+    journal: Journal,
+    events: mpsc::Receiver<Event>,
+    shared: Arc<Shared>,
+}
+
+impl Running {
+    fn start(addr: SocketAddr) -> Running {
+        let mut site = site();
+        site.store = addr;
+        let shared = Arc::new(Shared::new(site));
+        let (tx, events) = mpsc::channel();
+        shared.set_leading(Some(Leading {
+            epoch: EPOCH,
+            events: tx.clone(),
+        }));
+        let confirmed = Arc::new(AtomicU64::new(0));
+        let journal = Journal::start(&shared, EPOCH, &tx, &confirmed);
+        Running {
+            journal: journal.expect("there is room for threads"),
+            events,
+            shared,
+        }
+    }
+
+    /// Waits until everything up to `last` is durable, and ends the leadership.
+    fn finish(self, last: Sequence) {
+        let is_last = |event: Event| matches!(event, Event::Committed(durable) if durable == last);
+        assert!(self.events.into_iter().any(is_last));
+        self.shared.set_leading(None);
+    }
+}
+
 /// Commits so many batches of a record each, and waits until all are durable.
 fn commit_all(addr: SocketAddr, count: Sequence) {
-    let mut site = site();
-    site.store = addr;
-    let shared = Arc::new(Shared::new(site));
-    let (tx, rx) = mpsc::channel();
-    shared.set_leading(Some(Leading {
-        epoch: EPOCH,
-        events: tx.clone(),
-    }));
-    let confirmed = Arc::new(AtomicU64::new(0));
-    let journal = Journal::start(&shared, EPOCH, &tx, &confirmed);
-    let mut journal = journal.expect("there is room for threads");
+    let mut running = Running::start(addr);
     for number in 1..=count {
         let record = Record {
             key: format!("p{number}").into(),
             value: Some(vec![1].into()),
         };
-        assert_eq!(journal.commit(vec![record]), number);
+        assert_eq!(running.journal.commit(vec![record]), number);
     }
-    let is_last = |event: Event| matches!(event, Event::Committed(last) if last == count);
-    assert!(rx.into_iter().any(is_last));
-    shared.set_leading(None);
+    running.finish(count);
 }
 
 /// Several appends are on their way, and one overtakes another. The store takes them in their order
@@ -123,25 +145,13 @@
 #[test]
 fn a_large_batch_is_written_in_parts() {
     let (addr, taken) = store(&[]);
-    let mut site = site();
-    site.store = addr;
-    let shared = Arc::new(Shared::new(site));
-    let (tx, rx) = mpsc::channel();
-    shared.set_leading(Some(Leading {
-        epoch: EPOCH,
-        events: tx.clone(),
-    }));
-    let confirmed = Arc::new(AtomicU64::new(0));
-    let journal = Journal::start(&shared, EPOCH, &tx, &confirmed);
-    let mut journal = journal.expect("there is room for threads");
+    let mut running = Running::start(addr);
     let large = |number: u32| Record {
         key: format!("j{number}").into(),
         value: Some(vec![0; 700_000].into()),
     };
-    assert_eq!(journal.commit((1..=3).map(large).collect()), 3);
-    let is_last = |event: &Event| matches!(event, Event::Committed(3));
-    assert!(rx.iter().any(|event| is_last(&event)));
-    shared.set_leading(None);
+    assert_eq!(running.journal.commit((1..=3).map(large).collect()), 3);
+    running.finish(3);
     let taken = taken.lock().expect("no test panics here");
     assert_eq!(taken.sequences, [1, 2, 3]);
 }
