fix: an instance that rebooted behind a stale list isn't lost at the first recent one

Cause: the planner of pools counts an instance as lost that is away for a reboot for more than ten minutes, also where it saw no recent list meanwhile. Trace of the seed: five instances are drained for a wave, the list goes stale, two of them go down and come back; at the first recent list both are live, their reboots are half asked for, and both are recorded as failed at once. Two losses pause the wave that an operator had just resumed, for ever. Ruled out: that resuming doesn't clear the count of losses (it does, in the fold); the bound of four hours (the wave would never have gone on). Change: the time away counts only over looks at recent lists.

--- a/crates/pomelohitch-maintain/src/planner.rs
+++ b/crates/pomelohitch-maintain/src/planner.rs
@@ -19,7 +19,7 @@
     pub settle: Duration,
     /// An instance that is listed in another pool or at another address for so long is lost to us.
     pub mismatch: Duration,
-    /// An instance that doesn't come back from a reboot or move within this is lost.
+    /// An instance that recent lists show away for a reboot or move for longer than this is lost.
     pub return_limit: Duration,
     /// A drain that isn't done within this is taken back: some request never ends.
     pub drain_limit: Duration,
@@ -104,6 +104,8 @@
     InPhase(u64),
     /// It is listed as down.
     Down,
+    /// It is away for a reboot or a move, by a list that is recent.
+    Away,
     /// It is not listed at all.
     Missing,
     /// It is listed in another pool or at another address than the log has.
--- a/crates/pomelohitch-maintain/tests/planner.rs
+++ b/crates/pomelohitch-maintain/tests/planner.rs
@@ -402,3 +402,10 @@
 fn whatever_happens_no_plan_is_rejected_and_everything_comes_back_to_work() {
     pomelohitch_property::check(|events: &Vec<(u8, u8)>| play(events));
 }
+
+/// Guards against taking a reboot that went on unseen, behind a stale list, for a failed one.
+#[test]
+fn what_rebooted_behind_a_stale_list_is_not_lost() {
+    let seed = 161_786_985_636_042_651_898_766_093_771_730_925_357;
+    pomelohitch_property::check_one(seed, |events: &Vec<(u8, u8)>| play(events));
+}
