--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -106,6 +106,8 @@
     pub starts_lost: usize,
     /// Room of endpoints that are added, or that come back from a move.
     pub capacity: Resources,
+    /// Whether a new leader was told the fleet's time; it isn't if all members were killed.
+    pub knows_fleet_time: bool,
     /// What calls to endpoints go over; `None` carries everything at once.
     pub link: Option<Link>,
     looks: Vec<WaitingLook>,
@@ -242,6 +244,7 @@
                 mem_mb: 4000,
                 gpu: 0,
             },
+            knows_fleet_time: true,
             link: None,
             looks: Vec::new(),
             delayed: Vec::new(),
@@ -341,7 +344,11 @@
     pub fn change_leader(&mut self) {
         let records: Vec<_> = self.log.clone().into_iter().collect();
         let epoch = self.cell.epoch() + 1;
-        let (cell, faults) = Cell::restore(self.settings.clone(), epoch, self.now, &records);
+        let settings = Settings {
+            fleet_ms: self.knows_fleet_time.then(|| self.cell.fleet_ms()),
+            ..self.settings.clone()
+        };
+        let (cell, faults) = Cell::restore(settings, epoch, self.now, &records);
         assert!(faults.is_empty(), "{faults:?}");
         self.cell = cell;
         self.pending.clear();
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -32,11 +32,11 @@
 use crate::job::JobSpec;
 use crate::order::{Action, Due, Order, Outcome, Refusal, Target};
 use crate::policy::Policy;
-use crate::progress::{self, Entry, JobState, Progress, Record};
+use crate::progress::{self, EndedJob, Entry, JobState, Progress, Record};
 use crate::rate::Rate;
 use crate::resources::Resources;
 use crate::urgency::Claim;
-use crate::{Now, Steady};
+use crate::{Now, Steady, UnixMs};
 
 pub mod advice;
 pub mod books;
@@ -60,6 +60,13 @@
 /// any case, and these are at least 15 ms apart.
 const SCHEDULE_EVERY: Duration = Duration::from_millis(10);
 
+/// Passes are this many times their own length apart.
+const PASSES_REST: u32 = 4;
+/// But no more than this.
+const LONGEST_GAP: Duration = Duration::from_millis(150);
+/// Weight of a new tick in the average of their length.
+const COST_WEIGHT: f64 = 0.1;
+
 /// What a cell is told about the site, and its own limits.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -104,6 +111,10 @@
     pub link_bytes_per_s: Option<f64>,
     /// Most jobs held at once; more would take more memory than an entry instance has.
     pub max_jobs: usize,
+    /// The fleet's time when the leadership begins, milliseconds since 1970: kept by steady clocks
+    /// from leader to leader. `None` if no member knows it, since all have restarted; the time of day
+    /// stands in then.
+    pub fleet_ms: Option<UnixMs>,
     /// Which mechanisms decide.
     pub policy: Policy,
 }
@@ -128,6 +139,7 @@
             operations_per_s: 64.0,
             link_bytes_per_s: None,
             max_jobs: 50_000,
+            fleet_ms: None,
             policy: Policy::default(),
         }
     }
@@ -144,6 +156,8 @@
     pub shown: JobState,
     /// What its place among those that wait is decided by, while an occurrence is open.
     pub claim: Option<Claim>,
+    /// Whether its record is that of a job that has ended.
+    pub is_archived: bool,
 }
 
 /// Records that belong together, and what may follow once they are durable.
@@ -170,10 +184,14 @@
     workspaces: HashMap<WorkspaceName, usize>,
     tended_at: Steady,
     scheduled_at: Steady,
+    /// Moving average of the time that a tick takes.
+    tick_cost: Duration,
     /// Passes over the waiting tasks so far; decides which service goes first.
     passes: usize,
     now: Now,
     began: Steady,
+    /// The fleet's time then.
+    began_ms: UnixMs,
     jobs: BTreeMap<JobId, Job>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     used: BTreeMap<WorkspaceName, Resources>,
@@ -198,7 +216,8 @@
     advice: BTreeMap<crate::TaskId, advice::Advice>,
     dirty: BTreeSet<JobId>,
     fresh_specs: BTreeSet<JobId>,
-    dropped: BTreeSet<JobId>,
+    /// Jobs to forget, and whether they are archived.
+    dropped: BTreeMap<JobId, bool>,
     extra_records: Vec<Record>,
     noted: BTreeSet<EndpointId>,
     outbox: Vec<Action>,
@@ -223,12 +242,13 @@
         let mut faults = Vec::new();
         let mut specs = BTreeMap::new();
         let mut progresses = BTreeMap::new();
+        let mut ended = Vec::new();
         for (key, value) in records {
             if key.starts_with(['w', 'o']) {
                 cell.instances.restore(key, value);
                 continue;
             }
-            if !key.starts_with(['j', 'p']) {
+            if !key.starts_with(['j', 'p', 'e']) {
                 continue;
             }
             match progress::decode(key, value) {
@@ -238,12 +258,23 @@
                 Ok(Entry::Progress(id, progress)) => {
                     progresses.insert(id, progress);
                 }
+                Ok(Entry::Ended(job)) => ended.push(job),
                 Err(error) => faults.push(error),
             }
         }
+        for job in ended {
+            let progress = job.progress();
+            let id = job.spec.id;
+            cell.adopt(Arc::new(job.spec), progress);
+            if let Some(job) = cell.jobs.get_mut(&id) {
+                job.is_archived = true;
+            }
+        }
         for (id, spec) in specs {
             let progress = progresses.remove(&id).unwrap_or_default();
-            cell.adopt(spec, progress);
+            if !cell.jobs.contains_key(&id) {
+                cell.adopt(spec, progress);
+            }
         }
         (cell, faults)
     }
@@ -259,9 +290,11 @@
             workspaces: HashMap::new(),
             tended_at: Steady::ZERO,
             scheduled_at: Steady::ZERO,
+            tick_cost: Duration::ZERO,
             passes: 0,
             now,
             began: now.steady,
+            began_ms: settings.fleet_ms.unwrap_or(now.unix_ms),
             jobs: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             used: BTreeMap::new(),
@@ -283,7 +316,7 @@
             advice: BTreeMap::new(),
             dirty: BTreeSet::new(),
             fresh_specs: BTreeSet::new(),
-            dropped: BTreeSet::new(),
+            dropped: BTreeMap::new(),
             extra_records: Vec::new(),
             noted: BTreeSet::new(),
             outbox: Vec::new(),
@@ -294,6 +327,14 @@
         }
     }
 
+    /// The fleet's time: milliseconds since 1970 that pass as the steady clock does, from leader to
+    /// leader. The time of day may jump, and differs between members.
+    #[must_use]
+    pub fn fleet_ms(&self) -> UnixMs {
+        let passed = self.now.steady.saturating_sub(self.began).as_millis();
+        self.began_ms + u64::try_from(passed).unwrap_or(0)
+    }
+
     /// The leadership that this cell's orders carry.
     #[must_use]
     pub fn epoch(&self) -> Epoch {
@@ -329,14 +370,15 @@
     pub fn tick(&mut self, now: Now) -> Vec<Action> {
         self.now = now;
         self.open_due();
-        if now.steady >= self.tended_at + TEND_EVERY {
+        let gap = self.pass_gap();
+        if now.steady >= self.tended_at + TEND_EVERY.max(gap) {
             self.tended_at = now.steady;
             self.drop_ended();
             self.release_lapsed();
             self.tend_instances();
             self.tend_lasting();
         }
-        if now.steady >= self.scheduled_at + SCHEDULE_EVERY {
+        if now.steady >= self.scheduled_at + SCHEDULE_EVERY.max(gap) && self.flow.has_room() {
             self.scheduled_at = now.steady;
             self.schedule();
         }
@@ -344,6 +386,19 @@
         std::mem::take(&mut self.outbox)
     }
 
+    /// Takes in how long a [`Cell::tick`] took.
+    pub fn tick_took(&mut self, took: Duration) {
+        self.tick_cost = self.tick_cost.mul_f64(1.0 - COST_WEIGHT) + took.mul_f64(COST_WEIGHT);
+    }
+
+    /// The least time between two passes over waiting tasks, or over instances and leases.
+    ///
+    /// The load that this answers: a small member leads, and hundreds of jobs wait. One pass after
+    /// the other would take all of its processor, and answers of endpoints would wait.
+    fn pass_gap(&self) -> Duration {
+        (self.tick_cost * PASSES_REST).min(LONGEST_GAP)
+    }
+
     /// The queue of that name.
     fn queue(&self, name: &str) -> Option<&Queue> {
         self.cfg.as_ref()?.queues.get(*self.queues.get(name)?)
@@ -370,21 +425,29 @@
             ..Batch::default()
         };
         for id in std::mem::take(&mut self.dirty) {
-            let Some(job) = self.jobs.get(&id) else {
+            let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            if self.fresh_specs.remove(&id) {
+            let is_fresh = self.fresh_specs.remove(&id);
+            batch.shown.push((id, job.progress.state));
+            if job.progress.state.is_final() && job.progress.runs(id).next().is_none() {
+                batch.records.extend(archive(job, is_fresh)?);
+                continue;
+            }
+            if is_fresh {
                 let spec = progress::encode(progress::spec_key(id), &*job.spec)?;
                 batch.records.push(spec);
             }
-            let key = progress::progress_key(id);
-            batch.records.push(progress::encode(key, &job.progress)?);
-            batch.shown.push((id, job.progress.state));
+            let record = progress::encode_progress(id, &job.progress)?;
+            batch.records.push(record);
         }
-        for id in std::mem::take(&mut self.dropped) {
-            let keys = [progress::progress_key(id), progress::spec_key(id)];
-            let drop = |key| Record { key, value: None };
-            batch.records.extend(keys.map(drop));
+        for (id, is_archived) in std::mem::take(&mut self.dropped) {
+            let records = if is_archived {
+                vec![progress::ended_key(id)]
+            } else {
+                job_keys(id).into()
+            };
+            batch.records.extend(records.into_iter().map(without_value));
         }
         for id in std::mem::take(&mut self.noted) {
             if let Some(endpoint) = self.endpoints.get(&id) {
@@ -520,7 +583,36 @@
         Some(Target {
             id: id.clone(),
             born: endpoint.born,
+            service: report.service.clone(),
             addr: report.addr,
         })
     }
 }
+
+/// The keys of a job that hasn't ended.
+fn job_keys(id: JobId) -> [Box<str>; 2] {
+    [progress::progress_key(id), progress::spec_key(id)]
+}
+
+fn without_value(key: Box<str>) -> Record {
+    Record { key, value: None }
+}
+
+/// The records that make an ended job a short one. `is_fresh` says that none of it is durable yet.
+fn archive(job: &mut Job, is_fresh: bool) -> progress::Result<Vec<Record>> {
+    let spec = Arc::make_mut(&mut job.spec);
+    spec.text = Box::default();
+    let id = spec.id;
+    let ended = EndedJob {
+        state: job.progress.state,
+        ended_ms: job.progress.ended_ms,
+        spec: spec.clone(),
+    };
+    let mut records = vec![progress::encode(progress::ended_key(id), &ended)?];
+    if !is_fresh && !job.is_archived {
+        // After the record that takes their place: the leader may be lost between two appends.
+        records.extend(job_keys(id).map(without_value));
+    }
+    job.is_archived = true;
+    Ok(records)
+}
--- a/crates/pomelohitch-sched/src/cell/books.rs
+++ b/crates/pomelohitch-sched/src/cell/books.rs
@@ -17,6 +17,8 @@
     /// Takes a job into the books: one that was just accepted, or one of a former leader.
     pub(super) fn adopt(&mut self, spec: Arc<JobSpec>, mut progress: Progress) {
         let id = spec.id;
+        // A leader that had to begin by the time of day doesn't begin before what was recorded.
+        self.began_ms = self.began_ms.max(spec.accepted_ms).max(progress.ended_ms);
         let is_new = progress.next == 0 && progress.state == JobState::Queued;
         let shown = progress.state;
         if progress.state.is_final() {
@@ -41,6 +43,7 @@
                 progress,
                 shown,
                 claim: None,
+                is_archived: false,
             },
         );
         for (task, run) in runs {
@@ -183,7 +186,7 @@
 
     /// Decides a start: it is recorded first and ordered after.
     pub(super) fn start(&mut self, task: TaskId, endpoint: &EndpointId, ticket: Option<Box<str>>) {
-        let now = self.now.steady;
+        let (now, fleet_ms) = (self.now.steady, self.fleet_ms());
         let Some(target) = self.target(endpoint) else {
             return;
         };
@@ -210,7 +213,7 @@
         });
         job.progress.state = JobState::Running;
         info!(%task, run, endpoint = %endpoint, queue = %spec.queue,
-            waited_ms = self.now.unix_ms.saturating_sub(spec.accepted_ms),
+            waited_ms = fleet_ms.saturating_sub(spec.accepted_ms),
             resumed = !checkpoint.is_empty(), "start decided");
         self.dirty.insert(task.job);
         self.flow.decided();
--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -135,7 +135,7 @@
             text: draft.text.clone(),
             steps: draft.steps.clone(),
             repeat: draft.repeat,
-            accepted_ms: self.now.unix_ms,
+            accepted_ms: self.fleet_ms(),
         };
         if let Err(error) = spec.check() {
             return Some(Answer::Malformed(error.to_string().into()));
--- a/crates/pomelohitch-sched/src/cell/ends.rs
+++ b/crates/pomelohitch-sched/src/cell/ends.rs
@@ -166,7 +166,7 @@
 
     /// Gives a job its final state, if it has none, and stops what runs of it.
     pub(super) fn finish(&mut self, id: JobId, state: JobState) {
-        let ended_ms = self.now.unix_ms;
+        let ended_ms = self.fleet_ms();
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -201,20 +201,21 @@
     pub(super) fn drop_ended(&mut self) {
         let keep = u64::try_from(self.settings.keep_ended.as_millis()).unwrap_or(u64::MAX);
         while let Some(&due) = self.ended.first()
-            && due.at_ms.saturating_add(keep) <= self.now.unix_ms
+            && due.at_ms.saturating_add(keep) <= self.fleet_ms()
         {
             self.ended.pop_first();
             let Some(job) = self.jobs.get(&due.job) else {
                 continue;
             };
             if job.progress.runs(due.job).next().is_some() {
-                let at_ms = self.now.unix_ms;
+                let at_ms = self.fleet_ms();
                 self.ended.insert(Due { at_ms, ..due });
                 return;
             }
+            let is_archived = job.is_archived;
             self.jobs.remove(&due.job);
             self.dirty.remove(&due.job);
-            self.dropped.insert(due.job);
+            self.dropped.insert(due.job, is_archived);
         }
     }
 }
--- a/crates/pomelohitch-sched/src/cell/follow.rs
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -22,7 +22,7 @@
     /// Moves instances to the pools that want them, and returns the endpoints that are being
     /// emptied for it.
     pub(super) fn follow_demand(&mut self, is_due: &BTreeSet<InstanceId>) -> BTreeSet<EndpointId> {
-        self.demand.tend(self.now.unix_ms);
+        self.demand.tend(self.fleet_ms());
         if !self.may_operate() {
             return BTreeSet::new();
         }
@@ -82,10 +82,10 @@
             } else {
                 0.0
             },
-            wanted: self.demand.most(name, self.now.unix_ms, AHEAD) + self.lasting_need(name),
+            wanted: self.demand.most(name, self.fleet_ms(), AHEAD) + self.lasting_need(name),
             soon: self
                 .demand
-                .foreseen(name, self.now.unix_ms, self.settings.policy.margins.soon)
+                .foreseen(name, self.fleet_ms(), self.settings.policy.margins.soon)
                 .map(|soon| soon + self.lasting_need(name)),
         };
         cfg.services.iter().map(pool).collect()
--- a/crates/pomelohitch-sched/src/cell/looks.rs
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -143,6 +143,7 @@
             Err(failure) => self.is_fenced |= *failure == LookFailure::Fenced,
         }
         let gap = self.look_gap();
+        let is_congested = self.flow.delay(now) > USUAL_DELAY;
         let Some(endpoint) = self.endpoints.get_mut(&target.id) else {
             return;
         };
@@ -156,8 +157,10 @@
             }
             Err(failure) => {
                 plan.failures = (plan.failures + 1).min(MAX_RETRY_STEPS);
-                // The first one may only have been lost: it is repeated at once.
-                plan.due = now + self.settings.look_retry * (plan.failures - 1);
+                // The first one may only have been lost, and is repeated at once. On a full link all
+                // are late, and repeating them fills it further.
+                let steps = plan.failures - u32::from(!is_congested);
+                plan.due = now + self.settings.look_retry * steps;
                 if plan.failures == 1 {
                     warn!(endpoint = %target.id, addr = %target.addr, ?failure, "look failed");
                 }
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -6,6 +6,7 @@
 
 use super::{Cell, Job};
 use crate::Steady;
+use crate::UnixMs;
 use crate::config::Queue;
 use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, JobId, ServiceName, TaskId, WorkspaceName};
@@ -142,7 +143,7 @@
             .filter_map(|id| self.jobs.get(id)?.claim)
             .collect();
         let room = self.room(service, slots, &claims);
-        urgency::order(&claims, &room, self.now.unix_ms, &self.settings.policy)
+        urgency::order(&claims, &room, self.fleet_ms(), &self.settings.policy)
     }
 
     /// What the endpoints of a service can take on, beside what they run.
@@ -176,7 +177,7 @@
         let (owner, weight) = self.owner(job.spec.workspace.as_ref());
         Some(Claim {
             job: job.spec.id,
-            from_ms: job.spec.due_ms(*occurrence).max(job.spec.accepted_ms),
+            from_ms: self.from_ms(&job.spec, *occurrence),
             chain: job::chain(&job.spec.steps, |_| true),
             chain_left: open.chain_left(&job.spec.steps),
             steps_left: open.steps_left(),
@@ -191,6 +192,16 @@
         })
     }
 
+    /// When an occurrence came or was due, in the fleet's time. Due times are times of day.
+    fn from_ms(&self, spec: &JobSpec, occurrence: u32) -> UnixMs {
+        if spec.repeat.is_none() {
+            return spec.accepted_ms;
+        }
+        let due_for = self.now.unix_ms.saturating_sub(spec.due_ms(occurrence));
+        let due_ms = self.fleet_ms().saturating_sub(due_for);
+        due_ms.max(spec.accepted_ms)
+    }
+
     /// A workspace's place in the configuration and its weight. Jobs of a public queue, or of a
     /// workspace that was removed, count as those of one more workspace.
     fn owner(&self, workspace: Option<&WorkspaceName>) -> (u32, u64) {
--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -18,8 +18,14 @@
 const LIST_EVERY_SILENT: Duration = Duration::from_millis(250);
 /// The same otherwise.
 const LIST_EVERY_IDLE: Duration = Duration::from_secs(4);
-/// Times of day of two members differ by less than this.
-const CLOCKS_APART: Duration = Duration::from_millis(2500);
+/// Bytes of an instance in the list.
+const LISTED_BYTES: f64 = 160.0;
+/// The share of the link that lists may take.
+const LIST_SHARE: f64 = 0.1;
+/// The fleet's time of two leaders, one after the other, differs by less than this.
+const FLEET_TIME_APART: Duration = Duration::from_millis(1500);
+/// Times of day of two members differ by less than this, where they stand in.
+const TIMES_OF_DAY_APART: Duration = Duration::from_secs(10);
 /// A list that was asked for so long after an endpoint was last heard speaks of it.
 const SILENT_FOR: Duration = Duration::from_millis(300);
 
@@ -103,6 +109,14 @@
         }
     }
 
+    /// The least time from one list of instances to the next, by what they take of the link.
+    fn list_gap(&self) -> Duration {
+        let count = u32::try_from(self.instances.list().len()).unwrap_or(u32::MAX);
+        let bytes = f64::from(count) * LISTED_BYTES;
+        let rate = self.settings.link_bytes_per_s.unwrap_or(f64::INFINITY) * LIST_SHARE;
+        Duration::try_from_secs_f64(bytes / rate).unwrap_or(LIST_EVERY_IDLE)
+    }
+
     /// Reserves instances, takes empty ones down, and tells how waves are.
     pub(super) fn tend_instances(&mut self) {
         let now = self.now.steady;
@@ -114,6 +128,7 @@
         } else {
             LIST_EVERY_IDLE
         };
+        let every = every.max(self.list_gap());
         if self.instances.wants_list(now, every) {
             self.outbox.push(Action::ListInstances);
         }
@@ -204,7 +219,7 @@
             Operation::Maintain { .. } => None,
         };
         self.instances.set_under_way(id, now, to);
-        match instances::operation_record(id, self.now.unix_ms) {
+        match instances::operation_record(id, self.fleet_ms()) {
             Ok(record) => self.extra_records.push(record),
             Err(error) => warn!(%error, "operation can't be recorded"),
         }
@@ -219,8 +234,8 @@
     /// Whether a former leader's last order for this instance lies far enough back.
     ///
     /// Whatever it ordered ended the endpoint that lived there, so that an endpoint which is older
-    /// than the gap shows that there was none since. So does the record of its last order, by times
-    /// of day that may differ between members.
+    /// than the gap shows that there was none since. So does the record of its last order, in the
+    /// fleet's time.
     fn is_past_holder_gap(&self, instance: &Instance) -> bool {
         let now = self.now.steady;
         if now >= self.began + self.settings.holder_gap + self.settings.former_holder {
@@ -231,10 +246,14 @@
         let endpoint = endpoint.and_then(|e| self.endpoints.get(e));
         let age = endpoint.and_then(|e| e.clock_at_least(now));
         let is_old = age.is_some_and(|age| age > self.settings.holder_gap);
-        let quiet = self.settings.holder_gap + CLOCKS_APART;
+        let apart = match self.settings.fleet_ms {
+            Some(_) => FLEET_TIME_APART,
+            None => TIMES_OF_DAY_APART,
+        };
+        let quiet = self.settings.holder_gap + apart;
         let quiet_ms = u64::try_from(quiet.as_millis()).unwrap_or(u64::MAX);
         let ordered_ms = self.instances.former_order_ms(&instance.id);
-        let is_quiet = ordered_ms.is_none_or(|at| self.now.unix_ms >= at.saturating_add(quiet_ms));
+        let is_quiet = ordered_ms.is_none_or(|at| self.fleet_ms() >= at.saturating_add(quiet_ms));
         is_listed_since && (is_old || is_quiet)
     }
 }
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Steady;
 use crate::id::{EndpointId, RunNumber, ServiceName, TaskId};
 use crate::resources::Resources;
@@ -58,7 +60,7 @@
 }
 
 /// A run that is at work.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
     /// Whose run.
     pub task: TaskId,
@@ -73,7 +75,7 @@
 }
 
 /// A run that ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ended {
     /// Counts the ends of this life of the endpoint.
     pub number: u64,
@@ -88,7 +90,7 @@
 }
 
 /// How a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum How {
     /// Well.
     Done,
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -18,6 +18,7 @@
 //! * [`urgency`]: which job goes first.
 //! * [`instances`]: operations on instances, and maintenance in waves.
 //! * [`rate`]: how many calls a second may go out.
+//! * [`relaying`]: which member carries calls to which endpoints.
 //! * [`rto`]: how long an answer is waited for.
 //! * [`pools`]: which instances should move to which pool.
 //! * [`cell`]: the state that ties them together.
@@ -37,6 +38,7 @@
 pub mod pools;
 pub mod progress;
 pub mod rate;
+pub mod relaying;
 pub mod resources;
 pub mod rto;
 pub mod urgency;
--- a/crates/pomelohitch-sched/src/order.rs
+++ b/crates/pomelohitch-sched/src/order.rs
@@ -4,24 +4,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::id::{EndpointId, Epoch, InstanceId, RunNumber, ServiceName, TaskId};
 use crate::job::JobSpec;
 use crate::progress::JobState;
 use crate::{Steady, UnixMs};
 
 /// Where an order goes.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// The endpoint.
     pub id: EndpointId,
     /// Which life of it.
     pub born: u64,
+    /// Its service.
+    pub service: ServiceName,
     /// Its address.
     pub addr: SocketAddr,
 }
 
 /// An order to an endpoint.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Order {
     /// Starts a run.
     Start {
@@ -58,7 +62,7 @@
 }
 
 /// How an order ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// It was taken.
     Taken,
@@ -69,7 +73,7 @@
 }
 
 /// Why an order had no effect.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
     /// The endpoint has seen a higher epoch.
     Fenced,
@@ -203,7 +207,7 @@
 }
 
 /// A look at an endpoint, which also renews its lease and acknowledges ends.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LookOrder {
     /// Which endpoint.
     pub target: Target,
@@ -219,7 +223,7 @@
 }
 
 /// Why a look gave nothing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LookFailure {
     /// The endpoint has seen a higher epoch.
     Fenced,
--- a/crates/pomelohitch-sched/src/progress.rs
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -1,7 +1,8 @@
 //! How far a job is, and the durable records of it.
 //!
 //! A job has two records: what was asked for, written once, and its [`Progress`], written anew
-//! at each change. A start stands in the progress before its order goes out, and an end before
+//! at each change. One short [`EndedJob`] takes their place once nothing of it runs any more, so
+//! that a successor has little to read. A start stands in the progress before its order goes out, and an end before
 //! it is acknowledged, so that whoever takes over knows every run that may exist.
 
 use std::collections::BTreeMap;
@@ -15,6 +16,10 @@
 use crate::job::{self, JobSpec, StepSpec};
 use crate::{Steady, UnixMs};
 
+use self::stored::Stored;
+
+mod stored;
+
 /// What callers are told of a job.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum JobState {
@@ -40,7 +45,7 @@
 }
 
 /// How far a job is.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Progress {
     /// What it comes to.
     pub state: JobState,
@@ -53,14 +58,14 @@
 }
 
 /// One repetition of a job's steps.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Occurrence {
     /// Tasks by step.
     pub steps: Vec<Vec<Task>>,
 }
 
 /// One task.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Task {
     /// Whether a run of it ended well.
     pub is_done: bool,
@@ -72,13 +77,12 @@
     pub checkpoint: Box<str>,
     /// Runs that may exist: at most one, but for copies.
     pub runs: Vec<Run>,
-    /// Where it failed, so that it is tried elsewhere.
-    #[serde(skip)]
+    /// Where it failed, so that it is tried elsewhere; not durable.
     pub failed_at: Vec<EndpointId>,
 }
 
 /// A run that may exist at an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Run {
     /// Its number.
     pub number: RunNumber,
@@ -90,7 +94,6 @@
     /// since the endpoint lists it as at work until it is gone.
     pub is_leaving: bool,
     /// What is believed of it; not durable.
-    #[serde(skip)]
     pub view: RunView,
 }
 
@@ -280,6 +283,12 @@
     format!("p{}", job_text(id)).into()
 }
 
+/// The key of a job that has ended, in place of the other two.
+#[must_use]
+pub fn ended_key(id: JobId) -> Box<str> {
+    format!("e{}", job_text(id)).into()
+}
+
 /// Makes a record of `value`.
 ///
 /// # Errors
@@ -292,6 +301,38 @@
     })
 }
 
+/// The record of how far a job is.
+///
+/// # Errors
+/// If it can't be encoded, which for these types doesn't happen.
+pub fn encode_progress(id: JobId, progress: &Progress) -> Result<Record> {
+    encode(progress_key(id), &Stored::of(progress))
+}
+
+/// A job that has ended and of which nothing runs any more.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndedJob {
+    /// What it came to.
+    pub state: JobState,
+    /// When.
+    pub ended_ms: UnixMs,
+    /// What was asked for, without the text.
+    pub spec: JobSpec,
+}
+
+impl EndedJob {
+    /// How far such a job is.
+    #[must_use]
+    pub fn progress(&self) -> Progress {
+        Progress {
+            state: self.state,
+            ended_ms: self.ended_ms,
+            next: self.spec.occurrences(),
+            ..Progress::default()
+        }
+    }
+}
+
 /// A record as read.
 #[derive(Debug)]
 pub enum Entry {
@@ -299,6 +340,8 @@
     Spec(Arc<JobSpec>),
     /// How far it is.
     Progress(JobId, Progress),
+    /// All that is kept of a job that has ended.
+    Ended(EndedJob),
 }
 
 /// Reads a record.
@@ -317,9 +360,17 @@
             Ok(Entry::Spec(Arc::new(spec)))
         }
         "p" => {
-            let progress = postcard::from_bytes(value).context(failed())?;
+            let stored: Stored = postcard::from_bytes(value).context(failed())?;
+            let progress = stored
+                .progress()
+                .ok_or(postcard::Error::DeserializeBadEncoding)
+                .context(failed())?;
             Ok(Entry::Progress(id, progress))
         }
+        "e" => {
+            let ended = postcard::from_bytes(value).context(failed())?;
+            Ok(Entry::Ended(ended))
+        }
         _ => Err(postcard::Error::DeserializeBadEncoding).context(failed()),
     }
 }
--- /dev/null
+++ b/crates/pomelohitch-sched/src/progress/stored.rs
@@ -0,0 +1,169 @@
+//! How far a job is, as its record holds it.
+//!
+//! The record is written anew at each change, and with every start and end of a busy fleet. Most
+//! tasks wait, run for the first time or are done, and runs of a job share endpoints; neither is
+//! written out in full.
+
+use serde::{Deserialize, Serialize};
+
+use super::{JobState, Occurrence, Progress, Run, RunView, Task};
+use crate::UnixMs;
+use crate::id::{EndpointId, RunNumber};
+
+/// A place in [`Stored::endpoints`].
+type Place = u32;
+
+/// The value of a record.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Stored {
+    state: JobState,
+    ended_ms: UnixMs,
+    next: u32,
+    /// Endpoints that runs are at, with the life of each that is meant.
+    endpoints: Vec<(EndpointId, u64)>,
+    open: Vec<(u32, Vec<Vec<StoredTask>>)>,
+}
+
+/// A task.
+#[derive(Debug, Serialize, Deserialize)]
+enum StoredTask {
+    /// It has never run.
+    Waiting,
+    /// It is done, and nothing runs.
+    Done(RunNumber),
+    /// Its newest run is its only one, and none has failed or left a checkpoint.
+    Running(RunNumber, Place),
+    /// Anything else.
+    Other {
+        is_done: bool,
+        last_run: RunNumber,
+        failures: u32,
+        checkpoint: Box<str>,
+        runs: Vec<StoredRun>,
+    },
+}
+
+/// A run that may exist.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredRun {
+    number: RunNumber,
+    at: Place,
+    is_leaving: bool,
+}
+
+impl Stored {
+    pub(super) fn of(progress: &Progress) -> Stored {
+        let mut endpoints = Vec::new();
+        let open = progress.open.iter().map(|(&occurrence, open)| {
+            let steps = open.steps.iter().map(|tasks| {
+                let tasks = tasks.iter().map(|t| store(t, &mut endpoints));
+                tasks.collect()
+            });
+            (occurrence, steps.collect())
+        });
+        Stored {
+            state: progress.state,
+            ended_ms: progress.ended_ms,
+            next: progress.next,
+            open: open.collect(),
+            endpoints,
+        }
+    }
+
+    /// What was stored; `None` if a run is at no endpoint.
+    pub(super) fn progress(self) -> Option<Progress> {
+        let endpoints = self.endpoints;
+        let open = self.open.into_iter().map(|(occurrence, steps)| {
+            let steps = steps.into_iter().map(|tasks| {
+                let tasks = tasks.into_iter().map(|t| restore(t, &endpoints));
+                tasks.collect::<Option<Vec<_>>>()
+            });
+            let steps = steps.collect::<Option<_>>()?;
+            Some((occurrence, Occurrence { steps }))
+        });
+        Some(Progress {
+            state: self.state,
+            ended_ms: self.ended_ms,
+            next: self.next,
+            open: open.collect::<Option<_>>()?,
+        })
+    }
+}
+
+fn store(task: &Task, endpoints: &mut Vec<(EndpointId, u64)>) -> StoredTask {
+    let mut place = |run: &Run| {
+        let is_there = |(id, born): &(EndpointId, u64)| *id == run.endpoint && *born == run.born;
+        let place = endpoints.iter().position(is_there).unwrap_or_else(|| {
+            endpoints.push((run.endpoint.clone(), run.born));
+            endpoints.len() - 1
+        });
+        Place::try_from(place).unwrap_or(Place::MAX)
+    };
+    match &task.runs[..] {
+        [] if task.is_done => StoredTask::Done(task.last_run),
+        [] if task.last_run == 0 => StoredTask::Waiting,
+        [run] if is_plain(task, run) => StoredTask::Running(run.number, place(run)),
+        runs => {
+            let runs = runs.iter().map(|run| StoredRun {
+                number: run.number,
+                at: place(run),
+                is_leaving: run.is_leaving,
+            });
+            StoredTask::Other {
+                runs: runs.collect(),
+                is_done: task.is_done,
+                last_run: task.last_run,
+                failures: task.failures,
+                checkpoint: task.checkpoint.clone(),
+            }
+        }
+    }
+}
+
+fn is_plain(task: &Task, run: &Run) -> bool {
+    let is_first_try = task.failures == 0 && task.checkpoint.is_empty();
+    is_first_try && !task.is_done && !run.is_leaving && run.number == task.last_run
+}
+
+fn restore(task: StoredTask, endpoints: &[(EndpointId, u64)]) -> Option<Task> {
+    let run = |number, at: Place, is_leaving| {
+        let (endpoint, born) = endpoints.get(usize::try_from(at).ok()?)?;
+        Some(Run {
+            number,
+            endpoint: endpoint.clone(),
+            born: *born,
+            is_leaving,
+            view: RunView::default(),
+        })
+    };
+    Some(match task {
+        StoredTask::Waiting => Task::default(),
+        StoredTask::Done(last_run) => Task {
+            is_done: true,
+            last_run,
+            ..Task::default()
+        },
+        StoredTask::Running(number, at) => Task {
+            last_run: number,
+            runs: vec![run(number, at, false)?],
+            ..Task::default()
+        },
+        StoredTask::Other {
+            is_done,
+            last_run,
+            failures,
+            checkpoint,
+            runs,
+        } => {
+            let runs = runs.into_iter().map(|r| run(r.number, r.at, r.is_leaving));
+            Task {
+                is_done,
+                last_run,
+                failures,
+                checkpoint,
+                runs: runs.collect::<Option<_>>()?,
+                failed_at: Vec::new(),
+            }
+        }
+    })
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/src/relaying.rs
@@ -0,0 +1,64 @@
+//! Which member carries calls to which endpoints for the leader.
+//!
+//! The load that this answers: polls and starts of hundreds of endpoints fill the link or the
+//! processor of one member. Endpoints are divided into shards, each of one service so that a job is
+//! described to few members, and each shard has a member by rendezvous hashing: when a member comes
+//! or goes, only its own shards move.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use crate::id::{EndpointId, ServiceName};
+
+/// Endpoints of a shard, about: so many are polled by a small member with a slow link.
+const SHARD: usize = 5;
+/// Fewer endpoints than this the leader calls by itself: a hop costs a few milliseconds.
+const RELAYED_FROM: usize = 600;
+/// Bytes a second of the calls to an endpoint at work, both ways.
+const ENDPOINT_BYTES_PER_S: f64 = 3_000.0;
+/// The share of the link that calls to endpoints may take.
+const LINK_SHARE: f64 = 0.25;
+
+/// How the endpoints are divided.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Layout {
+    /// Shards of each service; none if the leader calls all endpoints by itself.
+    pub shards: u64,
+}
+
+impl Layout {
+    /// The division of so many endpoints in so many services, for a leader with this link.
+    #[must_use]
+    pub fn of(endpoints: usize, services: usize, link_bytes_per_s: Option<f64>) -> Layout {
+        let count = u32::try_from(endpoints).unwrap_or(u32::MAX);
+        let wanted = f64::from(count) * ENDPOINT_BYTES_PER_S;
+        let is_link_slow = link_bytes_per_s.is_some_and(|rate| wanted > rate * LINK_SHARE);
+        if services == 0 || (endpoints < RELAYED_FROM && !is_link_slow) {
+            return Layout::default();
+        }
+        let shards = (endpoints / services).div_ceil(SHARD).max(1);
+        Layout {
+            shards: shards as u64,
+        }
+    }
+
+    /// The place of an endpoint's member among `members`, if one is to carry its calls.
+    pub fn member<'a, M: Hash + Copy + 'a>(
+        &self,
+        service: &ServiceName,
+        endpoint: &EndpointId,
+        members: impl Iterator<Item = M>,
+    ) -> Option<M> {
+        if self.shards == 0 {
+            return None;
+        }
+        let shard = hash(&endpoint) % self.shards;
+        members.max_by_key(|member| hash(&(member, service, shard)))
+    }
+}
+
+/// The same for all of one process's life, which is as long as a division counts.
+fn hash(key: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -1,8 +1,12 @@
 //! Changes of leader.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use pomelohitch_sched::Settings;
+use pomelohitch_sched::cell::calls::{Draft, Verb};
 use pomelohitch_sched::config::Service;
+use pomelohitch_sched::job::Repeat;
 use pomelohitch_sched::order::Answer;
 use pomelohitch_sched::progress::JobState;
 
@@ -104,6 +108,81 @@
     assert_eq!(again.filter(|(id, _)| ordered.contains(id)).count(), 0);
 }
 
+/// How many operations a new leader decides for instances that the former one has just ordered, with
+/// its time of day this much ahead.
+fn ordered_again(ahead_ms: i64, knows_fleet_time: bool) -> usize {
+    let mut fleet = spare_fleet();
+    ask_for_much(&mut fleet);
+    while fleet.operations.is_empty() {
+        fleet.pass(1);
+    }
+    let ordered: Vec<_> = fleet.operations.iter().map(|(id, _)| id.clone()).collect();
+    fleet.knows_fleet_time = knows_fleet_time;
+    fleet.now.unix_ms = fleet.now.unix_ms.saturating_add_signed(ahead_ms);
+    fleet.change_leader();
+    fleet.cell.former_is_gone();
+    let before = fleet.operations.len();
+    fleet.pass(300);
+    let again = fleet.operations[before..].iter();
+    again.filter(|(id, _)| ordered.contains(id)).count()
+}
+
+/// Guards against two holders of an instance within its lease because their clocks differ.
+#[test]
+fn holders_stay_apart_whatever_the_time_of_day() {
+    for ahead_ms in [-10_000, -3_000, 0, 3_000, 10_000] {
+        assert_eq!(ordered_again(ahead_ms, true), 0, "{ahead_ms}");
+        assert_eq!(ordered_again(ahead_ms, false), 0, "all killed, {ahead_ms}");
+    }
+}
+
+/// Guards against forgetting jobs, or taking new ones for late, when the time of day jumps.
+#[test]
+fn a_jump_of_the_time_of_day_changes_nothing() {
+    let settings = Settings {
+        keep_ended: Duration::from_secs(5),
+        ..Settings::default()
+    };
+    let mut fleet = Fleet::with(2, settings);
+    fleet.submit(ID, job(vec![step(4, 500, 50)]));
+    fleet.pass(100);
+    for jump_ms in [10_000, -20_000, 10_000] {
+        let before = fleet.cell.fleet_ms();
+        fleet.now.unix_ms = fleet.now.unix_ms.saturating_add_signed(jump_ms);
+        fleet.pass(20);
+        assert_eq!(fleet.cell.fleet_ms() - before, 200);
+        assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    }
+    fleet.now.unix_ms += 9_000;
+    let before = fleet.cell.fleet_ms();
+    fleet.change_leader();
+    fleet.pass(10);
+    assert_eq!(fleet.cell.fleet_ms() - before, 100);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+}
+
+/// Guards against a repetition that begins by another time than that of day.
+#[test]
+fn repetitions_are_due_by_the_time_of_day() {
+    let mut fleet = Fleet::new(1);
+    fleet.pass(100);
+    let repeat = Repeat {
+        first_due_ms: fleet.now.unix_ms + 10_000,
+        interval: Duration::from_secs(5),
+        count: 1,
+    };
+    let draft = Draft {
+        repeat: Some(repeat),
+        ..job(vec![step(1, 500, 50)])
+    };
+    fleet.submit(ID, draft);
+    fleet.pass(500);
+    assert!(fleet.starts.is_empty());
+    fleet.now.unix_ms += 5_000;
+    fleet.pass(20);
+    assert_eq!(fleet.starts.len(), 1);
+}
+
 /// One instance at work, and four in a pool that is off.
 fn spare_fleet() -> Fleet {
     let mut fleet = Fleet::new(1);
@@ -136,3 +215,47 @@
         fleet.submit(&format!("{id:016x}"), job(vec![step(6, 1000, 3_000)]));
     }
 }
+
+/// Guards against a successor that reads what ended jobs were given, for seconds over a slow link.
+#[test]
+fn an_ended_job_leaves_one_short_record() {
+    let mut fleet = Fleet::new(2);
+    let text = "t".repeat(2_000).into();
+    fleet.submit(
+        ID,
+        Draft {
+            text,
+            ..job(vec![step(4, 500, 50)])
+        },
+    );
+    fleet.pass(100);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    let of_job = fleet.log.iter().filter(|(key, _)| key.ends_with(ID));
+    let sizes: Vec<_> = of_job
+        .map(|(key, value)| (&key[..1], value.len()))
+        .collect();
+    assert!(
+        matches!(sizes[..], [("e", size)] if size < 100),
+        "{sizes:?}"
+    );
+}
+
+/// Guards against a job that a successor doesn't know any more, or runs again.
+#[test]
+fn a_successor_knows_jobs_that_have_ended() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(ID, job(vec![step(4, 500, 50)]));
+    fleet.pass(100);
+    fleet.change_leader();
+    fleet.pass(100);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    let again = fleet.submit(ID, job(vec![step(4, 500, 50)]));
+    let other = fleet.call_with(&format!("/q/{ID}"), Some("other"), Verb::Read);
+    fleet.pass(100);
+    assert_eq!(fleet.replies[&again], Answer::Accepted);
+    assert_eq!(fleet.replies[&other], Answer::NoKey);
+    assert_eq!(fleet.starts.len(), 4);
+    fleet.pass(20_000);
+    assert_eq!(fleet.state(ID), Answer::Gone);
+    assert!(!fleet.log.keys().any(|key| key.ends_with(ID)));
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/tests/progress.rs
@@ -0,0 +1,102 @@
+//! Records of jobs.
+
+use pomelohitch_sched::progress::{
+    self, Entry, JobState, Occurrence, Progress, Run, RunView, Task,
+};
+
+type Facts = (bool, u8, u8, u8, Vec<(u8, u8, bool)>);
+
+fn task((is_done, last_run, failures, checkpoint, runs): &Facts) -> Task {
+    let run = |&(number, at, is_leaving): &(u8, u8, bool)| Run {
+        number: number.into(),
+        endpoint: format!("i-{}", at % 3).into(),
+        born: u64::from(at / 3 % 2),
+        is_leaving,
+        view: RunView::default(),
+    };
+    let runs: Vec<Run> = runs.iter().take(2).map(run).collect();
+    let is_plainly_done = *is_done && runs.is_empty();
+    Task {
+        is_done: *is_done,
+        last_run: (*last_run % 4).into(),
+        failures: if is_plainly_done {
+            0
+        } else {
+            (*failures % 2).into()
+        },
+        checkpoint: match checkpoint % 3 {
+            0 if !is_plainly_done => "c".into(),
+            _ => Box::default(),
+        },
+        runs,
+        failed_at: Vec::new(),
+    }
+}
+
+fn read(record: &progress::Record) -> Progress {
+    let value = record.value.as_ref().expect("it has a value");
+    match progress::decode(&record.key, value) {
+        Ok(Entry::Progress(1, progress)) => progress,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a successor that knows other runs than its former leader recorded.
+#[test]
+fn what_is_recorded_is_read_back() {
+    pomelohitch_property::check(|(state, steps): &(u8, Vec<Vec<Facts>>)| {
+        let never_ran = |t: &Task| t.last_run == 0 && t.runs.is_empty() && !t.is_done;
+        let tasks = |facts: &Vec<Facts>| -> Vec<Task> {
+            let tasks = facts.iter().take(4).map(task);
+            tasks
+                .filter(|t| !never_ran(t) || *t == Task::default())
+                .collect()
+        };
+        let steps = steps.iter().take(4).map(tasks).collect();
+        let progress = Progress {
+            state: [JobState::Queued, JobState::Running, JobState::Failed][usize::from(state % 3)],
+            ended_ms: u64::from(*state) * 1_000_000_000,
+            open: [(u32::from(*state), Occurrence { steps })].into(),
+            next: u32::from(*state) + 1,
+        };
+        let record = progress::encode_progress(1, &progress).expect("it can be encoded");
+        assert_eq!(read(&record), progress);
+    });
+}
+
+/// Guards against records that fill the link of a busy leader.
+#[test]
+fn a_run_takes_a_few_bytes() {
+    let run = |at: u32| Task {
+        last_run: 1,
+        runs: vec![Run {
+            number: 1,
+            endpoint: format!("i-4ab4703e6{}", at / 8).into(),
+            born: 1_770_000_000_000,
+            is_leaving: false,
+            view: RunView::default(),
+        }],
+        ..Task::default()
+    };
+    let progress = |tasks: Vec<Task>| Progress {
+        open: [(0, Occurrence { steps: vec![tasks] })].into(),
+        ..Progress::default()
+    };
+    let bytes = |tasks| {
+        let record = progress::encode_progress(1, &progress(tasks)).expect("it can be encoded");
+        record.value.map_or(0, |v| v.len())
+    };
+    let runs = bytes((0..32).map(run).collect());
+    assert!(runs <= 32 * 6, "{runs}");
+    let waiting = bytes(vec![Task::default(); 32]);
+    assert!(waiting <= 48, "{waiting}");
+}
+
+/// Guards against a run that is at no endpoint of its record.
+#[test]
+fn any_bytes_are_read_or_refused() {
+    pomelohitch_property::check(|bytes: &Vec<u8>| {
+        let key = progress::progress_key(1);
+        let _ = progress::decode(&key, bytes);
+    });
+}
--- /dev/null
+++ b/crates/pomelohitch-sched/tests/relaying.rs
@@ -0,0 +1,53 @@
+//! Which member carries calls to which endpoints.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pomelohitch_sched::relaying::Layout;
+use pomelohitch_sched::{EndpointId, ServiceName};
+
+const MEMBERS: [u32; 12] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
+
+fn endpoints() -> Vec<(ServiceName, EndpointId)> {
+    let of = |service: &'static str| {
+        (0..30).map(move |n| (service.into(), format!("{service}-{n}").into()))
+    };
+    ["a", "b", "c", "d"].into_iter().flat_map(of).collect()
+}
+
+fn carried(layout: Layout, members: &[u32]) -> BTreeMap<EndpointId, u32> {
+    let of = |(service, id): (ServiceName, EndpointId)| {
+        let member = layout.member(&service, &id, members.iter().copied());
+        Some((id, member?))
+    };
+    endpoints().into_iter().filter_map(of).collect()
+}
+
+#[test]
+fn a_fast_link_and_few_endpoints_need_nobody() {
+    let direct = Layout::of(372, 5, Some(25e6));
+    assert_eq!(direct, Layout::default());
+    assert!(carried(direct, &MEMBERS).is_empty());
+    assert_eq!(Layout::of(0, 0, Some(1.0)), Layout::default());
+}
+
+/// Guards against a leader whose slow link carries all polls and starts of the fleet.
+#[test]
+fn a_slow_link_is_relieved_by_most_members() {
+    let layout = Layout::of(120, 4, Some(250_000.0));
+    let carried = carried(layout, &MEMBERS);
+    assert_eq!(carried.len(), 120);
+    let members: BTreeSet<_> = carried.values().collect();
+    assert!(members.len() >= 9, "{members:?}");
+}
+
+/// Guards against polls that all change their way when one member goes.
+#[test]
+fn only_the_endpoints_of_a_lost_member_go_elsewhere() {
+    let layout = Layout::of(120, 4, Some(250_000.0));
+    let before = carried(layout, &MEMBERS);
+    let others: Vec<u32> = MEMBERS.into_iter().filter(|m| *m != 3).collect();
+    let after = carried(layout, &others);
+    for (id, member) in before {
+        assert!(member == 3 || after[&id] == member, "{id}");
+    }
+}
--- a/pomelohitchd/src/fleet.rs
+++ b/pomelohitchd/src/fleet.rs
@@ -15,11 +15,14 @@
 //! * [`succession`]: which member should lead.
 //! * [`internal`]: serves other entry instances.
 //! * [`callers`]: serves callers.
+//! * [`calls`]: calls to endpoints.
+//! * [`relay`]: calls to endpoints that other members carry.
 //! * [`leader`]: the work of the leader.
 //! * [`logs`]: log lines, bounded and without blocking.
 //! * [`lifecycle`]: start, graceful shutdown, exit codes.
 
 pub mod callers;
+pub mod calls;
 pub mod clock;
 pub mod election;
 pub mod internal;
@@ -28,6 +31,7 @@
 pub mod logs;
 pub mod members;
 pub mod peers;
+pub mod relay;
 pub mod shared;
 pub mod succession;
 pub mod wire;
--- a/pomelohitchd/src/fleet/clock.rs
+++ b/pomelohitchd/src/fleet/clock.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use pomelohitch_sched::{Now, Steady, UnixMs};
+use pomelohitch_sched::{Epoch, Now, Steady, UnixMs};
 use rustix::time::{ClockId, clock_gettime};
 
 /// Time since the machine started, suspensions included.
@@ -24,6 +24,33 @@
     since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
 }
 
+/// The fleet's time beside the steady clock here, as a leader told it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetTime {
+    /// Whose it is.
+    pub epoch: Epoch,
+    /// The fleet's time, milliseconds since 1970.
+    pub ms: UnixMs,
+    /// When it was that, on the steady clock.
+    pub at: Steady,
+}
+
+impl FleetTime {
+    /// The fleet's time at `now`.
+    #[must_use]
+    pub fn at(&self, now: Steady) -> UnixMs {
+        let passed = now.saturating_sub(self.at).as_millis();
+        self.ms + u64::try_from(passed).unwrap_or(0)
+    }
+
+    /// Whether this reading is better than `other`: of a later leader, or less delayed on its way.
+    #[must_use]
+    pub fn is_better_than(&self, other: &FleetTime) -> bool {
+        let now = self.at.max(other.at);
+        (self.epoch, self.at(now)) > (other.epoch, other.at(now))
+    }
+}
+
 /// Both clocks.
 #[must_use]
 pub fn now() -> Now {
--- a/pomelohitchd/src/fleet/internal.rs
+++ b/pomelohitchd/src/fleet/internal.rs
@@ -57,9 +57,30 @@
     }
 }
 
+/// Takes a leader's heartbeat that came as a datagram. It is answered only if a later leader is
+/// known.
+#[must_use]
+pub fn datagram(shared: &Shared, datagram: &[u8]) -> Option<Vec<u8>> {
+    let beat: Beat = match postcard::from_bytes(datagram) {
+        Ok(beat) => beat,
+        Err(error) => {
+            warn!(%error, "datagram can't be read");
+            return None;
+        }
+    };
+    let reply = take_beat(shared, &beat);
+    if reply.epoch <= beat.leader.epoch {
+        return None;
+    }
+    postcard::to_allocvec(&reply)
+        .map_err(|error| warn!(%error, "message can't be written"))
+        .ok()
+}
+
 fn take_beat(shared: &Shared, beat: &Beat) -> BeatReply {
     let is_current = shared.follow(&beat.leader, true);
     if is_current {
+        shared.note_fleet_ms(beat.leader.epoch, beat.fleet_ms);
         let now = clock::steady();
         shared.update(|view| {
             view.heard_at = now;
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -21,9 +21,10 @@
 use snafu::{ResultExt, Snafu, ensure};
 use tracing::{info, warn};
 
+use self::heartbeats::Datagrams;
 use super::clock;
 use super::shared::{Leading, Shared, spawn, spawn_with};
-use super::wire::{self, Beat, BeatReply, Claim, Leader, Probe, ProbeReply};
+use super::wire::{self, BeatReply, Claim, Leader, Probe, ProbeReply};
 use super::{members, peers, succession};
 
 pub mod core;
@@ -133,6 +134,7 @@
         holder_gap: site.bounds.holder_gap + HOLDER_MARGIN,
         operations_per_s: site.operations_per_s,
         link_bytes_per_s: site.link_bytes_per_s,
+        fleet_ms: shared.fleet_ms(),
         former_holder: if is_handed_over {
             HANDED_OVER
         } else {
@@ -144,6 +146,7 @@
     for fault in &faults {
         warn!(%fault, "record passed over");
     }
+    shared.note_fleet_ms(epoch, Some(cell.fleet_ms()));
     let (tx, rx) = mpsc::channel();
     fill(&mut cell, &records);
     let took_ms = clock::steady().saturating_sub(began).as_millis();
@@ -191,20 +194,24 @@
 ///
 /// Goes on until the returned guard is dropped, when the leader's own heartbeats have begun or the
 /// take-over has failed.
-fn announce(shared: &Shared, leader: &Leader) -> Result<mpsc::Sender<()>> {
+fn announce(shared: &Arc<Shared>, leader: &Leader) -> Result<mpsc::Sender<()>> {
     let (guard, ended) = mpsc::channel::<()>();
-    let beat = Beat {
-        leader: leader.clone(),
-    };
-    let others = shared.peers();
+    let peers = shared.peers();
+    let others: Vec<_> = peers.iter().map(|&peer| peers::client(peer)).collect();
+    let datagrams = Datagrams::new(shared, leader);
     info!(
         epoch = leader.epoch,
         members = others.len(),
         "leadership claimed"
     );
-    let telling = spawn("announce", move || {
+    let leader = leader.clone();
+    let telling = spawn_with("announce", shared, move |shared| {
         loop {
-            peers::ask_all::<BeatReply>(&others, wire::BEAT, &beat);
+            if let Some(datagrams) = &datagrams {
+                datagrams.send(shared, &peers);
+            }
+            let beat = heartbeats::beat_of(shared, &leader);
+            peers::ask_clients::<BeatReply>(&others, wire::BEAT, &beat, heartbeats::EVERY);
             if ended.recv_timeout(heartbeats::EVERY) == Err(RecvTimeoutError::Disconnected) {
                 return;
             }
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -24,7 +24,7 @@
 use super::super::wire::{self, Claim, Leader, ProbeReply};
 use super::duties::Duties;
 use super::journal::{self, Journal, Sequence};
-use super::lanes::Lanes;
+use super::lanes::{self, Lanes};
 use super::{handover, heartbeats, watch};
 
 /// Without any event the state is looked at this often: starts that became due, leases, waves.
@@ -156,7 +156,11 @@
         let duties = Duties::start(shared, epoch, &tx, &confirmed)?;
         watch::start(shared, epoch, &tx, parts.offsets)?;
         heartbeats::start(shared, &parts.leader, &tx)?;
-        Ok((journal, duties, Lanes::start(tx.clone())?))
+        Ok((
+            journal,
+            duties,
+            Lanes::start(tx.clone(), relaying(shared, epoch))?,
+        ))
     });
     let (journal, duties, lanes) = match started {
         Ok(started) => started,
@@ -198,6 +202,20 @@
     }
 }
 
+/// Who may carry calls for the leader.
+fn relaying(shared: &Arc<Shared>, epoch: Epoch) -> lanes::Options {
+    let site = shared.site.load();
+    let (shared, port) = (shared.clone(), site.relay.port());
+    lanes::Options {
+        epoch,
+        members: Some(Box::new(move || {
+            let peers = shared.peers().into_iter();
+            peers.map(|peer| SocketAddr::new(peer.ip(), port)).collect()
+        })),
+        link_bytes_per_s: site.link_bytes_per_s,
+    }
+}
+
 /// Asks another member to take over, so that nobody has to notice the silence first.
 pub(super) fn hand_over(successor: SocketAddr, claim: Claim) {
     /// Time for the request.
@@ -230,7 +248,10 @@
             if let Some(end) = self.end {
                 return end;
             }
-            let actions = self.cell.tick(clock::now());
+            let now = clock::now();
+            let actions = self.cell.tick(now);
+            self.cell
+                .tick_took(clock::steady().saturating_sub(now.steady));
             self.carry_out(actions);
             self.commit();
             self.check_store();
--- a/pomelohitchd/src/fleet/leader/lanes.rs
+++ b/pomelohitchd/src/fleet/leader/lanes.rs
@@ -1,58 +1,44 @@
-//! Calls endpoints.
+//! Calls endpoints, directly or by way of other members.
 //!
-//! All calls are made on one thread, each as a task of its own. At most a few orders are on their
-//! way to one endpoint, so that an order without an answer holds up neither its endpoint nor
-//! others. Orders may therefore overtake each other, which endpoints allow for: a stop that comes
-//! before its start rejects it.
+//! All calls are made on one thread, each as a task of its own.
 
-use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::mpsc::Sender;
 use std::time::Duration;
 
-use pomelohitch_adapter::connections::Connections;
-use pomelohitch_adapter::endpoints;
 use pomelohitch_sched::endpoint::Endpoint;
 use pomelohitch_sched::order::{LookFailure, LookOrder, Order, Outcome, Refusal, Target};
-use pomelohitch_sched::rto::{Limits, Rto};
-use pomelohitch_sched::{EndpointId, Epoch, Steady};
-use tokio::sync::Semaphore;
+use pomelohitch_sched::relaying::Layout;
+use pomelohitch_sched::{EndpointId, Epoch, ServiceName, Steady};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::task::{self, LocalSet};
+use tracing::info;
 
 use super::core::Event;
+use crate::fleet::calls::{Calls, Sending};
 use crate::fleet::clock;
+use crate::fleet::relay::client::Link;
 use crate::fleet::shared::spawn;
 
-/// A connection that isn't made by then won't be.
-const CONNECT: Duration = Duration::from_millis(250);
-/// A start that waited so long since it was decided isn't sent: the process may have stood still,
-/// and what it knew then may be wrong by now.
-const STALE: Duration = Duration::from_millis(800);
-/// Most orders on their way to one endpoint. One or two without an answer leave the others a way.
-const AT_ONCE: usize = 3;
-/// Connections to an endpoint that stay open: for its orders, and for a look.
-const KEPT: usize = AT_ONCE + 1;
-
-/// A poll may take this much longer than the endpoint was told to wait, where answers are prompt.
-const LOOK_MARGIN: Duration = Duration::from_millis(250);
-/// Timeouts of orders. Endpoints answer within a few milliseconds; what came of an order without an
-/// answer is learned from a poll.
-const ORDER_WITHIN: Limits = Limits {
-    shortest: Duration::from_millis(150),
-    longest: Duration::from_millis(600),
-};
-
-/// An order that is to go out.
-#[derive(Debug)]
-struct Sending {
-    target: Target,
-    order: Order,
-    epoch: Epoch,
-    /// When it was decided.
-    at: Steady,
+/// A member that carried no more calls is asked again after this time.
+const BACK_OFF: Duration = Duration::from_secs(2);
+/// How often it is considered which members carry calls.
+const LAYOUT_EVERY: Duration = Duration::from_millis(250);
+
+/// Tells where other members take calls to carry.
+pub type Members = Box<dyn Fn() -> Vec<SocketAddr> + Send>;
+
+/// Who may carry calls.
+#[derive(Default)]
+pub struct Options {
+    /// The leadership.
+    pub epoch: Epoch,
+    /// The other members; without it the leader makes all calls.
+    pub members: Option<Members>,
+    /// What the leader's link carries, bytes a second.
+    pub link_bytes_per_s: Option<f64>,
 }
 
 /// What the calling thread is told.
@@ -77,7 +63,7 @@
     ///
     /// # Errors
     /// If the system has no room for the thread or its poll.
-    pub fn start(events: Sender<Event>) -> std::io::Result<Lanes> {
+    pub fn start(events: Sender<Event>, options: Options) -> std::io::Result<Lanes> {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_io()
             .enable_time()
@@ -85,7 +71,7 @@
         let (commands, rx) = mpsc::unbounded_channel();
         let ends = events.clone();
         spawn("endpoints", move || {
-            LocalSet::new().block_on(&runtime, serve(rx, ends));
+            LocalSet::new().block_on(&runtime, serve(rx, ends, options));
         })?;
         Ok(Lanes {
             commands,
@@ -138,95 +124,134 @@
     }
 }
 
-/// What there is for one endpoint.
-struct Lane {
-    /// Shared by all lanes: what delays answers is mostly this member's own link.
-    rto: Rc<RefCell<Rto>>,
-    connections: Connections,
-    orders: Semaphore,
+/// Makes calls until nobody asks for any.
+async fn serve(mut commands: UnboundedReceiver<Command>, events: Sender<Event>, options: Options) {
+    let mut routes = Routes::new(events, options);
+    while let Some(command) = commands.recv().await {
+        routes.lay_out();
+        match command {
+            Command::Order(sending) => routes.order(sending),
+            Command::Look(look) => routes.look(look),
+            Command::Forget(id) => routes.forget(&id),
+        }
+    }
+}
+
+/// Which way each call goes.
+struct Routes {
+    calls: Rc<Calls>,
+    events: Sender<Event>,
+    options: Options,
+    services: HashMap<EndpointId, ServiceName>,
+    layout: Layout,
+    /// The other members, as of the last look at the layout.
+    members: Vec<SocketAddr>,
+    links: BTreeMap<SocketAddr, Link>,
+    laid_out_at: Option<Steady>,
 }
 
-impl Lane {
-    fn new(addr: SocketAddr, rto: Rc<RefCell<Rto>>) -> Lane {
-        Lane {
-            rto,
-            connections: Connections::new(addr, CONNECT, KEPT),
-            orders: Semaphore::new(AT_ONCE),
+impl Routes {
+    fn new(events: Sender<Event>, options: Options) -> Routes {
+        Routes {
+            calls: Rc::default(),
+            events,
+            options,
+            services: HashMap::new(),
+            layout: Layout::default(),
+            members: Vec::new(),
+            links: BTreeMap::new(),
+            laid_out_at: None,
         }
     }
-}
 
-/// Makes calls until nobody asks for any.
-async fn serve(mut commands: UnboundedReceiver<Command>, events: Sender<Event>) {
-    let mut lanes: HashMap<EndpointId, Rc<Lane>> = HashMap::new();
-    let rto = Rc::new(RefCell::new(Rto::new(ORDER_WITHIN)));
-    while let Some(command) = commands.recv().await {
-        match command {
-            Command::Order(sending) => {
-                let lane = lane(&mut lanes, &sending.target, &rto);
-                task::spawn_local(send(lane, sending, events.clone()));
-            }
-            Command::Look(look) => {
-                let lane = lane(&mut lanes, &look.target, &rto);
-                task::spawn_local(watch(lane, look, events.clone()));
-            }
-            Command::Forget(id) => {
-                lanes.remove(&id);
-            }
+    /// Considers anew which members carry calls, from time to time.
+    fn lay_out(&mut self) {
+        let now = clock::steady();
+        let is_due = |at: Steady| now >= at + LAYOUT_EVERY;
+        if !self.laid_out_at.is_none_or(is_due) {
+            return;
+        }
+        self.laid_out_at = Some(now);
+        let services: BTreeSet<_> = self.services.values().collect();
+        let layout = Layout::of(
+            self.services.len(),
+            services.len(),
+            self.options.link_bytes_per_s,
+        );
+        if layout != self.layout {
+            info!(
+                shards = layout.shards,
+                endpoints = self.services.len(),
+                "calls divided"
+            );
+            self.layout = layout;
         }
+        let members = self.options.members.as_ref().map(|members| members());
+        self.members = members.unwrap_or_default();
+        let is_over = |link: &Link| link.ended_at().is_some_and(|at| now >= at + BACK_OFF);
+        self.links
+            .retain(|peer, link| self.members.contains(peer) && !is_over(link));
     }
-}
 
-fn lane(
-    lanes: &mut HashMap<EndpointId, Rc<Lane>>,
-    target: &Target,
-    rto: &Rc<RefCell<Rto>>,
-) -> Rc<Lane> {
-    let lane = lanes
-        .entry(target.id.clone())
-        .or_insert_with(|| Rc::new(Lane::new(target.addr, rto.clone())));
-    if lane.connections.peer() != target.addr {
-        *lane = Rc::new(Lane::new(target.addr, rto.clone()));
+    /// The member that carries an endpoint's calls, if one does and is reached.
+    fn link(&mut self, target: &Target) -> Option<&Link> {
+        if !self.services.contains_key(&target.id) {
+            self.services
+                .insert(target.id.clone(), target.service.clone());
+        }
+        if self.layout == Layout::default() {
+            return None;
+        }
+        let links = &self.links;
+        let is_usable =
+            |peer: &SocketAddr| links.get(peer).is_none_or(|link| link.ended_at().is_none());
+        let members = self.members.iter().copied().filter(is_usable);
+        let peer = self.layout.member(&target.service, &target.id, members)?;
+        let (epoch, events) = (self.options.epoch, &self.events);
+        let link = self
+            .links
+            .entry(peer)
+            .or_insert_with(|| Link::start(peer, epoch, events.clone()));
+        link.is_open().then_some(link)
     }
-    lane.clone()
-}
 
-async fn send(lane: Rc<Lane>, sending: Sending, events: Sender<Event>) {
-    let Sending {
-        target,
-        order,
-        epoch,
-        at,
-    } = sending;
-    // The semaphore is never closed.
-    let _turn = lane.orders.acquire().await;
-    let is_start = matches!(order, Order::Start { .. });
-    let outcome = if is_start && clock::steady().saturating_sub(at) > STALE {
-        Outcome::Refused(Refusal::Unsent)
-    } else {
-        let within = lane.rto.borrow().timeout();
-        let sent_at = clock::steady();
-        let outcome = endpoints::order(&lane.connections, &target, &order, epoch, within).await;
-        let took = clock::steady().saturating_sub(sent_at);
-        lane.rto.borrow_mut().took(took);
-        outcome
-    };
-    // Nobody listens any more only when the leadership is over.
-    let _ = events.send(Event::Ordered(target, order, outcome));
-}
+    fn order(&mut self, sending: Sending) {
+        let sending = match self.link(&sending.target) {
+            Some(link) => link.order(sending),
+            None => Some(sending),
+        };
+        let Some(sending) = sending else {
+            return;
+        };
+        let (calls, events) = (self.calls.clone(), self.events.clone());
+        task::spawn_local(async move {
+            let outcome = calls.order(&sending).await;
+            // Nobody listens any more only when the leadership is over.
+            let _ = events.send(Event::Ordered(sending.target, sending.order, outcome));
+        });
+    }
+
+    fn look(&mut self, look: LookOrder) {
+        let look = match self.link(&look.target) {
+            Some(link) => link.look(look),
+            None => Some(look),
+        };
+        let Some(look) = look else {
+            return;
+        };
+        let (calls, events) = (self.calls.clone(), self.events.clone());
+        task::spawn_local(async move {
+            let looked = calls.look(&look).await;
+            // Nobody listens any more only when the leadership is over.
+            let _ = events.send(Event::Looked(look.target, looked));
+        });
+    }
 
-async fn watch(lane: Rc<Lane>, look: LookOrder, events: Sender<Event>) {
-    let sent_at = clock::steady();
-    let late = lane
-        .rto
-        .borrow()
-        .timeout()
-        .saturating_sub(ORDER_WITHIN.shortest);
-    let mut result = endpoints::look(&lane.connections, &look, LOOK_MARGIN + late).await;
-    if let Ok(look) = &mut result {
-        look.sent_at = sent_at;
-        look.answered_at = clock::steady();
+    fn forget(&mut self, id: &EndpointId) {
+        self.services.remove(id);
+        self.calls.forget(id);
+        for link in self.links.values() {
+            link.forget(id);
+        }
     }
-    // Nobody listens any more only when the leadership is over.
-    let _ = events.send(Event::Looked(look.target, result));
 }
--- a/pomelohitchd/src/fleet/lifecycle.rs
+++ b/pomelohitchd/src/fleet/lifecycle.rs
@@ -16,7 +16,7 @@
 
 use super::leader::core::Event;
 use super::shared::{Shared, spawn, spawn_with};
-use super::{callers, clock, election, internal, logs, members};
+use super::{callers, clock, election, internal, logs, members, relay};
 use crate::front::{self, Service};
 
 /// Shown at the start.
@@ -104,6 +104,7 @@
         front::serve_with(ready, &readiness, internal::limits());
     })
     .context(ThreadSnafu)?;
+    relay_calls(&shared, site.relay)?;
     spawn_with("members", &shared, members::run).context(ThreadSnafu)?;
     spawn_with("election", &shared, election::run).context(ThreadSnafu)?;
     let service = callers::service(&shared);
@@ -120,6 +121,18 @@
     TcpListener::bind(addr).context(ListenSnafu { addr })
 }
 
+/// The leader makes calls by itself where a member doesn't carry them.
+fn relay_calls(shared: &Arc<Shared>, addr: SocketAddr) -> Result<()> {
+    let relaying = spawn_with("relay", shared, move |shared| {
+        let shared = shared.clone();
+        let answer = Box::new(move |datagram: &[u8]| internal::datagram(&shared, datagram));
+        if let Err(error) = relay::server::run(addr, answer) {
+            warn!(%addr, %error, "calls aren't carried");
+        }
+    });
+    relaying.map(drop).context(ThreadSnafu)
+}
+
 /// Operators look at metrics now and then; a daemon that can't show them still serves callers.
 fn serve_metrics(shared: &Arc<Shared>, addr: SocketAddr, metrics: PrometheusHandle) {
     let leaving = shared.clone();
--- a/pomelohitchd/src/fleet/members.rs
+++ b/pomelohitchd/src/fleet/members.rs
@@ -104,6 +104,7 @@
     } else if key == wire::ALIVE_KEY
         && let Some(alive) = value.and_then(|v| postcard::from_bytes::<Alive>(v).ok())
     {
+        shared.note_fleet_ms(alive.epoch, alive.fleet_ms.filter(|_| is_news));
         shared.update(|view| {
             if view.leader.as_ref().is_some_and(|l| l.epoch == alive.epoch) {
                 view.alive_at = clock::steady();
--- a/pomelohitchd/src/fleet/peers.rs
+++ b/pomelohitchd/src/fleet/peers.rs
@@ -86,14 +86,26 @@
     message: &(impl Serialize + Clone + Send + 'static),
     within: Duration,
 ) -> Vec<(SocketAddr, T)> {
-    let asked: Vec<_> = peers
+    let clients: Vec<_> = peers.iter().map(|&peer| client(peer)).collect();
+    ask_clients(&clients, path, message, within)
+}
+
+/// The same over connections that are kept.
+pub fn ask_clients<T: DeserializeOwned + Send + 'static>(
+    clients: &[Client],
+    path: &'static str,
+    message: &(impl Serialize + Clone + Send + 'static),
+    within: Duration,
+) -> Vec<(SocketAddr, T)> {
+    let asked: Vec<_> = clients
         .iter()
-        .map(|&peer| {
-            let message = message.clone();
+        .map(|client| {
+            let (client, message) = (client.clone(), message.clone());
+            let peer = client.peer();
             std::thread::Builder::new()
                 .name("ask".into())
                 .stack_size(STACK)
-                .spawn(move || ask::<T>(&client(peer), path, &message, within))
+                .spawn(move || ask::<T>(&client, path, &message, within))
                 .map(|thread| (peer, thread))
         })
         .collect();
--- /dev/null
+++ b/pomelohitchd/src/fleet/relay/client.rs
@@ -0,0 +1,379 @@
+//! Hands calls in at a member that carries them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use pomelohitch_sched::endpoint::Look;
+use pomelohitch_sched::order::{LookFailure, LookOrder, Order, Outcome, Refusal};
+use pomelohitch_sched::rto::{Limits, Rto};
+use pomelohitch_sched::{EndpointId, Epoch, Steady};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
+use tokio::{select, task, time};
+use tokio_util::codec::{FramedRead, FramedWrite};
+use tracing::{info, warn};
+
+use super::jobs::Jobs;
+use super::listing::Listing;
+use super::message::{
+    self, CallNumber, Hello, Instruction, Reader, Replies, Reply, Request, Requests, Writer,
+};
+use crate::fleet::calls::Sending;
+use crate::fleet::clock;
+use crate::fleet::leader::core::Event;
+
+/// A connection that isn't made by then won't be.
+const CONNECT: Duration = Duration::from_millis(250);
+/// A member that is silent for this long carries no more calls; it sends a frame each 100 ms.
+const SILENCE: Duration = Duration::from_millis(450);
+/// How often calls without an answer are looked for.
+const TICK: Duration = Duration::from_millis(50);
+/// Timeouts of orders, longer than those between the member and the endpoint.
+const ORDER_WITHIN: Limits = Limits {
+    shortest: Duration::from_millis(220),
+    longest: Duration::from_millis(800),
+};
+/// A poll may take this much longer than the endpoint was told to wait, beside the timeout of an
+/// order.
+const LOOK_MARGIN: Duration = Duration::from_millis(200);
+
+/// A call that isn't over.
+#[derive(Debug)]
+enum Pending {
+    Order(Sending),
+    Look(LookOrder),
+}
+
+#[derive(Debug)]
+struct Waiting {
+    call: Pending,
+    sent_at: Steady,
+    expires_at: Steady,
+}
+
+/// What is handed in.
+#[derive(Debug)]
+enum Command {
+    Call(Pending),
+    Forget(EndpointId),
+}
+
+/// A connection to a member.
+#[derive(Debug)]
+pub struct Link {
+    peer: SocketAddr,
+    commands: UnboundedSender<Command>,
+    state: Rc<State>,
+}
+
+/// How a connection is.
+#[derive(Debug, Default)]
+struct State {
+    is_open: Cell<bool>,
+    /// When it ended, or wasn't made.
+    ended_at: Cell<Option<Steady>>,
+}
+
+impl Link {
+    /// Begins to connect to the member at `peer`.
+    #[must_use]
+    pub fn start(peer: SocketAddr, epoch: Epoch, events: Sender<Event>) -> Link {
+        let (commands, rx) = mpsc::unbounded_channel();
+        let state = Rc::<State>::default();
+        let running = state.clone();
+        task::spawn_local(async move {
+            let session = Session::new(events);
+            session.run(peer, epoch, rx, &running).await;
+            running.is_open.set(false);
+            running.ended_at.set(Some(clock::steady()));
+        });
+        Link {
+            peer,
+            commands,
+            state,
+        }
+    }
+
+    /// Whose it is.
+    #[must_use]
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Whether calls can be handed in.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.state.is_open.get()
+    }
+
+    /// When it ended, if it has.
+    #[must_use]
+    pub fn ended_at(&self) -> Option<Steady> {
+        self.state.ended_at.get()
+    }
+
+    /// Hands an order in; gives it back if the connection has ended.
+    #[must_use]
+    pub fn order(&self, sending: Sending) -> Option<Sending> {
+        match self.commands.send(Command::Call(Pending::Order(sending))) {
+            Err(mpsc::error::SendError(Command::Call(Pending::Order(sending)))) => Some(sending),
+            _ => None,
+        }
+    }
+
+    /// Hands a poll in; gives it back if the connection has ended.
+    #[must_use]
+    pub fn look(&self, look: LookOrder) -> Option<LookOrder> {
+        match self.commands.send(Command::Call(Pending::Look(look))) {
+            Err(mpsc::error::SendError(Command::Call(Pending::Look(look)))) => Some(look),
+            _ => None,
+        }
+    }
+
+    /// Tells that an endpoint isn't known any more.
+    pub fn forget(&self, id: &EndpointId) {
+        // A connection that has ended knows no endpoints.
+        let _ = self.commands.send(Command::Forget(id.clone()));
+    }
+}
+
+/// The calls over one connection.
+struct Session {
+    events: Sender<Event>,
+    waiting: RefCell<HashMap<CallNumber, Waiting>>,
+    listings: RefCell<HashMap<EndpointId, Listing>>,
+    rto: RefCell<Rto>,
+    heard_at: Cell<Steady>,
+}
+
+impl Session {
+    fn new(events: Sender<Event>) -> Session {
+        Session {
+            events,
+            waiting: RefCell::default(),
+            listings: RefCell::default(),
+            rto: RefCell::new(Rto::new(ORDER_WITHIN)),
+            heard_at: Cell::new(clock::steady()),
+        }
+    }
+
+    async fn run(
+        &self,
+        peer: SocketAddr,
+        epoch: Epoch,
+        rx: UnboundedReceiver<Command>,
+        state: &State,
+    ) {
+        let Some((mut reader, mut writer)) = connect(peer).await else {
+            info!(%peer, "member carries no calls: no connection");
+            return;
+        };
+        let rx = RefCell::new(rx);
+        if message::send(&mut writer, &Hello { epoch }).await.is_ok() {
+            self.heard_at.set(clock::steady());
+            state.is_open.set(true);
+            select! {
+                () = self.send(&mut writer, &rx) => {}
+                () = self.receive(&mut reader) => {}
+                () = self.expire() => {}
+            }
+            state.is_open.set(false);
+        }
+        let lost = self.waiting.borrow().len();
+        warn!(%peer, lost, "member carries no more calls");
+        self.fail_all(&mut rx.borrow_mut());
+    }
+
+    /// Sends what is handed in, as much in a frame as there is.
+    async fn send(
+        &self,
+        writer: &mut Writer<OwnedWriteHalf>,
+        rx: &RefCell<UnboundedReceiver<Command>>,
+    ) {
+        let mut outgoing = Outgoing::default();
+        while let Some(command) = recv(rx).await {
+            self.prepare(command, &mut outgoing);
+            while let Ok(command) = rx.borrow_mut().try_recv() {
+                self.prepare(command, &mut outgoing);
+            }
+            let requests = Requests {
+                sent_at: clock::steady(),
+                requests: std::mem::take(&mut outgoing.requests),
+            };
+            if message::send(writer, &requests).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn prepare(&self, command: Command, outgoing: &mut Outgoing) {
+        let call = match command {
+            Command::Call(call) => call,
+            Command::Forget(id) => {
+                self.listings.borrow_mut().remove(&id);
+                return outgoing.requests.push(Request::Forget(id));
+            }
+        };
+        outgoing.number = outgoing.number.wrapping_add(1);
+        let number = outgoing.number;
+        let within = self.rto.borrow().timeout();
+        let within = match &call {
+            Pending::Order(sending) => {
+                if let Order::Start { spec, .. } = &sending.order
+                    && outgoing.jobs.insert(spec)
+                {
+                    outgoing.requests.push(Request::Job(spec.clone()));
+                }
+                let instruction = Instruction::of(&sending.order);
+                let target = sending.target.clone();
+                outgoing
+                    .requests
+                    .push(Request::Order(number, target, instruction));
+                within
+            }
+            Pending::Look(look) => {
+                outgoing.requests.push(Request::Look(number, look.clone()));
+                look.wait + LOOK_MARGIN + within
+            }
+        };
+        let sent_at = clock::steady();
+        let waiting = Waiting {
+            call,
+            sent_at,
+            expires_at: sent_at + within,
+        };
+        self.waiting.borrow_mut().insert(number, waiting);
+    }
+
+    async fn receive(&self, reader: &mut Reader<OwnedReadHalf>) {
+        loop {
+            let replies: Replies = match message::receive(reader).await {
+                Ok(Some(replies)) => replies,
+                Ok(None) => return,
+                Err(error) => {
+                    info!(%error, "replies of a member end");
+                    return;
+                }
+            };
+            self.heard_at.set(clock::steady());
+            for reply in replies {
+                self.take(reply);
+            }
+        }
+    }
+
+    fn take(&self, reply: Reply) {
+        let (Reply::Ordered(number, _) | Reply::Looked(number, _)) = &reply;
+        let waiting = self.waiting.borrow_mut().remove(number);
+        let now = clock::steady();
+        match reply {
+            Reply::Ordered(_, outcome) => {
+                if let Some((Pending::Order(sending), sent_at)) =
+                    waiting.map(|w| (w.call, w.sent_at))
+                {
+                    self.rto.borrow_mut().took(now.saturating_sub(sent_at));
+                    self.tell(Event::Ordered(sending.target, sending.order, outcome));
+                }
+            }
+            Reply::Looked(_, Ok(delta)) => {
+                let Some((Pending::Look(order), sent_at)) = waiting.map(|w| (w.call, w.sent_at))
+                else {
+                    // Whatever differs from this answer can't be read either.
+                    return;
+                };
+                let mut listings = self.listings.borrow_mut();
+                let listing = listings.entry(order.target.id.clone()).or_default();
+                let look = listing.decode(delta).ok_or(LookFailure::Failed);
+                let look = look.map(|look| Look {
+                    sent_at,
+                    answered_at: now,
+                    ..look
+                });
+                self.tell(Event::Looked(order.target, look));
+            }
+            Reply::Looked(_, Err(failure)) => {
+                if let Some(Pending::Look(order)) = waiting.map(|w| w.call) {
+                    self.tell(Event::Looked(order.target, Err(failure)));
+                }
+            }
+        }
+    }
+
+    /// Gives up calls without an answer, until the member is silent.
+    async fn expire(&self) {
+        loop {
+            time::sleep(TICK).await;
+            let now = clock::steady();
+            let mut waiting = self.waiting.borrow_mut();
+            let expired = waiting.extract_if(|_, w| w.expires_at <= now);
+            let expired: Vec<_> = expired.map(|(_, w)| w).collect();
+            drop(waiting);
+            for Waiting { call, sent_at, .. } in expired {
+                self.rto.borrow_mut().took(now.saturating_sub(sent_at));
+                self.fail(call);
+            }
+            if now.saturating_sub(self.heard_at.get()) > SILENCE {
+                return;
+            }
+        }
+    }
+
+    fn fail_all(&self, rx: &mut UnboundedReceiver<Command>) {
+        rx.close();
+        let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
+        for waiting in waiting.into_values() {
+            self.fail(waiting.call);
+        }
+        while let Ok(command) = rx.try_recv() {
+            match command {
+                Command::Call(Pending::Order(Sending { target, order, .. })) => {
+                    let unsent = Outcome::Refused(Refusal::Unsent);
+                    self.tell(Event::Ordered(target, order, unsent));
+                }
+                Command::Call(look) => self.fail(look),
+                Command::Forget(_) => {}
+            }
+        }
+    }
+
+    fn fail(&self, call: Pending) {
+        self.tell(match call {
+            Pending::Order(Sending { target, order, .. }) => {
+                Event::Ordered(target, order, Outcome::Unanswered)
+            }
+            Pending::Look(look) => Event::Looked(look.target, Err(LookFailure::Failed)),
+        });
+    }
+
+    fn tell(&self, event: Event) {
+        // The receiver is gone only when the leadership is over.
+        let _ = self.events.send(event);
+    }
+}
+
+/// What goes into the next frame, and what the member was told before.
+#[derive(Debug, Default)]
+struct Outgoing {
+    requests: Vec<Request>,
+    jobs: Jobs,
+    number: CallNumber,
+}
+
+/// The next command. The receiver is used by one task at a time.
+async fn recv(rx: &RefCell<UnboundedReceiver<Command>>) -> Option<Command> {
+    std::future::poll_fn(|cx| rx.borrow_mut().poll_recv(cx)).await
+}
+
+async fn connect(peer: SocketAddr) -> Option<(Reader<OwnedReadHalf>, Writer<OwnedWriteHalf>)> {
+    let stream = time::timeout(CONNECT, TcpStream::connect(peer)).await;
+    let stream = stream.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (read, write) = stream.into_split();
+    let reader = FramedRead::new(read, message::codec());
+    Some((reader, FramedWrite::new(write, message::codec())))
+}
--- /dev/null
+++ b/pomelohitchd/src/fleet/relay/jobs.rs
@@ -0,0 +1,43 @@
+//! Descriptions of jobs, sent once over a connection.
+//!
+//! Both ends keep the same number and drop the oldest first, so that the sender knows which ones
+//! the receiver holds.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use pomelohitch_sched::JobId;
+use pomelohitch_sched::job::JobSpec;
+
+/// Most descriptions that are kept.
+const KEPT: usize = 2_000;
+
+/// The newest descriptions.
+#[derive(Debug, Default)]
+pub struct Jobs {
+    by_id: HashMap<JobId, Arc<JobSpec>>,
+    order: VecDeque<JobId>,
+}
+
+impl Jobs {
+    /// Takes in a description; whether it is new.
+    pub fn insert(&mut self, spec: &Arc<JobSpec>) -> bool {
+        if self.by_id.contains_key(&spec.id) {
+            return false;
+        }
+        if self.order.len() >= KEPT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.by_id.remove(&oldest);
+        }
+        self.by_id.insert(spec.id, spec.clone());
+        self.order.push_back(spec.id);
+        true
+    }
+
+    /// A description.
+    #[must_use]
+    pub fn get(&self, id: JobId) -> Option<Arc<JobSpec>> {
+        self.by_id.get(&id).cloned()
+    }
+}
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -11,10 +11,10 @@
 use pomelohitch_adapter::Client;
 use pomelohitch_adapter::settings::Site;
 use pomelohitch_adapter::store::Store;
-use pomelohitch_sched::{Epoch, Steady};
+use pomelohitch_sched::{Epoch, Steady, UnixMs};
 use tracing::info;
 
-use super::clock;
+use super::clock::{self, FleetTime};
 use super::leader::core::Event;
 use super::wire::{Claim, Leader, Member};
 
@@ -48,6 +48,8 @@
     pub members_end: u64,
     /// Whether the members were read at all.
     pub is_read: bool,
+    /// The fleet's time, if a leader has told it.
+    pub fleet_time: Option<FleetTime>,
 }
 
 /// The leadership that this process holds.
@@ -104,7 +106,12 @@
     /// A client of the store for one thread.
     #[must_use]
     pub fn store(&self) -> Store {
-        Store::new(Client::new(self.site.load().store, STORE_CONNECT))
+        let site = self.site.load();
+        let store = Store::new(Client::new(site.store, STORE_CONNECT));
+        match site.link_bytes_per_s {
+            Some(rate) => store.over_link(rate),
+            None => store,
+        }
     }
 
     /// A client of the leader at `addr`, whose connections all callers of this process share.
@@ -179,6 +186,29 @@
         true
     }
 
+    /// Takes in the fleet's time as the leader with `epoch` tells it now.
+    pub fn note_fleet_ms(&self, epoch: Epoch, fleet_ms: Option<UnixMs>) {
+        let Some(ms) = fleet_ms else {
+            return;
+        };
+        let at = clock::steady();
+        let told = FleetTime { epoch, ms, at };
+        let mut view = self.lock();
+        if view
+            .fleet_time
+            .is_none_or(|known| told.is_better_than(&known))
+        {
+            view.fleet_time = Some(told);
+        }
+    }
+
+    /// The fleet's time, if a leader has told it.
+    #[must_use]
+    pub fn fleet_ms(&self) -> Option<UnixMs> {
+        let told = self.lock().fleet_time;
+        told.map(|told| told.at(clock::steady()))
+    }
+
     /// Waits for a change of what is known, at most `time`.
     pub fn wait(&self, time: Duration) {
         let view = self.lock();
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use pomelohitch_sched::Epoch;
+use pomelohitch_sched::{Epoch, UnixMs};
 use serde::{Deserialize, Serialize};
 
 /// Path of [`Beat`].
@@ -38,6 +38,8 @@
 pub struct Beat {
     /// Who sends it.
     pub leader: Leader,
+    /// The fleet's time, milliseconds since 1970, if it is known yet.
+    pub fleet_ms: Option<UnixMs>,
 }
 
 /// Answer to a heartbeat.
@@ -102,6 +104,8 @@
     pub epoch: Epoch,
     /// Counts the signs.
     pub count: u64,
+    /// The fleet's time, milliseconds since 1970, if it is known yet.
+    pub fleet_ms: Option<UnixMs>,
 }
 
 /// Key of the record of who leads.
--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 #[path = "fleet/callers.rs"]
 mod callers;
+#[path = "fleet/endpoint.rs"]
+mod endpoint;
 #[path = "fleet/journal.rs"]
 mod journal;
 #[path = "fleet/lanes.rs"]
@@ -10,5 +12,7 @@
 mod leaders;
 #[path = "fleet/outages.rs"]
 mod outages;
+#[path = "fleet/relays.rs"]
+mod relays;
 #[path = "fleet/site.rs"]
 mod site;
--- a/pomelohitchd/tests/fleet/lanes.rs
+++ b/pomelohitchd/tests/fleet/lanes.rs
@@ -10,7 +10,7 @@
 use pomelohitch_sched::order::{Order, Outcome, Target};
 use pomelohitchd::fleet::clock;
 use pomelohitchd::fleet::leader::core::Event;
-use pomelohitchd::fleet::leader::lanes::Lanes;
+use pomelohitchd::fleet::leader::lanes::{Lanes, Options};
 
 const TAKEN: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{\"clock_ms\":1}";
 
@@ -66,10 +66,11 @@
 
 fn send(runs: std::ops::RangeInclusive<RunNumber>, addr: SocketAddr) -> Vec<(RunNumber, Outcome)> {
     let (tx, rx) = mpsc::channel();
-    let mut lanes = Lanes::start(tx).expect("there is room for a thread");
+    let mut lanes = Lanes::start(tx, Options::default()).expect("there is room for a thread");
     let target = Target {
         id: Arc::from("e1"),
         born: 1,
+        service: "pricing".into(),
         addr,
     };
     let count = runs.clone().count();
--- a/pomelohitchd/tests/fleet/leaders.rs
+++ b/pomelohitchd/tests/fleet/leaders.rs
@@ -1,8 +1,9 @@
 //! Who leads next, and what counts as a sign of life.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use pomelohitchd::fleet::clock;
+use pomelohitchd::fleet::clock::{self, FleetTime};
 use pomelohitchd::fleet::shared::Shared;
 use pomelohitchd::fleet::succession::{deference, larger, successor};
 use pomelohitchd::fleet::wire::{Leader, Member, ProbeReply};
@@ -98,3 +99,43 @@
     );
     assert!(!shared.follow(&leader, true));
 }
+
+fn told(epoch: u64, ms: u64, at_ms: u64) -> FleetTime {
+    let at = Duration::from_millis(at_ms);
+    FleetTime { epoch, ms, at }
+}
+
+#[test]
+fn the_least_delayed_reading_of_the_newest_leader_counts() {
+    let first = told(1, 50_000, 1_000);
+    assert_eq!(first.at(Duration::from_millis(3_500)), 52_500);
+    assert!(
+        told(1, 51_000, 1_990).is_better_than(&first),
+        "less delayed"
+    );
+    assert!(
+        !told(1, 51_000, 2_400).is_better_than(&first),
+        "more delayed"
+    );
+    assert!(
+        told(2, 40_000, 2_400).is_better_than(&first),
+        "a later leader"
+    );
+    assert!(
+        !told(0, 90_000, 2_400).is_better_than(&first),
+        "a former leader"
+    );
+}
+
+/// Guards against a successor that takes up its own time of day, which differs from its leader's.
+#[test]
+fn a_member_keeps_the_time_that_its_leader_told() {
+    let shared = Shared::new(site());
+    assert_eq!(shared.fleet_ms(), None);
+    shared.note_fleet_ms(3, Some(7_000));
+    let told = shared.fleet_ms().expect("a leader has told it");
+    assert!((7_000..8_000).contains(&told), "{told}");
+    shared.note_fleet_ms(2, Some(99_000));
+    shared.note_fleet_ms(3, None);
+    assert!(shared.fleet_ms().is_some_and(|ms| ms < 9_000));
+}
--- /dev/null
+++ b/pomelohitchd/tests/fleet/relays.rs
@@ -0,0 +1,319 @@
+//! Calls to endpoints that another member carries.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::sync::Arc;
+use std::sync::mpsc::{self, Receiver};
+use std::time::Duration;
+
+use pomelohitch_sched::TaskId;
+use pomelohitch_sched::endpoint::{Ended, How, Look, Running};
+use pomelohitch_sched::id::RunNumber;
+use pomelohitch_sched::job::JobSpec;
+use pomelohitch_sched::order::{LookFailure, LookOrder, Order, Outcome, Target};
+use pomelohitchd::fleet::clock;
+use pomelohitchd::fleet::leader::core::Event;
+use pomelohitchd::fleet::leader::lanes::{Lanes, Options};
+use pomelohitchd::fleet::relay::jobs::Jobs;
+use pomelohitchd::fleet::relay::listing::Listing;
+use pomelohitchd::fleet::relay::message::{Hello, Instruction, Request, Requests};
+use pomelohitchd::fleet::relay::server::{self, Lateness};
+
+use super::endpoint::Endpoint;
+use super::site;
+
+/// Bytes a second of a link that doesn't carry the calls of a single endpoint.
+const SLOW: f64 = 1_000.0;
+
+/// A member that carries calls.
+fn member() -> SocketAddr {
+    let addr = site::nowhere();
+    std::thread::spawn(move || server::run(addr, Box::new(|_| Some(b"heard".to_vec()))));
+    addr
+}
+
+fn lanes(members: Vec<SocketAddr>) -> (Lanes, Receiver<Event>) {
+    let (tx, rx) = mpsc::channel();
+    let options = Options {
+        epoch: 1,
+        members: Some(Box::new(move || members.clone())),
+        link_bytes_per_s: Some(SLOW),
+    };
+    let lanes = Lanes::start(tx, options).expect("there is room for a thread");
+    (lanes, rx)
+}
+
+fn target(addr: SocketAddr) -> Target {
+    Target {
+        id: Arc::from("e1"),
+        born: 1,
+        service: "pricing".into(),
+        addr,
+    }
+}
+
+fn task(index: u32) -> TaskId {
+    TaskId {
+        job: 1,
+        occurrence: 0,
+        step: 0,
+        index,
+    }
+}
+
+fn start(index: u32) -> Order {
+    let spec = JobSpec {
+        id: 1,
+        text: "what the task is given".into(),
+        ..JobSpec::default()
+    };
+    Order::Start {
+        task: task(index),
+        run: 1,
+        spec: Arc::new(spec),
+        deadline: Duration::from_secs(1),
+        checkpoint: "c".into(),
+        ticket: None,
+    }
+}
+
+fn outcome(rx: &Receiver<Event>) -> Outcome {
+    match rx.recv_timeout(Duration::from_secs(5)) {
+        Ok(Event::Ordered(_, _, outcome)) => outcome,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn look(lanes: &mut Lanes, rx: &Receiver<Event>, addr: SocketAddr) -> Result<Look, LookFailure> {
+    lanes.look(LookOrder {
+        target: target(addr),
+        epoch: 1,
+        noted: 0,
+        lease: None,
+        wait: Duration::ZERO,
+    });
+    match rx.recv_timeout(Duration::from_secs(5)) {
+        Ok(Event::Looked(_, look)) => look,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Polls until the poll comes by way of the member: from another connection than the leader's own.
+fn until_relayed(lanes: &mut Lanes, rx: &Receiver<Event>, endpoint: &Endpoint) {
+    for _ in 0..100 {
+        let _ = look(lanes, rx, endpoint.addr);
+        if endpoint.peers() > 1 {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("no call was carried");
+}
+
+#[test]
+fn a_start_arrives_whole_by_way_of_a_member() {
+    let endpoint = Endpoint::start();
+    let (mut lanes, rx) = lanes(vec![member()]);
+    until_relayed(&mut lanes, &rx, &endpoint);
+    for index in 0..3 {
+        lanes.order(target(endpoint.addr), start(index), 1, clock::steady());
+        assert_eq!(outcome(&rx), Outcome::Taken);
+    }
+    let starts = endpoint.bodies("/-/run-start");
+    assert_eq!(starts.len(), 3);
+    insta::assert_snapshot!(starts[1], @r#"{"task":"0000000000000001.0.0.1","run":1,"task_spec":"what the task is given","deadline_ms":1000,"fencing_token":1,"checkpoint":"c"}"#);
+}
+
+#[test]
+fn polls_by_way_of_a_member_show_what_runs() {
+    let endpoint = Endpoint::start();
+    let (mut lanes, rx) = lanes(vec![member()]);
+    until_relayed(&mut lanes, &rx, &endpoint);
+    for _ in 0..3 {
+        let look = look(&mut lanes, &rx, endpoint.addr).expect("it is answered");
+        assert_eq!(look.running.len(), 1);
+        assert!(look.sent_at <= look.answered_at);
+    }
+}
+
+/// Guards against endpoints that nobody calls once the member that carries their calls is gone.
+#[test]
+fn calls_go_directly_where_no_member_carries_them() {
+    let endpoint = Endpoint::start();
+    let (mut lanes, rx) = lanes(vec![site::nowhere()]);
+    for index in 0..4 {
+        lanes.order(target(endpoint.addr), start(index), 1, clock::steady());
+        assert_eq!(outcome(&rx), Outcome::Taken);
+        std::thread::sleep(Duration::from_millis(30));
+    }
+}
+
+fn frame(message: &impl serde::Serialize) -> Vec<u8> {
+    let body = postcard::to_allocvec(message).expect("it can be encoded");
+    let length = u32::try_from(body.len()).expect("it is short");
+    [&length.to_be_bytes(), &body[..]].concat()
+}
+
+/// A connection of a leader to a member.
+fn connect(member: SocketAddr, epoch: u64) -> TcpStream {
+    for _ in 0..100 {
+        if let Ok(mut stream) = TcpStream::connect(member) {
+            let timeout = Some(Duration::from_secs(5));
+            stream.set_read_timeout(timeout).expect("it can be set");
+            let hello = frame(&Hello { epoch });
+            stream.write_all(&hello).expect("the member listens");
+            return stream;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    panic!("the member doesn't listen");
+}
+
+/// Whether the member sends anything more over a connection.
+fn is_served(stream: &mut TcpStream) -> bool {
+    let mut buf = [0; 256];
+    matches!(stream.read(&mut buf), Ok(count) if count > 0)
+}
+
+/// Guards against orders of a former leader that a member goes on carrying.
+#[test]
+fn a_member_carries_nothing_for_a_former_leader() {
+    let endpoint = Endpoint::start();
+    let member = member();
+    let mut first = connect(member, 4);
+    assert!(is_served(&mut first));
+    let mut second = connect(member, 5);
+    assert!(is_served(&mut second));
+    let mut late = connect(member, 3);
+    assert!(!is_served(&mut late), "its epoch is older");
+    let request = Requests {
+        sent_at: clock::steady(),
+        requests: vec![Request::Order(1, target(endpoint.addr), stop())],
+    };
+    first.write_all(&frame(&request)).expect("it is open");
+    while is_served(&mut first) {}
+    assert!(endpoint.bodies("/-/run-stop").is_empty());
+    second.write_all(&frame(&request)).expect("it is open");
+    for _ in 0..100 {
+        if !endpoint.bodies("/-/run-stop").is_empty() {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    panic!("the order of the leader isn't carried");
+}
+
+fn stop() -> Instruction {
+    Instruction::Stop(task(0), 1)
+}
+
+#[test]
+fn a_datagram_is_answered() {
+    let addr = member();
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+    let timeout = Some(Duration::from_millis(100));
+    socket.set_read_timeout(timeout).expect("it can be set");
+    let mut buf = [0; 16];
+    for _ in 0..50 {
+        let sent = socket.send_to(b"beat", addr);
+        sent.expect("a datagram can be sent");
+        if let Ok(len) = socket.recv(&mut buf) {
+            assert_eq!(&buf[..len], b"heard");
+            return;
+        }
+    }
+    panic!("no answer");
+}
+
+/// Guards against polls that say other than what the endpoint listed.
+#[test]
+fn listings_are_read_as_they_were_written() {
+    pomelohitch_property::check(|polls: &Vec<Vec<(u8, u8, u8, u8)>>| {
+        let (mut sender, mut receiver) = (Listing::default(), Listing::default());
+        for poll in polls {
+            let mut running: Vec<Running> = Vec::new();
+            for (index, number, percent, rest) in poll {
+                let (task, number) = (task((index % 6).into()), RunNumber::from(number % 2));
+                if running.iter().all(|r| (r.task, r.number) != (task, number)) {
+                    running.push(Running {
+                        task,
+                        number,
+                        checkpoint: ["", "c"][usize::from(rest % 2)].into(),
+                        percent: u32::from(percent % 101),
+                        load: u32::from(rest / 2) * 10,
+                    });
+                }
+            }
+            running.sort_by_key(|r| (r.task, r.number));
+            let ended = Ended {
+                number: 1,
+                task: task(9),
+                run: 1,
+                how: How::Done,
+                checkpoint: "".into(),
+            };
+            let look = Look {
+                born: 7,
+                clock: Duration::from_millis(5),
+                running: running.clone(),
+                ended: vec![ended],
+                renewed: true,
+                ..Look::default()
+            };
+            let mut read = receiver
+                .decode(sender.encode(look.clone()))
+                .expect("it follows");
+            for (read, written) in read.running.iter_mut().zip(&running) {
+                assert!(
+                    read.load.abs_diff(written.load) <= written.load / 8,
+                    "about the load"
+                );
+                read.load = written.load;
+            }
+            assert_eq!(read, look);
+        }
+    });
+}
+
+/// Guards against a change that is applied to another answer than the one it was made from.
+#[test]
+fn a_listing_that_misses_one_before_is_refused() {
+    let (mut sender, mut receiver) = (Listing::default(), Listing::default());
+    assert!(receiver.decode(sender.encode(Look::default())).is_some());
+    let _lost = sender.encode(Look::default());
+    assert!(receiver.decode(sender.encode(Look::default())).is_none());
+    assert!(
+        receiver
+            .decode(Listing::default().encode(Look::default()))
+            .is_some()
+    );
+}
+
+/// Guards against a sender that takes a description for held which the receiver has dropped.
+#[test]
+fn both_ends_hold_the_same_descriptions() {
+    let (mut sender, mut receiver) = (Jobs::default(), Jobs::default());
+    for n in 0..5_000_u64 {
+        let id = n * 7 % 3_001;
+        let spec = Arc::new(JobSpec {
+            id,
+            ..JobSpec::default()
+        });
+        if sender.insert(&spec) {
+            receiver.insert(&spec);
+        }
+        assert!(receiver.get(id).is_some());
+    }
+}
+
+/// Guards against acknowledging ends by a poll that was held up on its way.
+#[test]
+fn a_frame_that_was_held_up_is_late() {
+    let mut lateness = Lateness::default();
+    let at = |millis| Duration::from_millis(millis);
+    assert_eq!(lateness.of(at(10_000), at(500)), Duration::ZERO);
+    assert_eq!(lateness.of(at(10_100), at(601)).as_millis(), 0);
+    let held_up = lateness.of(at(10_200), at(1_700));
+    assert!(held_up > at(990), "{held_up:?}");
+    assert!(lateness.of(at(11_300), at(1_801)) < at(5));
+}
