--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -177,7 +177,7 @@
         let (owner, weight) = self.owner(job.spec.workspace.as_ref());
         Some(Claim {
             job: job.spec.id,
-            from_ms: self.from_ms(&job.spec, *occurrence),
+            from_ms: self.wanted_since_ms(&job.spec, *occurrence),
             chain: job::chain(&job.spec.steps, |_| true),
             chain_left: open.chain_left(&job.spec.steps),
             steps_left: open.steps_left(),
@@ -193,7 +193,7 @@
     }
 
     /// When an occurrence came or was due, in the fleet's time. Due times are times of day.
-    fn from_ms(&self, spec: &JobSpec, occurrence: u32) -> UnixMs {
+    fn wanted_since_ms(&self, spec: &JobSpec, occurrence: u32) -> UnixMs {
         if spec.repeat.is_none() {
             return spec.accepted_ms;
         }
--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -110,8 +110,9 @@
 
 /// How many operations a new leader decides for instances that the former one has just ordered, with
 /// its time of day this much ahead.
-fn ordered_again(ahead_ms: i64, knows_fleet_time: bool) -> usize {
+fn ordered_again(ahead_ms: i64, knows_fleet_time: bool, steps: u32) -> usize {
     let mut fleet = spare_fleet();
+    fleet.loses_operations = true;
     ask_for_much(&mut fleet);
     while fleet.operations.is_empty() {
         fleet.pass(1);
@@ -122,7 +123,7 @@
     fleet.change_leader();
     fleet.cell.former_is_gone();
     let before = fleet.operations.len();
-    fleet.pass(300);
+    fleet.pass(steps);
     let again = fleet.operations[before..].iter();
     again.filter(|(id, _)| ordered.contains(id)).count()
 }
@@ -131,9 +132,14 @@
 #[test]
 fn holders_stay_apart_whatever_the_time_of_day() {
     for ahead_ms in [-10_000, -3_000, 0, 3_000, 10_000] {
-        assert_eq!(ordered_again(ahead_ms, true), 0, "{ahead_ms}");
-        assert_eq!(ordered_again(ahead_ms, false), 0, "all killed, {ahead_ms}");
+        assert_eq!(ordered_again(ahead_ms, true, 300), 0, "{ahead_ms}");
+        assert_eq!(
+            ordered_again(ahead_ms, false, 300),
+            0,
+            "all killed, {ahead_ms}"
+        );
     }
+    assert!(ordered_again(0, true, 800) > 0, "later it does");
 }
 
 /// Guards against forgetting jobs, or taking new ones for late, when the time of day jumps.
