fix: the fleet's time no longer runs ahead with each job that comes

Cause: the lower bound of the fleet's time, what is recorded, was raised with each new job, too; the time of a busy leader ran at twice the pace and faster. Change: the bound counts when a leadership begins.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -276,6 +276,10 @@
                 cell.adopt(spec, progress);
             }
         }
+        // By the time of day a leadership could begin before what is recorded.
+        let recorded = cell.jobs.values();
+        let newest = recorded.map(|j| j.spec.accepted_ms.max(j.progress.ended_ms));
+        cell.began_ms = cell.began_ms.max(newest.max().unwrap_or(0));
         (cell, faults)
     }
 
--- a/crates/pomelohitch-sched/src/cell/books.rs
+++ b/crates/pomelohitch-sched/src/cell/books.rs
@@ -17,8 +17,6 @@
     /// Takes a job into the books: one that was just accepted, or one of a former leader.
     pub(super) fn adopt(&mut self, spec: Arc<JobSpec>, mut progress: Progress) {
         let id = spec.id;
-        // A leader that had to begin by the time of day doesn't begin before what was recorded.
-        self.began_ms = self.began_ms.max(spec.accepted_ms).max(progress.ended_ms);
         let is_new = progress.next == 0 && progress.state == JobState::Queued;
         let shown = progress.state;
         if progress.state.is_final() {
--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -23,7 +23,7 @@
 /// The share of the link that lists may take.
 const LIST_SHARE: f64 = 0.1;
 /// The fleet's time of two leaders, one after the other, differs by less than this.
-const FLEET_TIME_APART: Duration = Duration::from_millis(1500);
+const FLEET_TIME_APART: Duration = Duration::from_millis(2500);
 /// Times of day of two members differ by less than this, where they stand in.
 const TIMES_OF_DAY_APART: Duration = Duration::from_secs(10);
 /// A list that was asked for so long after an endpoint was last heard speaks of it.
--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -167,6 +167,25 @@
     assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
 }
 
+/// Guards against a time that runs ahead with each job that comes.
+#[test]
+fn the_fleets_time_passes_as_the_steady_clock_does() {
+    let mut fleet = Fleet::new(2);
+    let before = fleet.cell.fleet_ms();
+    for id in 1..=20_u64 {
+        fleet.submit(&format!("{id:016x}"), job(vec![step(1, 500, 50)]));
+        fleet.pass(10);
+    }
+    assert_eq!(fleet.cell.fleet_ms() - before, 2_000);
+    fleet.knows_fleet_time = false;
+    fleet.now.unix_ms -= 60_000;
+    let before = fleet.cell.fleet_ms();
+    fleet.change_leader();
+    fleet.pass(1);
+    let passed = fleet.cell.fleet_ms().abs_diff(before);
+    assert!(passed < 1_000, "no earlier than what is recorded: {passed}");
+}
+
 /// Guards against a repetition that begins by another time than that of day.
 #[test]
 fn repetitions_are_due_by_the_time_of_day() {
