perf: a start whose record took long is sent if it still fits

Ruled out: sending them by what was known when they were decided: the endpoint may drain, be silent or belong to another service since. Change: once the record is durable a start that waited long is checked against what makes an endpoint usable, and sent with a deadline of its own. Tests: with records that take 1.2 s no task starts without the mend; a second test holds that none is sent to an endpoint that drains meanwhile.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -483,6 +483,7 @@
         }
         let (mut void, mut due) = (Vec::new(), Vec::new());
         for mut action in batch.actions {
+            self.decide_again(&mut action);
             if !self.is_void(&action) && self.limit_start(&mut action) {
                 self.note_stop(&action);
                 due.push(action);
@@ -547,6 +548,30 @@
         true
     }
 
+    /// Decides a start anew that waited long for its record, if it still fits: the record stands,
+    /// and another one would have to be waited for as well.
+    fn decide_again(&self, action: &mut Action) {
+        let now = self.now.steady;
+        let Action::Order {
+            target,
+            order: Order::Start { task, spec, .. },
+            at,
+            ..
+        } = action
+        else {
+            return;
+        };
+        let is_old = now.saturating_sub(*at) > self.settings.start_stale;
+        let job = self.jobs.get(&task.job);
+        let is_wanted = job.is_some_and(|j| !j.progress.state.is_final());
+        let endpoint = self.endpoints.get(&target.id);
+        let service = self.service_of(spec);
+        let fits = endpoint.is_some_and(|e| e.born == target.born && self.is_usable(e, &service));
+        if is_old && is_wanted && fits {
+            *at = now;
+        }
+    }
+
     /// Whether an action waited too long for its record: a start whose task may run elsewhere by
     /// now, or whose run was given up meanwhile, or an operation on an instance that may have been
     /// given work since.
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -119,21 +119,26 @@
 
     /// Endpoints of a service that may be given work.
     pub(super) fn slots(&self, service: &ServiceName) -> Slots {
-        let is_usable = |e: &Endpoint| {
-            e.is_listed
-                && !e.is_reserved
-                && e.lease_confirmed
-                && (!e.is_doubted || !self.settings.policy.doubts_silent)
-                && e.avoided_until <= self.now.steady
-                && e.is_fresh(self.now.steady, self.settings.fresh)
-                && e.report
-                    .as_ref()
-                    .is_some_and(|r| r.service == *service && !r.is_draining)
-        };
-        let usable = self.endpoints.iter().filter(|(_, e)| is_usable(e));
+        let usable = self
+            .endpoints
+            .iter()
+            .filter(|(_, e)| self.is_usable(e, service));
         Slots::new(usable.map(|(id, e)| Slot::new(id, e)).collect())
     }
 
+    /// Whether an endpoint of a service may be given work.
+    pub(super) fn is_usable(&self, endpoint: &Endpoint, service: &ServiceName) -> bool {
+        let now = self.now.steady;
+        let report = endpoint.report.as_ref();
+        endpoint.is_listed
+            && !endpoint.is_reserved
+            && endpoint.lease_confirmed
+            && (!endpoint.is_doubted || !self.settings.policy.doubts_silent)
+            && endpoint.avoided_until <= now
+            && endpoint.is_fresh(now, self.settings.fresh)
+            && report.is_some_and(|r| r.service == *service && !r.is_draining)
+    }
+
     fn by_urgency(&self, service: &ServiceName, slots: &Slots) -> Vec<JobId> {
         let Some(ids) = self.ready.get(service) else {
             return Vec::new();
--- a/crates/pomelohitch-sched/tests/cell/ends.rs
+++ b/crates/pomelohitch-sched/tests/cell/ends.rs
@@ -1,5 +1,7 @@
 //! Ends of runs, and endpoints that fail.
 
+use std::time::Duration;
+
 use pomelohitch_sched::cell::calls::Verb;
 use pomelohitch_sched::order::Answer;
 use pomelohitch_sched::progress::JobState;
@@ -248,3 +250,29 @@
     fleet.pass(1_200);
     fleet.assert_sound();
 }
+
+/// Guards against starts that are recorded again and again because each record takes long.
+#[test]
+fn a_start_whose_record_took_long_is_sent_if_it_still_fits() {
+    let mut fleet = Fleet::new(2);
+    fleet.log_delay = Duration::from_millis(1_200);
+    fleet.submit(ID, job(vec![step(4, 500, 50)]));
+    fleet.pass(300);
+    let runs: Vec<_> = fleet.starts.iter().map(|(_, run, _)| *run).collect();
+    assert_eq!(runs, [1, 1, 1, 1]);
+    fleet.assert_sound();
+}
+
+/// Guards against a late start at an endpoint that is to be emptied meanwhile.
+#[test]
+fn a_start_whose_record_took_long_is_dropped_if_its_endpoint_drains() {
+    let mut fleet = Fleet::new(1);
+    fleet.log_delay = Duration::from_millis(1_200);
+    fleet.submit(ID, job(vec![step(4, 500, 50)]));
+    fleet.pass(60);
+    fleet.endpoint("e0").report.is_draining = true;
+    fleet.list();
+    fleet.pass(300);
+    assert!(fleet.starts.is_empty());
+    fleet.assert_sound();
+}
