fix: lasting tasks come back before urgent jobs start

Cause: lasting tasks ranked with all jobs that can be in time, by priority. Ruled out: the window (their service had its turns), endpoints that are due for maintenance. Change: they rank before all others.

--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -83,6 +83,8 @@
 /// How well a job can be served, best first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Hope {
+    /// Its tasks last: whatever else waits, they have to be back soon.
+    Lasting,
     /// It is late, and of no use if it doesn't start now.
     LastChance,
     /// It can be in time.
@@ -152,7 +154,7 @@
     let of_use = claim.start_by_ms(LATE_TIMES);
     let is_hopeful = now_ms <= claim.start_by_ms(policy.late_after);
     let (hope, start_by_ms) = if claim.is_lasting {
-        (Hope::InTime, claim.from_ms)
+        (Hope::Lasting, claim.from_ms)
     } else if is_hopeful || !policy.late_last {
         (Hope::InTime, in_time)
     } else if now_ms <= of_use {
--- a/crates/pomelohitch-sched/tests/urgency.rs
+++ b/crates/pomelohitch-sched/tests/urgency.rs
@@ -162,3 +162,13 @@
     let first = order.iter().position(|job| *job > 30);
     assert!(first.is_some_and(|at| at <= 4), "{order:?}");
 }
+
+/// Guards against lasting tasks of a less urgent queue that wait for as long as urgent jobs come.
+#[test]
+fn lasting_tasks_come_first_whatever_their_priority() {
+    let mut claims: Vec<Claim> = (1..=10).map(|job| claim(job, 1.0)).collect();
+    claims[7].is_lasting = true;
+    claims[7].priority = 2;
+    let order = ordered(&claims, &cores(100.0));
+    assert_eq!(order.first(), Some(&8), "{order:?}");
+}
