change: jobs that the leader's link can't start in time are refused at once

Change: while the window on starts has been full for two seconds, a job is refused that would wait for more than six, by the starts that were answered of late, with a Retry-After of what is over that. Jobs that last or repeat, and jobs that wait for endpoints, are accepted as before.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -382,9 +382,12 @@
             self.tend_instances();
             self.tend_lasting();
         }
-        if now.steady >= self.scheduled_at + SCHEDULE_EVERY.max(gap) && self.flow.has_room() {
+        if now.steady >= self.scheduled_at + SCHEDULE_EVERY.max(gap) {
             self.scheduled_at = now.steady;
-            self.schedule();
+            if self.flow.has_room() {
+                self.schedule();
+            }
+            self.flow.passed(now.steady);
         }
         self.plan_looks();
         std::mem::take(&mut self.outbox)
--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -20,6 +20,13 @@
 /// When to come back while the most jobs are held.
 const FULL_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// Jobs that would wait longer than this to be started aren't accepted: about three times what
+/// callers expect of a job of some steps.
+const LONGEST_WAIT: Duration = Duration::from_secs(6);
+/// When to come back after such a refusal, at the soonest and at the latest.
+const SOONEST_RETRY: Duration = Duration::from_secs(1);
+const LATEST_RETRY: Duration = Duration::from_secs(10);
+
 /// One call of a caller.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -127,6 +134,9 @@
                 reason: "too many jobs are held",
             });
         }
+        if let Some(refused) = self.refuse_unservable(draft) {
+            return Some(refused);
+        }
         let spec = JobSpec {
             id,
             queue: queue.name.clone(),
@@ -150,6 +160,38 @@
         None
     }
 
+    /// Refuses a job that can't be started before it is of no use to its caller.
+    ///
+    /// The load that this answers: the leader's link or processor carries fewer starts than come.
+    /// Jobs that wait for endpoints are accepted: pools grow, and a late job is still of use.
+    fn refuse_unservable(&self, draft: &Draft) -> Option<Answer> {
+        let lasts = draft.steps.iter().any(|s| s.is_lasting);
+        if lasts || draft.repeat.is_some() {
+            return None;
+        }
+        let wait = self
+            .flow
+            .wait_of(self.now.steady, self.waiting_count())
+            .filter(|wait| *wait > LONGEST_WAIT)?;
+        Some(Answer::Refused {
+            retry_after: (wait.saturating_sub(LONGEST_WAIT)).clamp(SOONEST_RETRY, LATEST_RETRY),
+            reason: "more tasks wait than can be started in time",
+        })
+    }
+
+    /// How many tasks of accepted jobs haven't been started.
+    fn waiting_count(&self) -> usize {
+        let ready = self.ready.values().flatten();
+        let jobs = ready.filter_map(|id| self.jobs.get(id));
+        let tasks = jobs.flat_map(|j| {
+            j.progress
+                .open
+                .values()
+                .flat_map(|o| o.steps.iter().flatten())
+        });
+        tasks.filter(|t| !t.is_done && t.runs.is_empty()).count()
+    }
+
     /// Whether a job is held that the workspace may see. It was accepted, whatever comes with its
     /// id now.
     fn holds_for(&self, id: JobId, workspace: Option<&WorkspaceName>) -> bool {
--- a/crates/pomelohitch-sched/src/flow.rs
+++ b/crates/pomelohitch-sched/src/flow.rs
@@ -32,6 +32,13 @@
 /// The average is forgotten this long after the newest answer.
 const FORGET: Duration = Duration::from_secs(2);
 
+/// Answers are counted over spans of at least this length.
+const SPAN: Duration = Duration::from_millis(500);
+/// How much of the rate of answers stays from one span to the next.
+const RATE_FADE: f64 = 0.5;
+/// A window that has been full for this long is what tasks wait for.
+const SURELY_FULL: Duration = Duration::from_secs(2);
+
 /// The window on starts that are under way.
 #[derive(Debug, Clone)]
 pub struct Flow {
@@ -41,6 +48,12 @@
     delay: Duration,
     answered_at: Steady,
     shrunk_at: Steady,
+    /// Since when passes over the waiting tasks have left no room.
+    full_since: Option<Steady>,
+    span_began: Steady,
+    answered: u32,
+    /// Answers a second.
+    rate: f64,
 }
 
 impl Default for Flow {
@@ -51,6 +64,10 @@
             delay: Duration::ZERO,
             answered_at: Steady::ZERO,
             shrunk_at: Steady::ZERO,
+            full_since: None,
+            span_began: Steady::ZERO,
+            answered: 0,
+            rate: 0.0,
         }
     }
 }
@@ -86,6 +103,7 @@
             self.delay.mul_f64(1.0 - WEIGHT) + took.mul_f64(WEIGHT)
         };
         self.answered_at = now;
+        self.count(now);
         if self.delay > LATE && now >= self.shrunk_at + self.delay {
             self.window = (self.window * SHRINK).max(FEWEST);
             self.shrunk_at = now;
@@ -94,6 +112,36 @@
         }
     }
 
+    fn count(&mut self, now: Steady) {
+        self.answered += 1;
+        let span = now.saturating_sub(self.span_began);
+        if span >= SPAN {
+            let rate = f64::from(self.answered) / span.as_secs_f64();
+            self.rate = self.rate * RATE_FADE + rate * (1.0 - RATE_FADE);
+            self.answered = 0;
+            self.span_began = now;
+        }
+    }
+
+    /// Takes in that a pass over the waiting tasks has ended.
+    pub fn passed(&mut self, now: Steady) {
+        if self.has_room() {
+            self.full_since = None;
+        } else {
+            self.full_since.get_or_insert(now);
+        }
+    }
+
+    /// How long so many waiting tasks take to be started, if it is the window that they wait for.
+    #[must_use]
+    pub fn wait_of(&self, now: Steady, tasks: usize) -> Option<Duration> {
+        let full_for = now.saturating_sub(self.full_since?);
+        if full_for < SURELY_FULL || self.rate <= 0.0 {
+            return None;
+        }
+        Duration::try_from_secs_f64(float(tasks) / self.rate).ok()
+    }
+
     /// Average time from sending a start to its answer; zero while none is answered.
     #[must_use]
     pub fn delay(&self, now: Steady) -> Duration {
