refactor: the ranking of jobs and the forecast of demand in the field's terms

Behaviour stays; the same tests pass. Hope, LastChance, InTime, PutOff, TooLate are Feasibility, Expiring, Feasible, Deferred, Expired; urgency::Claim is a Candidate, its Place a Ranked; put_off defers (Moore and Hodgson, weighted fair share), rescue promotes expiring jobs; the emulator's switches follow (deferral, promotion). Constants of demand say autocorrelation, forecast, smoothing, standard deviations. Comments that told of tuning are gone there and in four files of the fleet.

--- a/crates/pomelohitch-emulator/tests/loads.rs
+++ b/crates/pomelohitch-emulator/tests/loads.rs
@@ -72,7 +72,7 @@
 fn a_workspace_that_presses_does_not_take_the_others_service() {
     let seeds: Vec<u64> = (1..=20).collect();
     let pressed = load("one-presses.toml");
-    let equal = play_all(&pressed, &without("put-off"), &seeds);
+    let equal = play_all(&pressed, &without("deferral"), &seeds);
     let shared = play_all(&pressed, &Settings::default(), &seeds);
     let gains = differences(&equal, &shared);
     let worst = gains.iter().find(|d| d.figure == "worst workspace");
@@ -111,8 +111,8 @@
 #[test]
 fn mechanisms_are_named() {
     assert!(policies::without("nothing-like-it").is_none());
-    let policy = policies::without("rescue,late-after=2").expect("both are known");
-    assert!(!policy.rescues);
+    let policy = policies::without("promotion,late-after=2").expect("both are known");
+    assert!(!policy.promotes_expiring);
     assert!((policy.late_after - 2.0).abs() < f64::EPSILON);
 }
 
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -35,7 +35,7 @@
 use crate::progress::{self, EndedJob, Entry, JobState, Progress, Record};
 use crate::rate::Rate;
 use crate::resources::Resources;
-use crate::urgency::Claim;
+use crate::urgency::Candidate;
 use crate::{Now, Steady, UnixMs};
 
 pub mod advice;
@@ -154,8 +154,8 @@
     pub progress: Progress,
     /// The state that is durable, which is what callers are told.
     pub shown: JobState,
-    /// What its place among those that wait is decided by, while an occurrence is open.
-    pub claim: Option<Claim>,
+    /// What it is ranked by, while an occurrence is open.
+    pub candidate: Option<Candidate>,
     /// Whether its record is that of a job that has ended.
     pub is_archived: bool,
 }
--- a/crates/pomelohitch-sched/src/cell/books.rs
+++ b/crates/pomelohitch-sched/src/cell/books.rs
@@ -40,7 +40,7 @@
                 spec,
                 progress,
                 shown,
-                claim: None,
+                candidate: None,
                 is_archived: false,
             },
         );
@@ -124,7 +124,7 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let claim = self.claim(job);
+        let candidate = self.candidate_of(job);
         let service = self.service_of(&job.spec);
         let is_unbegun = job.progress.state == JobState::Queued && job.spec.repeat.is_none();
         let waiting = self.unbegun.entry(job.spec.queue.clone()).or_default();
@@ -141,7 +141,7 @@
             ready.remove(&id);
         }
         if let Some(job) = self.jobs.get_mut(&id) {
-            job.claim = claim;
+            job.candidate = candidate;
         }
     }
 
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -13,7 +13,7 @@
 use crate::job::{self, JobSpec, StepSpec};
 use crate::place::{self, Allowed, Ask, Slot, Slots};
 use crate::resources::Resources;
-use crate::urgency::{self, Claim, Room};
+use crate::urgency::{self, Candidate, Room};
 
 /// Needs that found no room in this pass: what is larger finds none either.
 #[derive(Debug, Default)]
@@ -143,16 +143,16 @@
         let Some(ids) = self.ready.get(service) else {
             return Vec::new();
         };
-        let claims: Vec<Claim> = ids
+        let candidates: Vec<Candidate> = ids
             .iter()
-            .filter_map(|id| self.jobs.get(id)?.claim)
+            .filter_map(|id| self.jobs.get(id)?.candidate)
             .collect();
-        let room = self.room(service, slots, &claims);
-        urgency::order(&claims, &room, self.fleet_ms(), &self.settings.policy)
+        let room = self.room(service, slots, &candidates);
+        urgency::order(&candidates, &room, self.fleet_ms(), &self.settings.policy)
     }
 
     /// What the endpoints of a service can take on, beside what they run.
-    fn room(&self, service: &ServiceName, slots: &Slots, claims: &[Claim]) -> Room {
+    fn room(&self, service: &ServiceName, slots: &Slots, candidates: &[Candidate]) -> Room {
         /// What runs has this part of its time still to go, on average.
         const LEFT: f64 = 0.5;
         let endpoints = slots.list.iter().filter_map(|s| self.endpoints.get(&s.id));
@@ -164,8 +164,8 @@
             cpu += capacity.saturating_sub(lasting);
             used += endpoint.used.cpu.saturating_sub(lasting);
         }
-        let steps: u32 = claims.iter().map(|c| c.steps_left).sum();
-        let chains: Duration = claims.iter().map(|c| c.chain_left).sum();
+        let steps: u32 = candidates.iter().map(|c| c.steps_left).sum();
+        let chains: Duration = candidates.iter().map(|c| c.chain_left).sum();
         let task = chains.checked_div(steps).unwrap_or_default();
         Room {
             cpu: as_f64(cpu),
@@ -174,13 +174,13 @@
         }
     }
 
-    /// What a job's place is decided by.
-    pub(super) fn claim(&self, job: &Job) -> Option<Claim> {
+    /// What a job is ranked by.
+    pub(super) fn candidate_of(&self, job: &Job) -> Option<Candidate> {
         let (occurrence, open) = job.progress.open.first_key_value()?;
         let default = Queue::default();
         let queue = self.queue(&job.spec.queue).unwrap_or(&default);
         let (owner, weight) = self.owner(job.spec.workspace.as_ref());
-        Some(Claim {
+        Some(Candidate {
             job: job.spec.id,
             from_ms: self.wanted_since_ms(&job.spec, *occurrence),
             chain: job::chain(&job.spec.steps, |_| true),
--- a/crates/pomelohitch-sched/src/demand.rs
+++ b/crates/pomelohitch-sched/src/demand.rs
@@ -19,34 +19,33 @@
 const KEPT: u64 = 360;
 /// The shortest and longest period that is looked for, buckets: 6 s to 30 s.
 const PERIODS: std::ops::RangeInclusive<u64> = 24..=120;
-/// So much beside a whole period has to be seen before it is believed, buckets.
+/// Buckets beyond a whole period that have to be seen before it counts.
 const OVERLAP: u64 = 12;
-/// How like its past the series has to be, 0 to 1. Turns reach 0.8 and more, chance 0.3.
-const LIKENESS: f64 = 0.6;
-/// How much more alike a longer period has to be than a shorter one: a multiple of the true
-/// period is as like as the period itself.
+/// Autocorrelation, 0 to 1, above which a lag is taken for the period.
+const MIN_AUTOCORRELATION: f64 = 0.6;
+/// How much larger the autocorrelation of a longer period has to be: multiples of the true period
+/// reach the same.
 const LONGER_BONUS: f64 = 0.05;
 /// A service has its turn behind it when this many times what arrives now once arrived, and more than
 /// a few tasks take, thousandths of a core.
 const TURN_RATIO: f64 = 4.0;
 const TURN_PEAK: f64 = 30_000.0;
-/// What is wanted is taken as the mean around a bucket, over so many neighbours on both sides
-/// together: a job may wait for half a second and more before its objective is out of reach.
-const SMOOTHED: u64 = 4;
-/// What a period foretold is checked against what came over so many buckets.
+/// Neighbours, on both sides together, of the mean around a bucket: jobs may wait about so long.
+const SMOOTHING_BUCKETS: u64 = 4;
+/// Buckets over which the forecast is compared with arrivals.
 const CHECKED: u64 = 4;
-/// At least this part of it has to have come for the period to be trusted.
-const CAME_TRUE: f64 = 0.3;
-/// What arrives has stopped rising when it is at most this many times what arrived before.
-const STEADY: f64 = 1.1;
+/// Share of the forecast that has to have arrived for the period to be trusted.
+const MIN_FORECAST_HIT: f64 = 0.3;
+/// Growth from one span to the next, as a ratio, up to which arrivals count as steady.
+const STEADY_GROWTH: f64 = 1.1;
 /// The rate of arriving work is taken over so many buckets.
 const RATE_BUCKETS: u64 = 3;
 /// The same number, as the length of a sliding window.
 const WINDOW: usize = 3;
 /// A rise is carried on for no longer than a move takes.
 const TREND_AHEAD: Duration = Duration::from_secs(2);
-/// Jobs arrive at random, so that a count of n is off by about its square root.
-const DOUBT: f64 = 1.0;
+/// Standard deviations of a count of random arrivals that are allowed for.
+const STANDARD_DEVIATIONS: f64 = 1.0;
 
 /// What arrived in a bucket.
 #[derive(Debug, Clone, Copy, Default)]
@@ -59,7 +58,7 @@
 impl Arrivals {
     /// How far off the work may be as a measure of what arrives, as a part of it.
     fn doubt(&self) -> f64 {
-        DOUBT / f64::from(self.jobs.max(1)).sqrt()
+        STANDARD_DEVIATIONS / f64::from(self.jobs.max(1)).sqrt()
     }
 }
 
@@ -167,7 +166,7 @@
             .work
             / lately;
         let before = self.arrivals(service, earlier(now));
-        rate > TURN_PEAK && rate <= STEADY * before.work / span
+        rate > TURN_PEAK && rate <= STEADY_GROWTH * before.work / span
     }
 
     /// Whether much more has arrived for a service than arrives now. By what is still wanted the end of
@@ -232,7 +231,7 @@
         };
         let lately = now.saturating_sub(CHECKED)..now;
         let before = lately.start.saturating_sub(period)..lately.end.saturating_sub(period);
-        (sum(lately) >= sum(before) * CAME_TRUE).then_some(period)
+        (sum(lately) >= sum(before) * MIN_FORECAST_HIT).then_some(period)
     }
 
     /// The period in which turns repeat, once it is known.
@@ -269,7 +268,7 @@
         let mut best: Option<(u64, f64)> = None;
         for lag in PERIODS.take_while(|lag| lag + OVERLAP <= seen) {
             let likeness = self.likeness(now, lag);
-            let bar = best.map_or(LIKENESS, |(_, best)| best + LONGER_BONUS);
+            let bar = best.map_or(MIN_AUTOCORRELATION, |(_, best)| best + LONGER_BONUS);
             if likeness > bar {
                 best = Some((lag, likeness));
             }
@@ -300,9 +299,9 @@
 /// The mean around a bucket: single large jobs don't come again at the same time, and what comes
 /// together can wait for as long.
 fn smooth(at: &impl Fn(u64) -> f64, bucket: u64) -> f64 {
-    let around = bucket.saturating_sub(SMOOTHED / 2)..=bucket + SMOOTHED / 2;
+    let around = bucket.saturating_sub(SMOOTHING_BUCKETS / 2)..=bucket + SMOOTHING_BUCKETS / 2;
     #[expect(clippy::cast_precision_loss, reason = "a few buckets")]
-    let count = (SMOOTHED + 1) as f64;
+    let count = (SMOOTHING_BUCKETS + 1) as f64;
     around.map(at).sum::<f64>() / count
 }
 
--- a/crates/pomelohitch-sched/src/policy.rs
+++ b/crates/pomelohitch-sched/src/policy.rs
@@ -18,9 +18,9 @@
     /// Jobs go by the latest moment at which they have to start, not by when they came.
     pub by_latest_start: bool,
     /// Where not all can be in time, those wait whose work frees most for others.
-    pub puts_off: bool,
+    pub defers: bool,
     /// Late jobs go first when it is their last chance to be of use.
-    pub rescues: bool,
+    pub promotes_expiring: bool,
     /// How demand is foreseen.
     pub demand: Foresight,
     /// How much pools provide beside what is wanted.
@@ -86,8 +86,8 @@
             late_last: true,
             late_after: 1.4,
             by_latest_start: true,
-            puts_off: true,
-            rescues: true,
+            defers: true,
+            promotes_expiring: true,
             demand: Foresight::default(),
             margins: Margins::default(),
             provides_backlog: true,
--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -15,20 +15,18 @@
 
 /// A job is of use until this many times its objective.
 const LATE_TIMES: f64 = 3.0;
-/// Jobs are put off only if the work due is so many times what can be done: estimates are rough, and
-/// a job that was put off for nothing may be late for nothing.
+/// Jobs are deferred where the work due is this many times what can be done; estimates are rough.
 const OVERLOAD: f64 = 1.6;
-/// A late job has its last chance so long before it would be too late to start.
-const LAST_CHANCE: Duration = Duration::from_millis(500);
-/// Jobs with their last chance take this part of a pool's room at most.
-const RESCUED_PART: f64 = 0.2;
-/// A step takes so much longer than its work: the record of its starts, the orders, and noticing
-/// and recording its ends.
+/// A late job expires soon if its latest useful start is within this time.
+const EXPIRING_WITHIN: Duration = Duration::from_millis(500);
+/// Share of a pool's room that promoted jobs take at most.
+const PROMOTED_PART: f64 = 0.2;
+/// Time of a step beside its work: recording and sending starts, polling and recording ends.
 const STEP_OVERHEAD: Duration = Duration::from_millis(80);
 
-/// What a job's place among those that wait for the same service is decided by.
+/// What a job is ranked by among those that wait for the same service.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Claim {
+pub struct Candidate {
     /// Which job.
     pub job: JobId,
     /// When it came or was due.
@@ -80,24 +78,24 @@
     }
 }
 
-/// How well a job can be served, best first.
+/// Whether a job can be served in time, best first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Hope {
+enum Feasibility {
     /// Its tasks last: whatever else waits, they have to be back soon.
     Lasting,
-    /// It is late, and of no use if it doesn't start now.
-    LastChance,
+    /// It is late, and expires unless it starts now.
+    Expiring,
     /// It can be in time.
-    InTime,
-    /// It could be, but others that need less go first.
-    PutOff,
+    Feasible,
+    /// It could be, but is deferred for others.
+    Deferred,
     /// It will be late.
     Late,
-    /// It will be too late to be of use.
-    TooLate,
+    /// It will be of no use to its caller.
+    Expired,
 }
 
-impl Claim {
+impl Candidate {
     /// When the job should be done.
     #[must_use]
     pub fn objective_ms(&self) -> UnixMs {
@@ -120,110 +118,118 @@
 
 /// The jobs in the order in which they should be given room.
 #[must_use]
-pub fn order(claims: &[Claim], room: &Room, now_ms: UnixMs, policy: &Policy) -> Vec<JobId> {
-    let mut places: Vec<Place<'_>> = claims.iter().map(|c| place(c, now_ms, policy)).collect();
-    if policy.puts_off {
-        put_off(&mut places, room, now_ms);
+pub fn order(candidates: &[Candidate], room: &Room, now_ms: UnixMs, policy: &Policy) -> Vec<JobId> {
+    let mut ranked: Vec<Ranked<'_>> = candidates.iter().map(|c| rank(c, now_ms, policy)).collect();
+    if policy.defers {
+        defer(&mut ranked, room, now_ms);
     }
-    if policy.rescues {
-        rescue(&mut places, room, now_ms);
+    if policy.promotes_expiring {
+        promote_expiring(&mut ranked, room, now_ms);
     }
-    places.sort_unstable_by_key(Place::key);
-    places.into_iter().map(|p| p.claim.job).collect()
+    ranked.sort_unstable_by_key(Ranked::key);
+    ranked.into_iter().map(|p| p.candidate.job).collect()
 }
 
-/// A job's place in the order.
+/// A job with its rank.
 #[derive(Debug)]
-struct Place<'a> {
-    claim: &'a Claim,
-    hope: Hope,
+struct Ranked<'a> {
+    candidate: &'a Candidate,
+    feasibility: Feasibility,
     start_by_ms: UnixMs,
 }
 
-impl Place<'_> {
+impl Ranked<'_> {
     /// Lower goes first. What has begun goes before what hasn't among jobs that are late.
-    fn key(&self) -> (Hope, u32, bool, UnixMs, JobId) {
-        let waits = self.hope >= Hope::Late && !self.claim.has_begun;
-        let (priority, job) = (self.claim.priority, self.claim.job);
-        (self.hope, priority, waits, self.start_by_ms, job)
+    fn key(&self) -> (Feasibility, u32, bool, UnixMs, JobId) {
+        let waits = self.feasibility >= Feasibility::Late && !self.candidate.has_begun;
+        let (priority, job) = (self.candidate.priority, self.candidate.job);
+        (self.feasibility, priority, waits, self.start_by_ms, job)
     }
 }
 
-fn place<'a>(claim: &'a Claim, now_ms: UnixMs, policy: &Policy) -> Place<'a> {
-    let in_time = claim.start_by_ms(1.0);
-    let of_use = claim.start_by_ms(LATE_TIMES);
-    let is_hopeful = now_ms <= claim.start_by_ms(policy.late_after);
-    let (hope, start_by_ms) = if claim.is_lasting {
-        (Hope::Lasting, claim.from_ms)
-    } else if is_hopeful || !policy.late_last {
-        (Hope::InTime, in_time)
+fn rank<'a>(candidate: &'a Candidate, now_ms: UnixMs, policy: &Policy) -> Ranked<'a> {
+    let in_time = candidate.start_by_ms(1.0);
+    let of_use = candidate.start_by_ms(LATE_TIMES);
+    let is_feasible = now_ms <= candidate.start_by_ms(policy.late_after);
+    let (feasibility, start_by_ms) = if candidate.is_lasting {
+        (Feasibility::Lasting, candidate.from_ms)
+    } else if is_feasible || !policy.late_last {
+        (Feasibility::Feasible, in_time)
     } else if now_ms <= of_use {
-        (Hope::Late, of_use)
+        (Feasibility::Late, of_use)
     } else {
-        (Hope::TooLate, claim.from_ms)
+        (Feasibility::Expired, candidate.from_ms)
     };
-    Place {
-        claim,
-        hope,
+    Ranked {
+        candidate,
+        feasibility,
         start_by_ms: if policy.by_latest_start {
             start_by_ms
         } else {
-            claim.from_ms
+            candidate.from_ms
         },
     }
 }
 
-/// Puts off jobs until the others can be in time together. Each time that the work due by some
-/// moment is more than can be done by then, it is a job of the workspace that asks for most beside
-/// its weight, and of its jobs the one whose work frees most. One workspace that presses is thereby
-/// held to its share, and among equals as many as possible are in time. What has begun isn't put
-/// off.
-fn put_off(places: &mut [Place<'_>], room: &Room, now_ms: UnixMs) {
-    let hopeful = places
+/// Defers jobs until the others can be in time together, as Moore and Hodgson's rule for the least
+/// number of late jobs does: by due time, and each time that the work due is more than can be done by
+/// then, one job is taken out. It is one of the workspace that asks for most beside its weight, and of
+/// its jobs the one that takes most work, so that a workspace that presses is held to its weighted
+/// fair share. What has begun isn't deferred.
+fn defer(ranked: &mut [Ranked<'_>], room: &Room, now_ms: UnixMs) {
+    let feasible = ranked
         .iter()
         .enumerate()
-        .filter(|(_, p)| p.hope == Hope::InTime);
-    let mut by_end: Vec<usize> = hopeful.map(|(at, _)| at).collect();
-    by_end.sort_by_key(|&at| (places[at].claim.objective_ms(), places[at].claim.job));
+        .filter(|(_, p)| p.feasibility == Feasibility::Feasible);
+    let mut by_end: Vec<usize> = feasible.map(|(at, _)| at).collect();
+    by_end.sort_by_key(|&at| {
+        (
+            ranked[at].candidate.objective_ms(),
+            ranked[at].candidate.job,
+        )
+    });
     let mut due = 0.0;
     let mut owners: BTreeMap<u32, Owner> = BTreeMap::new();
     for at in by_end {
-        let claim = places[at].claim;
-        due += claim.work_left;
-        owners.entry(claim.owner).or_default().add(claim, at);
-        let left = as_f64(claim.objective_ms().saturating_sub(now_ms));
+        let candidate = ranked[at].candidate;
+        due += candidate.work_left;
+        owners
+            .entry(candidate.owner)
+            .or_default()
+            .add(candidate, at);
+        let left = as_f64(candidate.objective_ms().saturating_sub(now_ms));
         while due > room.within(left) * OVERLOAD {
-            let Some(put_off) = next_put_off(&mut owners) else {
+            let Some(deferred) = next_deferred(&mut owners) else {
                 break;
             };
-            due -= places[put_off].claim.work_left;
-            places[put_off].hope = Hope::PutOff;
+            due -= ranked[deferred].candidate.work_left;
+            ranked[deferred].feasibility = Feasibility::Deferred;
         }
     }
 }
 
-/// Lets late jobs go first that are of no use if they don't start now. They may take a part of the
-/// room at most: where most jobs are late, all would otherwise be served just before it is too late,
-/// and none in time.
-fn rescue(places: &mut [Place<'_>], room: &Room, now_ms: UnixMs) {
-    let is_last = |p: &Place<'_>| {
-        p.hope == Hope::Late && p.start_by_ms <= now_ms.saturating_add(millis(LAST_CHANCE))
+/// Ranks late jobs first that are of no use unless they start now, up to a part of the room: without
+/// that bound an overload would have every job served just before it expires, and none in time.
+fn promote_expiring(ranked: &mut [Ranked<'_>], room: &Room, now_ms: UnixMs) {
+    let is_last = |p: &Ranked<'_>| {
+        p.feasibility == Feasibility::Late
+            && p.start_by_ms <= now_ms.saturating_add(millis(EXPIRING_WITHIN))
     };
-    let late = places.iter().enumerate().filter(|(_, p)| is_last(p));
+    let late = ranked.iter().enumerate().filter(|(_, p)| is_last(p));
     let mut by_start: Vec<usize> = late.map(|(at, _)| at).collect();
-    by_start.sort_by_key(|&at| (places[at].start_by_ms, places[at].claim.job));
-    let mut left = room.cpu * LAST_CHANCE.as_secs_f64() * 1000.0 * RESCUED_PART;
+    by_start.sort_by_key(|&at| (ranked[at].start_by_ms, ranked[at].candidate.job));
+    let mut left = room.cpu * EXPIRING_WITHIN.as_secs_f64() * 1000.0 * PROMOTED_PART;
     for at in by_start {
-        left -= places[at].claim.work_left;
+        left -= ranked[at].candidate.work_left;
         if left < 0.0 {
             return;
         }
-        places[at].hope = Hope::LastChance;
+        ranked[at].feasibility = Feasibility::Expiring;
     }
 }
 
-/// The job that is put off next, by its place.
-fn next_put_off(owners: &mut BTreeMap<u32, Owner>) -> Option<usize> {
+/// The job that is deferred next, by its index.
+fn next_deferred(owners: &mut BTreeMap<u32, Owner>) -> Option<usize> {
     let asking = owners.values_mut().filter(|o| !o.fresh.is_empty());
     let most = asking.max_by(|a, b| a.compare(b))?;
     let fresh = most.fresh.pop()?;
@@ -239,8 +245,8 @@
     fresh: BinaryHeap<Fresh>,
 }
 
-/// A job that hasn't begun; the greatest is put off first: what is less urgent, then what takes
-/// more.
+/// A job that hasn't begun; the greatest is deferred first: what is less urgent, then what takes
+/// more work.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Fresh {
     priority: u32,
@@ -249,11 +255,11 @@
 }
 
 impl Owner {
-    fn add(&mut self, claim: &Claim, at: usize) {
-        self.work += claim.work_left;
-        self.weight = as_f64(claim.weight.max(1));
-        if !claim.has_begun && !claim.is_lasting {
-            self.fresh.push(Fresh::new(claim, at));
+    fn add(&mut self, candidate: &Candidate, at: usize) {
+        self.work += candidate.work_left;
+        self.weight = as_f64(candidate.weight.max(1));
+        if !candidate.has_begun && !candidate.is_lasting {
+            self.fresh.push(Fresh::new(candidate, at));
         }
     }
 
@@ -271,10 +277,10 @@
         clippy::cast_sign_loss,
         reason = "work is positive, and a fraction of its unit doesn't matter"
     )]
-    fn new(claim: &Claim, at: usize) -> Fresh {
+    fn new(candidate: &Candidate, at: usize) -> Fresh {
         Fresh {
-            priority: claim.priority,
-            work: claim.work_left as u64,
+            priority: candidate.priority,
+            work: candidate.work_left as u64,
             at,
         }
     }
--- a/crates/pomelohitch-sched/tests/urgency.rs
+++ b/crates/pomelohitch-sched/tests/urgency.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use pomelohitch_sched::policy::Policy;
-use pomelohitch_sched::urgency::{Claim, Room, order};
+use pomelohitch_sched::urgency::{Candidate, Room, order};
 
 const NOW: u64 = 1_000_000;
 
 /// A job that came now: `work` is in seconds of a core, and its chain takes a second.
-fn claim(job: u64, work: f64) -> Claim {
-    Claim {
+fn candidate(job: u64, work: f64) -> Candidate {
+    Candidate {
         job,
         from_ms: NOW,
         chain: Duration::from_secs(1),
@@ -34,41 +34,44 @@
     }
 }
 
-fn ordered(claims: &[Claim], room: &Room) -> Vec<u64> {
-    order(claims, room, NOW, &Policy::default())
+fn ordered(candidates: &[Candidate], room: &Room) -> Vec<u64> {
+    order(candidates, room, NOW, &Policy::default())
 }
 
 #[test]
 fn with_room_for_all_the_latest_start_decides() {
-    let mut claims = [claim(1, 8.0), claim(2, 1.0), claim(3, 1.0)];
-    claims[0].from_ms -= 300;
-    claims[2].from_ms -= 200;
-    assert_eq!(ordered(&claims, &cores(100.0)), [1, 3, 2]);
+    let mut candidates = [candidate(1, 8.0), candidate(2, 1.0), candidate(3, 1.0)];
+    candidates[0].from_ms -= 300;
+    candidates[2].from_ms -= 200;
+    assert_eq!(ordered(&candidates, &cores(100.0)), [1, 3, 2]);
 }
 
 /// Five jobs come at once, and the pool can do a little more than half of their work in time. By
 /// the latest start alone the large one would be served first, and all others would be late.
 #[test]
 fn the_job_waits_whose_work_frees_most() {
-    let mut claims = [4.0, 2.0, 2.0, 12.0, 2.0].map(|work| claim(0, work));
-    for (job, claim) in (1..).zip(&mut claims) {
-        claim.job = job;
+    let mut candidates = [4.0, 2.0, 2.0, 12.0, 2.0].map(|work| candidate(0, work));
+    for (job, candidate) in (1..).zip(&mut candidates) {
+        candidate.job = job;
     }
-    claims[3].from_ms -= 50;
-    assert_eq!(ordered(&claims, &cores(3.0)), [1, 2, 3, 5, 4]);
+    candidates[3].from_ms -= 50;
+    assert_eq!(ordered(&candidates, &cores(3.0)), [1, 2, 3, 5, 4]);
 }
 
 /// One workspace sends six times what the others send. Its own jobs wait, though each of them is
 /// smaller than those of the others.
 #[test]
 fn a_workspace_that_presses_waits_itself() {
-    let mut claims: Vec<Claim> = (1..=16).map(|job| claim(job, 1.0)).collect();
-    for (place, claim) in claims.iter_mut().enumerate() {
+    let mut candidates: Vec<Candidate> = (1..=16).map(|job| candidate(job, 1.0)).collect();
+    for (place, candidate) in candidates.iter_mut().enumerate() {
         let is_pressing = place >= 4;
-        claim.owner = u32::from(is_pressing);
-        claim.work_left = if is_pressing { 900_000.0 } else { 1_000_000.0 };
+        candidate.owner = u32::from(is_pressing);
+        candidate.work_left = if is_pressing { 900_000.0 } else { 1_000_000.0 };
     }
-    let first: Vec<u64> = ordered(&claims, &cores(2.0)).into_iter().take(8).collect();
+    let first: Vec<u64> = ordered(&candidates, &cores(2.0))
+        .into_iter()
+        .take(8)
+        .collect();
     let calm = first.iter().filter(|job| **job <= 4).count();
     assert_eq!(calm, 4, "{first:?}");
 }
@@ -76,14 +79,14 @@
 /// A workspace of four times the weight may ask for four times as much.
 #[test]
 fn what_a_workspace_may_ask_goes_by_its_weight() {
-    let mut claims: Vec<Claim> = (1..=15).map(|job| claim(job, 1.0)).collect();
-    for (place, claim) in claims.iter_mut().enumerate() {
+    let mut candidates: Vec<Candidate> = (1..=15).map(|job| candidate(job, 1.0)).collect();
+    for (place, candidate) in candidates.iter_mut().enumerate() {
         let is_large = place < 12;
-        claim.owner = u32::from(is_large);
-        claim.weight = if is_large { 4 } else { 1 };
+        candidate.owner = u32::from(is_large);
+        candidate.weight = if is_large { 4 } else { 1 };
     }
     let room = cores(2.0);
-    let order = ordered(&claims, &room);
+    let order = ordered(&candidates, &room);
     let in_time = 7;
     let small = order[..in_time].iter().filter(|job| **job > 12).count();
     assert!((1..=2).contains(&small), "{order:?}");
@@ -91,10 +94,10 @@
 
 /// What has begun isn't put off: what was done of it would be for nothing.
 #[test]
-fn a_job_that_has_begun_is_not_put_off() {
-    let mut claims = [claim(1, 12.0), claim(2, 2.0), claim(3, 2.0)];
-    claims[0].has_begun = true;
-    let order = ordered(&claims, &cores(2.0));
+fn a_job_that_has_begun_is_not_deferred() {
+    let mut candidates = [candidate(1, 12.0), candidate(2, 2.0), candidate(3, 2.0)];
+    candidates[0].has_begun = true;
+    let order = ordered(&candidates, &cores(2.0));
     assert_eq!(order.iter().position(|job| *job == 1), Some(0));
 }
 
@@ -102,63 +105,63 @@
 /// of use for both.
 #[test]
 fn late_jobs_wait() {
-    let mut claims = [claim(1, 1.0), claim(2, 1.0), claim(3, 1.0)];
-    claims[0].from_ms -= 9_000;
-    claims[1].from_ms -= 3_500;
-    assert_eq!(ordered(&claims, &cores(100.0)), [3, 2, 1]);
+    let mut candidates = [candidate(1, 1.0), candidate(2, 1.0), candidate(3, 1.0)];
+    candidates[0].from_ms -= 9_000;
+    candidates[1].from_ms -= 3_500;
+    assert_eq!(ordered(&candidates, &cores(100.0)), [3, 2, 1]);
 }
 
 /// Estimates are rough: a job that will be a little late by them may well be in time.
 #[test]
 fn a_job_that_is_a_little_behind_is_not_given_up() {
-    let mut claims = [claim(1, 1.0), claim(2, 1.0)];
-    claims[0].from_ms -= 1_400;
-    assert_eq!(ordered(&claims, &cores(100.0)), [1, 2]);
+    let mut candidates = [candidate(1, 1.0), candidate(2, 1.0)];
+    candidates[0].from_ms -= 1_400;
+    assert_eq!(ordered(&candidates, &cores(100.0)), [1, 2]);
 }
 
 /// Instances that are on their way to the pool count for what is due after they have come.
 #[test]
 fn instances_on_their_way_count() {
-    let mut claims = [claim(1, 3.0), claim(2, 3.0), claim(3, 3.0)];
-    claims[2].work_left = 4_000_000.0;
-    claims[2].from_ms -= 100;
+    let mut candidates = [candidate(1, 3.0), candidate(2, 3.0), candidate(3, 3.0)];
+    candidates[2].work_left = 4_000_000.0;
+    candidates[2].from_ms -= 100;
     let room = Room {
         awaited: 8_000.0,
         ..cores(1.0)
     };
-    assert_eq!(ordered(&claims, &room), [3, 1, 2]);
-    assert_eq!(ordered(&claims, &cores(1.0)), [1, 3, 2]);
+    assert_eq!(ordered(&candidates, &room), [3, 1, 2]);
+    assert_eq!(ordered(&candidates, &cores(1.0)), [1, 3, 2]);
 }
 
 /// A lasting task has to come back. Its job came long ago; taken for a late one it would wait behind
 /// all others for as long as the pool is full.
 #[test]
 fn lasting_tasks_come_first() {
-    let mut claims = [claim(1, 1.0), claim(2, 1.0)];
-    claims[1].from_ms -= 60_000;
-    claims[1].is_lasting = true;
-    assert_eq!(ordered(&claims, &cores(0.1)), [2, 1]);
+    let mut candidates = [candidate(1, 1.0), candidate(2, 1.0)];
+    candidates[1].from_ms -= 60_000;
+    candidates[1].is_lasting = true;
+    assert_eq!(ordered(&candidates, &cores(0.1)), [2, 1]);
 }
 
 /// A late job would be too late to be of use to its caller in a moment, while others that can be in
 /// time keep coming. Left behind them it is never served.
 #[test]
 fn a_late_job_has_its_last_chance() {
-    let mut claims = [claim(1, 1.0), claim(2, 1.0), claim(3, 1.0)];
-    claims[1].from_ms -= 5_400;
-    claims[2].from_ms -= 3_500;
-    assert_eq!(ordered(&claims, &cores(100.0)), [2, 1, 3]);
+    let mut candidates = [candidate(1, 1.0), candidate(2, 1.0), candidate(3, 1.0)];
+    candidates[1].from_ms -= 5_400;
+    candidates[2].from_ms -= 3_500;
+    assert_eq!(ordered(&candidates, &cores(100.0)), [2, 1, 3]);
 }
 
 /// Most jobs are late. Were each given its last chance, all would be served just before it is too
 /// late, and none in time.
 #[test]
 fn last_chances_take_a_part_of_the_room() {
-    let mut claims: Vec<Claim> = (1..=40).map(|job| claim(job, 1.0)).collect();
-    for claim in &mut claims[..30] {
-        claim.from_ms -= 5_400;
+    let mut candidates: Vec<Candidate> = (1..=40).map(|job| candidate(job, 1.0)).collect();
+    for candidate in &mut candidates[..30] {
+        candidate.from_ms -= 5_400;
     }
-    let order = ordered(&claims, &cores(30.0));
+    let order = ordered(&candidates, &cores(30.0));
     let first = order.iter().position(|job| *job > 30);
     assert!(first.is_some_and(|at| at <= 4), "{order:?}");
 }
@@ -166,9 +169,9 @@
 /// Guards against lasting tasks of a less urgent queue that wait for as long as urgent jobs come.
 #[test]
 fn lasting_tasks_come_first_whatever_their_priority() {
-    let mut claims: Vec<Claim> = (1..=10).map(|job| claim(job, 1.0)).collect();
-    claims[7].is_lasting = true;
-    claims[7].priority = 2;
-    let order = ordered(&claims, &cores(100.0));
+    let mut candidates: Vec<Candidate> = (1..=10).map(|job| candidate(job, 1.0)).collect();
+    candidates[7].is_lasting = true;
+    candidates[7].priority = 2;
+    let order = ordered(&candidates, &cores(100.0));
     assert_eq!(order.first(), Some(&8), "{order:?}");
 }
--- a/pomelohitchd/src/fleet.rs
+++ b/pomelohitchd/src/fleet.rs
@@ -7,7 +7,7 @@
 //! `docs/design/on-the-platform.md`.
 //!
 //! * [`clock`]: time that also counts while the machine is suspended.
-//! * [`shared`]: what the threads of one process know together.
+//! * [`shared`]: state shared between the threads of one process.
 //! * [`wire`]: messages between entry instances.
 //! * [`peers`]: calls to other entry instances.
 //! * [`members`]: follows the members and their leader in the store.
--- a/pomelohitchd/src/fleet/election.rs
+++ b/pomelohitchd/src/fleet/election.rs
@@ -17,7 +17,7 @@
 
 /// How often the leader's silence is looked at.
 const TICK: Duration = Duration::from_millis(100);
-/// A leader not heard for so long is suspected: more than three heartbeats.
+/// Silence after which the leader is suspected.
 const SUSPECT_AFTER: Duration = Duration::from_millis(900);
 /// A peer that heard the leader within this time speaks for it.
 const HEARD_WITHIN: Duration = Duration::from_millis(700);
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -32,11 +32,9 @@
 /// Events that come within this time are decided on together, which costs a request that much
 /// latency at most and saves a pass over the queues for each event.
 const GATHER: Duration = Duration::from_millis(5);
-/// Batches begin at least so far apart: each append is priced, and 15 ms beside work of half a
-/// second don't show.
+/// Minimum interval between the starts of two batches.
 const BATCH_GAP: Duration = Duration::from_millis(15);
-/// The same while others are on their way: a store that answers slowly has so many under way that
-/// a record waits for little more than one answer.
+/// The same while others are in flight.
 const BATCH_GAP_BEHIND: Duration = Duration::from_millis(120);
 /// Most events taken in before the state is looked at.
 const EVENTS_AT_ONCE: usize = 1_000;
@@ -134,7 +132,7 @@
     duties: Duties,
     calls: HashMap<CallId, SyncSender<Answer>>,
     next_call: CallId,
-    /// What is on its way to the store, by the number of its last append; a confirmation of the
+    /// Appends in flight, keyed by the sequence number of their last part; a confirmation of the
     /// leadership has no batch.
     committing: VecDeque<(Sequence, Option<Batch>)>,
     committed_at: Steady,
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -1,4 +1,4 @@
-//! What the threads of one process know together.
+//! State shared between the threads of one process.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -23,8 +23,7 @@
 
 /// A connection to the leader that isn't made by then won't be.
 const LEADER_CONNECT: Duration = Duration::from_millis(250);
-/// So many connections to the leader stay open. A call takes some 30 ms, and a member passes on
-/// some tens of calls a second.
+/// Connections to the leader that stay open.
 const LEADER_CONNECTIONS: usize = 4;
 
 /// At its start a process takes the leader for silent since so long: enough to ask the others at
