--- a/crates/pomelohitch-emulator/examples/emulate.rs
+++ b/crates/pomelohitch-emulator/examples/emulate.rs
@@ -1,6 +1,6 @@
 //! Plays loads in virtual time, and compares policies on the same seeds.
 //!
-//! `cargo run --release -p pomelohitch-emulator --example emulate -- compare LOAD --before put-off`
+//! `cargo run --release -p pomelohitch-emulator --example emulate -- compare LOAD --before deferral`
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
