--- a/crates/pomelohitch-emulator/src/fleet/faults.rs
+++ b/crates/pomelohitch-emulator/src/fleet/faults.rs
@@ -17,7 +17,7 @@
 pub struct Faults {
     /// The part of orders and looks that get no answer; orders are carried out seconds later.
     pub orders_lost: f64,
-    /// Orders take so long to arrive; what is longer than their timeout counts as unanswered.
+    /// How long orders take to arrive. Longer than their timeout, and they count as unanswered.
     pub orders_late: Duration,
     /// How far the durations of tasks lie from their estimates: the standard deviation of the
     /// logarithm. Each task takes the same time wherever and whenever it runs.
--- a/crates/pomelohitch-emulator/src/fleet/link.rs
+++ b/crates/pomelohitch-emulator/src/fleet/link.rs
@@ -71,7 +71,7 @@
 }
 
 impl Link {
-    /// A link that carries so many bytes a second.
+    /// A link of this rate, bytes a second in each direction.
     #[must_use]
     pub fn new(bytes_per_s: f64) -> Link {
         let limits = Limits {
@@ -115,7 +115,7 @@
         (self.out.send(LOOK_BYTES), margin)
     }
 
-    /// Sends an answer that lists so many runs and ends: where it ends.
+    /// Sends an answer that lists this many runs and ends: where it ends.
     pub(super) fn answer(&mut self, listed: usize) -> Place {
         let listed = f64::from(u32::try_from(listed).unwrap_or(u32::MAX));
         self.back.send(ANSWER_BYTES + LISTED_BYTES * listed)
--- a/crates/pomelohitch-maintain/src/planner.rs
+++ b/crates/pomelohitch-maintain/src/planner.rs
@@ -15,25 +15,25 @@
 /// Times and limits of a planner.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Options {
-    /// What the list says has to be so for so long; longer than the list lags.
+    /// How long the list has to say the same before it counts; longer than the list lags.
     pub settle: Duration,
-    /// An instance that is listed in another pool or at another address for so long is lost to us.
+    /// An instance listed in another pool or at another address for longer than this is lost.
     pub mismatch: Duration,
     /// An instance that recent lists show away for a reboot or move for longer than this is lost.
     pub return_limit: Duration,
     /// A drain that isn't done within this is taken back: some request never ends.
     pub drain_limit: Duration,
-    /// An instance whose drain was taken back so isn't drained again for so long.
+    /// Minimum time from a drain that was taken back so to the next of the same instance.
     pub drain_again_after: Duration,
-    /// After a failure in a pool, no drain for maintenance in it for so long.
+    /// Minimum time from a failure in a pool to the next drain for maintenance there.
     pub hold_after_failure: Duration,
-    /// A wave that has lost so many instances in maintenance is paused.
+    /// A wave that has lost this many instances in maintenance is paused.
     pub lost_limit: u32,
-    /// A pool gets a wave once its least recently maintained instance waits for so long.
+    /// A pool gets a wave once its least recently maintained instance has waited this long.
     pub maintain_after: Duration,
     /// How many pools have a wave at once, of those that the planner starts.
     pub waves_at_once: usize,
-    /// Entry instances surely know a record that was accepted so long ago.
+    /// Age from which entry instances surely know an accepted record.
     pub known_after: Duration,
     /// Times and limits of moves.
     pub moves: moves::Options,
--- a/crates/pomelohitch-sched/src/cell/looks.rs
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -19,7 +19,7 @@
 const USUAL_LAG: Duration = Duration::from_millis(8);
 /// Starts that are answered within this time don't hold looks back.
 const USUAL_DELAY: Duration = Duration::from_millis(50);
-/// Looks are held back for so many times as long as answers wait.
+/// Looks are held back for this many times the delay of answers.
 const LOOKS_HELD_BACK: u32 = 4;
 /// But for no longer than this.
 const MOST_HELD_BACK: Duration = Duration::from_millis(200);
--- a/crates/pomelohitch-sched/src/flow.rs
+++ b/crates/pomelohitch-sched/src/flow.rs
@@ -36,7 +36,7 @@
 const SPAN: Duration = Duration::from_millis(500);
 /// How much of the rate of answers stays from one span to the next.
 const RATE_FADE: f64 = 0.5;
-/// A window that has been full for this long is what tasks wait for.
+/// A window that has been full for this long is what tasks wait for, rather than endpoints.
 const SURELY_FULL: Duration = Duration::from_secs(2);
 
 /// The window on starts that are under way.
@@ -73,7 +73,7 @@
 }
 
 impl Flow {
-    /// A window for a link that carries so many bytes a second.
+    /// A window for a link of this rate, bytes a second.
     #[must_use]
     pub fn of_link(bytes_per_s: f64) -> Flow {
         let carried = bytes_per_s * INITIAL_TIME.as_secs_f64() / START_BYTES;
@@ -132,7 +132,7 @@
         }
     }
 
-    /// How long so many waiting tasks take to be started, if it is the window that they wait for.
+    /// How long it takes to start `tasks` waiting tasks, if it is the window that they wait for.
     #[must_use]
     pub fn wait_of(&self, now: Steady, tasks: usize) -> Option<Duration> {
         let full_for = now.saturating_sub(self.full_since?);
--- a/crates/pomelohitch-sched/src/relaying.rs
+++ b/crates/pomelohitch-sched/src/relaying.rs
@@ -9,7 +9,7 @@
 
 use crate::id::{EndpointId, ServiceName};
 
-/// Endpoints of a shard, about: so many are polled by a small member with a slow link.
+/// Target number of endpoints in a shard: few enough for a small member on a slow link.
 const SHARD: usize = 5;
 /// Fewer endpoints than this the leader calls by itself: a hop costs a few milliseconds.
 const RELAYED_FROM: usize = 600;
@@ -26,7 +26,7 @@
 }
 
 impl Layout {
-    /// The division of so many endpoints in so many services, for a leader with this link.
+    /// The division of `endpoints` of `services`, for a leader with this link.
     #[must_use]
     pub fn of(endpoints: usize, services: usize, link_bytes_per_s: Option<f64>) -> Layout {
         let count = u32::try_from(endpoints).unwrap_or(u32::MAX);
@@ -41,7 +41,7 @@
         }
     }
 
-    /// The place of an endpoint's member among `members`, if one is to carry its calls.
+    /// The one of `members` that carries an endpoint's calls; `None` if the leader makes them.
     pub fn member<'a, M: Hash + Copy + 'a>(
         &self,
         service: &ServiceName,
@@ -56,7 +56,7 @@
     }
 }
 
-/// The same for all of one process's life, which is as long as a division counts.
+/// Stable within one process, which is as long as a layout is used.
 fn hash(key: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
     key.hash(&mut hasher);
