fix: polls of an endpoint go on after one whose relayed answer came late

Cause: found by reading. A poll's answer is a difference from the one before. The answer to a poll that was given up meanwhile was dropped unread, so that no later one of that endpoint could be read while the connection lasted, and the endpoint would have got no work. Change: polls that were given up are remembered, and their answers are read for what follows. Ruled out: asking for a whole answer again (one more round on a link that is late already). Test: a member that answers the first poll after a second; without the mend all later polls fail.

--- a/pomelohitchd/src/fleet/relay/client.rs
+++ b/pomelohitchd/src/fleet/relay/client.rs
@@ -19,7 +19,7 @@
 use tracing::{info, warn};
 
 use super::jobs::Jobs;
-use super::listing::Listing;
+use super::listing::{Delta, Listing};
 use super::message::{
     self, CallNumber, Hello, Instruction, Reader, Replies, Reply, Request, Requests, Writer,
 };
@@ -146,6 +146,9 @@
 struct Session {
     events: Sender<Event>,
     waiting: RefCell<HashMap<CallNumber, Waiting>>,
+    /// Polls that were given up. Later answers differ from theirs, so that these are read all the
+    /// same when they come.
+    given_up: RefCell<HashMap<CallNumber, EndpointId>>,
     listings: RefCell<HashMap<EndpointId, Listing>>,
     rto: RefCell<Rto>,
     heard_at: Cell<Steady>,
@@ -156,6 +159,7 @@
         Session {
             events,
             waiting: RefCell::default(),
+            given_up: RefCell::default(),
             listings: RefCell::default(),
             rto: RefCell::new(Rto::new(ORDER_WITHIN)),
             heard_at: Cell::new(clock::steady()),
@@ -268,8 +272,8 @@
     }
 
     fn take(&self, reply: Reply) {
-        let (Reply::Ordered(number, _) | Reply::Looked(number, _)) = &reply;
-        let waiting = self.waiting.borrow_mut().remove(number);
+        let (Reply::Ordered(number, _) | Reply::Looked(number, _)) = reply;
+        let waiting = self.waiting.borrow_mut().remove(&number);
         let now = clock::steady();
         match reply {
             Reply::Ordered(_, outcome) => {
@@ -283,12 +287,11 @@
             Reply::Looked(_, Ok(delta)) => {
                 let Some((Pending::Look(order), sent_at)) = waiting.map(|w| (w.call, w.sent_at))
                 else {
-                    // Whatever differs from this answer can't be read either.
+                    self.read_late(number, delta);
                     return;
                 };
-                let mut listings = self.listings.borrow_mut();
-                let listing = listings.entry(order.target.id.clone()).or_default();
-                let look = listing.decode(delta).ok_or(LookFailure::Failed);
+                let look = self.decode(&order.target.id, delta);
+                let look = look.ok_or(LookFailure::Failed);
                 let look = look.map(|look| Look {
                     sent_at,
                     answered_at: now,
@@ -297,6 +300,7 @@
                 self.tell(Event::Looked(order.target, look));
             }
             Reply::Looked(_, Err(failure)) => {
+                self.given_up.borrow_mut().remove(&number);
                 if let Some(Pending::Look(order)) = waiting.map(|w| w.call) {
                     self.tell(Event::Looked(order.target, Err(failure)));
                 }
@@ -304,6 +308,18 @@
         }
     }
 
+    fn decode(&self, id: &EndpointId, delta: Delta) -> Option<Look> {
+        let mut listings = self.listings.borrow_mut();
+        listings.entry(id.clone()).or_default().decode(delta)
+    }
+
+    /// Takes in the answer to a poll that was given up.
+    fn read_late(&self, number: CallNumber, delta: Delta) {
+        if let Some(id) = self.given_up.borrow_mut().remove(&number) {
+            self.decode(&id, delta);
+        }
+    }
+
     /// Gives up calls without an answer, until the member is silent.
     async fn expire(&self) {
         loop {
@@ -311,9 +327,13 @@
             let now = clock::steady();
             let mut waiting = self.waiting.borrow_mut();
             let expired = waiting.extract_if(|_, w| w.expires_at <= now);
-            let expired: Vec<_> = expired.map(|(_, w)| w).collect();
+            let expired: Vec<_> = expired.collect();
             drop(waiting);
-            for Waiting { call, sent_at, .. } in expired {
+            for (number, Waiting { call, sent_at, .. }) in expired {
+                if let Pending::Look(look) = &call {
+                    let id = look.target.id.clone();
+                    self.given_up.borrow_mut().insert(number, id);
+                }
                 self.rto.borrow_mut().took(now.saturating_sub(sent_at));
                 self.fail(call);
             }
--- a/pomelohitchd/tests/fleet/relays.rs
+++ b/pomelohitchd/tests/fleet/relays.rs
@@ -1,7 +1,7 @@
 //! Calls to endpoints that another member carries.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver};
 use std::time::Duration;
@@ -16,7 +16,7 @@
 use pomelohitchd::fleet::leader::lanes::{Lanes, Options};
 use pomelohitchd::fleet::relay::jobs::Jobs;
 use pomelohitchd::fleet::relay::listing::Listing;
-use pomelohitchd::fleet::relay::message::{Hello, Instruction, Request, Requests};
+use pomelohitchd::fleet::relay::message::{Hello, Instruction, Replies, Reply, Request, Requests};
 use pomelohitchd::fleet::relay::server::{self, Lateness};
 
 use super::endpoint::Endpoint;
@@ -207,6 +207,62 @@
     Instruction::Stop(task(0), 1)
 }
 
+/// A member that answers each poll by itself, the first one only after a second.
+fn late_member() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let addr = listener.local_addr().expect("it is bound");
+    std::thread::spawn(move || {
+        let (stream, _) = listener.accept().expect("the leader connects");
+        let _hello: Hello = read_frame(&stream);
+        let alive = stream.try_clone().expect("there is room for a descriptor");
+        std::thread::spawn(move || {
+            while (&alive).write_all(&frame(&Replies::new())).is_ok() {
+                std::thread::sleep(Duration::from_millis(50));
+            }
+        });
+        let mut listing = Listing::default();
+        for pause in [1_000, 0, 0, 0] {
+            let Requests { requests, .. } = read_frame(&stream);
+            std::thread::sleep(Duration::from_millis(pause));
+            let answers = requests.into_iter().filter_map(|request| match request {
+                Request::Look(number, _) => {
+                    let delta = listing.encode(Look::default());
+                    Some(Reply::Looked(number, Ok(delta)))
+                }
+                _ => None,
+            });
+            let replies: Replies = answers.collect();
+            if (&stream).write_all(&frame(&replies)).is_err() {
+                return;
+            }
+        }
+    });
+    addr
+}
+
+fn read_frame<T: serde::de::DeserializeOwned>(mut stream: &TcpStream) -> T {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).expect("a frame comes");
+    let length = usize::try_from(u32::from_be_bytes(length)).expect("it is short");
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).expect("it comes whole");
+    postcard::from_bytes(&body).expect("it can be read")
+}
+
+/// Guards against an endpoint whose polls all fail after one whose answer was late.
+#[test]
+fn polls_go_on_after_one_that_was_answered_late() {
+    let endpoint = Endpoint::start();
+    let (mut lanes, rx) = lanes(vec![late_member()]);
+    while look(&mut lanes, &rx, endpoint.addr).is_ok() {}
+    let mut answered = 0;
+    for _ in 0..3 {
+        std::thread::sleep(Duration::from_millis(300));
+        answered += usize::from(look(&mut lanes, &rx, endpoint.addr).is_ok());
+    }
+    assert!(answered >= 2, "{answered}");
+}
+
 #[test]
 fn a_datagram_is_answered() {
     let addr = member();
