fix: after all were killed the gap after a former leader's orders goes by its last sign of life

All is lost in the seconds after all lose power: nobody knows the fleet's time then, and what a former leader had ordered in the last 13.5 s of the time of day was left alone, so that pools came back late. Change: the last sign of life in the store holds the fleet's time; when it was read bounds the time that has passed since, whatever the clocks say. The gap goes by that bound and a margin of 2.5 s.

--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -346,6 +346,7 @@
         let epoch = self.cell.epoch() + 1;
         let settings = Settings {
             fleet_ms: self.knows_fleet_time.then(|| self.cell.fleet_ms()),
+            fleet_ms_at_least: Some(self.cell.fleet_ms()),
             ..self.settings.clone()
         };
         let (cell, faults) = Cell::restore(settings, epoch, self.now, &records);
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -115,6 +115,9 @@
     /// from leader to leader. `None` if no member knows it, since all have restarted; the time of day
     /// stands in then.
     pub fleet_ms: Option<UnixMs>,
+    /// The fleet's time then at the least, by the last sign of life of the former leader; decides
+    /// about its orders where `fleet_ms` isn't known.
+    pub fleet_ms_at_least: Option<UnixMs>,
     /// Which mechanisms decide.
     pub policy: Policy,
 }
@@ -140,6 +143,7 @@
             link_bytes_per_s: None,
             max_jobs: 50_000,
             fleet_ms: None,
+            fleet_ms_at_least: None,
             policy: Policy::default(),
         }
     }
--- a/crates/pomelohitch-sched/src/cell/upkeep.rs
+++ b/crates/pomelohitch-sched/src/cell/upkeep.rs
@@ -24,8 +24,6 @@
 const LIST_SHARE: f64 = 0.1;
 /// The fleet's time of two leaders, one after the other, differs by less than this.
 const FLEET_TIME_APART: Duration = Duration::from_millis(2500);
-/// Times of day of two members differ by less than this, where they stand in.
-const TIMES_OF_DAY_APART: Duration = Duration::from_secs(10);
 /// A list that was asked for so long after an endpoint was last heard speaks of it.
 const SILENT_FOR: Duration = Duration::from_millis(300);
 
@@ -246,14 +244,14 @@
         let endpoint = endpoint.and_then(|e| self.endpoints.get(e));
         let age = endpoint.and_then(|e| e.clock_at_least(now));
         let is_old = age.is_some_and(|age| age > self.settings.holder_gap);
-        let apart = match self.settings.fleet_ms {
-            Some(_) => FLEET_TIME_APART,
-            None => TIMES_OF_DAY_APART,
-        };
-        let quiet = self.settings.holder_gap + apart;
+        let quiet = self.settings.holder_gap + FLEET_TIME_APART;
         let quiet_ms = u64::try_from(quiet.as_millis()).unwrap_or(u64::MAX);
         let ordered_ms = self.instances.former_order_ms(&instance.id);
-        let is_quiet = ordered_ms.is_none_or(|at| self.fleet_ms() >= at.saturating_add(quiet_ms));
+        let known_ms = self.settings.fleet_ms.or(self.settings.fleet_ms_at_least);
+        let since = u64::try_from(now.saturating_sub(self.began).as_millis()).unwrap_or(0);
+        let now_ms = known_ms.map(|known| known + since);
+        let is_over = |at: u64| now_ms.is_some_and(|now| now >= at.saturating_add(quiet_ms));
+        let is_quiet = ordered_ms.is_none_or(is_over);
         is_listed_since && (is_old || is_quiet)
     }
 }
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -135,6 +135,7 @@
         operations_per_s: site.operations_per_s,
         link_bytes_per_s: site.link_bytes_per_s,
         fleet_ms: shared.fleet_ms(),
+        fleet_ms_at_least: shared.fleet_ms_at_least(),
         former_holder: if is_handed_over {
             HANDED_OVER
         } else {
--- a/pomelohitchd/src/fleet/members.rs
+++ b/pomelohitchd/src/fleet/members.rs
@@ -104,7 +104,11 @@
     } else if key == wire::ALIVE_KEY
         && let Some(alive) = value.and_then(|v| postcard::from_bytes::<Alive>(v).ok())
     {
-        shared.note_fleet_ms(alive.epoch, alive.fleet_ms.filter(|_| is_news));
+        if is_news {
+            shared.note_fleet_ms(alive.epoch, alive.fleet_ms);
+        } else {
+            shared.note_fleet_ms_at_least(alive.epoch, alive.fleet_ms);
+        }
         shared.update(|view| {
             if view.leader.as_ref().is_some_and(|l| l.epoch == alive.epoch) {
                 view.alive_at = clock::steady();
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -49,6 +49,8 @@
     pub is_read: bool,
     /// The fleet's time, if a leader has told it.
     pub fleet_time: Option<FleetTime>,
+    /// The fleet's time at the least, by a sign of life of unknown age.
+    pub fleet_time_at_least: Option<FleetTime>,
 }
 
 /// The leadership that this process holds.
@@ -201,6 +203,26 @@
         }
     }
 
+    /// Takes in the fleet's time of a sign of life that the leader with `epoch` wrote some time ago.
+    pub fn note_fleet_ms_at_least(&self, epoch: Epoch, fleet_ms: Option<UnixMs>) {
+        let Some(ms) = fleet_ms else {
+            return;
+        };
+        let at = clock::steady();
+        let read = FleetTime { epoch, ms, at };
+        let known = &mut self.lock().fleet_time_at_least;
+        if known.is_none_or(|known| read.is_better_than(&known)) {
+            *known = Some(read);
+        }
+    }
+
+    /// The fleet's time at the least, if a sign of life was read.
+    #[must_use]
+    pub fn fleet_ms_at_least(&self) -> Option<UnixMs> {
+        let read = self.lock().fleet_time_at_least;
+        read.map(|read| read.at(clock::steady()))
+    }
+
     /// The fleet's time, if a leader has told it.
     #[must_use]
     pub fn fleet_ms(&self) -> Option<UnixMs> {
--- a/pomelohitchd/tests/fleet/leaders.rs
+++ b/pomelohitchd/tests/fleet/leaders.rs
@@ -139,3 +139,15 @@
     shared.note_fleet_ms(3, None);
     assert!(shared.fleet_ms().is_some_and(|ms| ms < 9_000));
 }
+
+/// Guards against taking the age of a sign of life for nothing: it is only a lower bound.
+#[test]
+fn an_old_sign_of_life_bounds_the_fleets_time() {
+    let shared = Shared::new(site());
+    shared.note_fleet_ms_at_least(4, Some(50_000));
+    assert_eq!(shared.fleet_ms(), None);
+    let least = shared.fleet_ms_at_least().expect("a sign was read");
+    assert!((50_000..51_000).contains(&least), "{least}");
+    shared.note_fleet_ms_at_least(3, Some(90_000));
+    assert!(shared.fleet_ms_at_least().is_some_and(|ms| ms < 52_000));
+}
