refactor: the endpoint of the tests of relayed calls moves to the platform's stand-in

Cause: found by reading the whole change: a test of the daemon spoke the platform's paths and field names, which stand in platform/ alone. Before and after: the ten tests of relayed calls pass; lints pass.

--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -2,8 +2,6 @@
 
 #[path = "fleet/callers.rs"]
 mod callers;
-#[path = "fleet/endpoint.rs"]
-mod endpoint;
 #[path = "fleet/journal.rs"]
 mod journal;
 #[path = "fleet/lanes.rs"]
--- a/pomelohitchd/tests/fleet/relays.rs
+++ b/pomelohitchd/tests/fleet/relays.rs
@@ -6,6 +6,7 @@
 use std::sync::mpsc::{self, Receiver};
 use std::time::Duration;
 
+use pomelohitch_adapter_standin::recorder::{Recorder, Start};
 use pomelohitch_sched::TaskId;
 use pomelohitch_sched::endpoint::{Ended, How, Look, Running};
 use pomelohitch_sched::id::RunNumber;
@@ -19,7 +20,6 @@
 use pomelohitchd::fleet::relay::message::{Hello, Instruction, Replies, Reply, Request, Requests};
 use pomelohitchd::fleet::relay::server::{self, Lateness};
 
-use super::endpoint::Endpoint;
 use super::site;
 
 /// Bytes a second of a link that doesn't carry the calls of a single endpoint.
@@ -99,7 +99,7 @@
 }
 
 /// Polls until the poll comes by way of the member: from another connection than the leader's own.
-fn until_relayed(lanes: &mut Lanes, rx: &Receiver<Event>, endpoint: &Endpoint) {
+fn until_relayed(lanes: &mut Lanes, rx: &Receiver<Event>, endpoint: &Recorder) {
     for _ in 0..100 {
         let _ = look(lanes, rx, endpoint.addr);
         if endpoint.peers() > 1 {
@@ -112,21 +112,29 @@
 
 #[test]
 fn a_start_arrives_whole_by_way_of_a_member() {
-    let endpoint = Endpoint::start();
+    let endpoint = Recorder::start();
     let (mut lanes, rx) = lanes(vec![member()]);
     until_relayed(&mut lanes, &rx, &endpoint);
     for index in 0..3 {
         lanes.order(target(endpoint.addr), start(index), 1, clock::steady());
         assert_eq!(outcome(&rx), Outcome::Taken);
     }
-    let starts = endpoint.bodies("/-/run-start");
+    let starts = endpoint.starts();
     assert_eq!(starts.len(), 3);
-    insta::assert_snapshot!(starts[1], @r#"{"task":"0000000000000001.0.0.1","run":1,"task_spec":"what the task is given","deadline_ms":1000,"fencing_token":1,"checkpoint":"c"}"#);
+    let whole = Start {
+        task: "0000000000000001.0.0.1".into(),
+        run: 1,
+        text: "what the task is given".into(),
+        deadline_ms: 1_000,
+        epoch: 1,
+        checkpoint: "c".into(),
+    };
+    assert_eq!(starts[1], whole);
 }
 
 #[test]
 fn polls_by_way_of_a_member_show_what_runs() {
-    let endpoint = Endpoint::start();
+    let endpoint = Recorder::start();
     let (mut lanes, rx) = lanes(vec![member()]);
     until_relayed(&mut lanes, &rx, &endpoint);
     for _ in 0..3 {
@@ -139,7 +147,7 @@
 /// Guards against endpoints that nobody calls once the member that carries their calls is gone.
 #[test]
 fn calls_go_directly_where_no_member_carries_them() {
-    let endpoint = Endpoint::start();
+    let endpoint = Recorder::start();
     let (mut lanes, rx) = lanes(vec![site::nowhere()]);
     for index in 0..4 {
         lanes.order(target(endpoint.addr), start(index), 1, clock::steady());
@@ -178,7 +186,7 @@
 /// Guards against orders of a former leader that a member goes on carrying.
 #[test]
 fn a_member_carries_nothing_for_a_former_leader() {
-    let endpoint = Endpoint::start();
+    let endpoint = Recorder::start();
     let member = member();
     let mut first = connect(member, 4);
     assert!(is_served(&mut first));
@@ -192,10 +200,10 @@
     };
     first.write_all(&frame(&request)).expect("it is open");
     while is_served(&mut first) {}
-    assert!(endpoint.bodies("/-/run-stop").is_empty());
+    assert_eq!(endpoint.stops(), 0);
     second.write_all(&frame(&request)).expect("it is open");
     for _ in 0..100 {
-        if !endpoint.bodies("/-/run-stop").is_empty() {
+        if endpoint.stops() > 0 {
             return;
         }
         std::thread::sleep(Duration::from_millis(10));
@@ -252,7 +260,7 @@
 /// Guards against an endpoint whose polls all fail after one whose answer was late.
 #[test]
 fn polls_go_on_after_one_that_was_answered_late() {
-    let endpoint = Endpoint::start();
+    let endpoint = Recorder::start();
     let (mut lanes, rx) = lanes(vec![late_member()]);
     while look(&mut lanes, &rx, endpoint.addr).is_ok() {}
     let mut answered = 0;
