--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -1,6 +1,7 @@
 //! The state of all jobs and endpoints, and what is decided from it.
 //!
 //! * [`calls`]: what callers ask.
+//! * `archive`: records of jobs that have ended.
 //! * [`books`]: jobs, runs, and the room and bounds that runs take up.
 //! * [`ends`]: ends of runs and jobs.
 //! * [`lives`]: endpoints come, restart and go.
@@ -32,13 +33,14 @@
 use crate::job::JobSpec;
 use crate::order::{Action, Due, Order, Outcome, Refusal, Target};
 use crate::policy::Policy;
-use crate::progress::{self, EndedJob, Entry, JobState, Progress, Record};
+use crate::progress::{self, Entry, JobState, Progress, Record};
 use crate::rate::Rate;
 use crate::resources::Resources;
 use crate::urgency::Candidate;
 use crate::{Now, Steady, UnixMs};
 
 pub mod advice;
+mod archive;
 pub mod books;
 pub mod calls;
 pub mod ends;
@@ -442,7 +444,7 @@
             let is_fresh = self.fresh_specs.remove(&id);
             batch.shown.push((id, job.progress.state));
             if job.progress.state.is_final() && job.progress.runs(id).next().is_none() {
-                batch.records.extend(archive(job, is_fresh)?);
+                batch.records.extend(archive::archive(job, is_fresh)?);
                 continue;
             }
             if is_fresh {
@@ -456,9 +458,11 @@
             let records = if is_archived {
                 vec![progress::ended_key(id)]
             } else {
-                job_keys(id).into()
+                archive::job_keys(id).into()
             };
-            batch.records.extend(records.into_iter().map(without_value));
+            batch
+                .records
+                .extend(records.into_iter().map(archive::without_value));
         }
         for id in std::mem::take(&mut self.noted) {
             if let Some(endpoint) = self.endpoints.get(&id) {
@@ -624,31 +628,3 @@
         })
     }
 }
-
-/// The keys of a job that hasn't ended.
-fn job_keys(id: JobId) -> [Box<str>; 2] {
-    [progress::progress_key(id), progress::spec_key(id)]
-}
-
-fn without_value(key: Box<str>) -> Record {
-    Record { key, value: None }
-}
-
-/// The records that make an ended job a short one. `is_fresh` says that none of it is durable yet.
-fn archive(job: &mut Job, is_fresh: bool) -> progress::Result<Vec<Record>> {
-    let spec = Arc::make_mut(&mut job.spec);
-    spec.text = Box::default();
-    let id = spec.id;
-    let ended = EndedJob {
-        state: job.progress.state,
-        ended_ms: job.progress.ended_ms,
-        spec: spec.clone(),
-    };
-    let mut records = vec![progress::encode(progress::ended_key(id), &ended)?];
-    if !is_fresh && !job.is_archived {
-        // After the record that takes their place: the leader may be lost between two appends.
-        records.extend(job_keys(id).map(without_value));
-    }
-    job.is_archived = true;
-    Ok(records)
-}
