feat: availability zones are evacuated

Cause: `op/evacuate/ZONE` wasn't read at all.

Ruled out: telling members that carry calls (they decide nothing, and what is under way ends by its own deadline 0.7 s after its record); records of our own (the store keeps the newest record of each key for good, so that a new leader finds the requests there).

Change: the adapter reads the request and its removal; the leader takes both in the order of the store, and all that stand when the history was dropped. The scheduler leaves endpoints of the zone out (`is_usable`), voids starts that waited for their record, moves lasting tasks away within what their steps may miss, counts the zone's instances for no pool, switches idle ones off, begins waves there, and refuses new jobs at once while every zone is evacuated.

Tests: with `is_usable`, the check of starts that wait, the leaving of lasting tasks or the order of waves taken out one by one, 2, 1, 1 and 1 of the 12 new ones fail.

--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Endpoints, instances, a log and callers in virtual time, with the faults that are asked for.
 //!
 //! Each start is checked against the promises: room, one run of a task at a time, steps in order,
-//! none after a noted end.
+//! none after a noted end, none in an evacuated zone.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -14,7 +14,7 @@
 use pomelohitch_sched::instances::{Instance, InstanceState};
 use pomelohitch_sched::job::StepSpec;
 use pomelohitch_sched::order::{Answer, LookFailure, LookOrder, Operation};
-use pomelohitch_sched::{Cell, EndpointId, Now, Resources, Settings, Steady, TaskId};
+use pomelohitch_sched::{Cell, EndpointId, Now, Resources, Settings, Steady, TaskId, ZoneName};
 
 pub use self::endpoint::Endpoint;
 pub use self::faults::Faults;
@@ -37,6 +37,8 @@
 const APPEND_GAP: Duration = Duration::from_millis(120);
 /// An order without an answer by then is taken for lost.
 const ORDER_WITHIN: Duration = Duration::from_millis(150);
+/// A start that was on its way when its zone was evacuated may take effect until then.
+const EVACUATED_WITHIN: Duration = Duration::from_secs(1);
 /// A look may take so much longer than it was told to wait.
 const LOOK_MARGIN: Duration = Duration::from_millis(250);
 
@@ -76,6 +78,8 @@
     pub log_delay: Duration,
     /// So many appends may be on their way.
     pub appends_at_once: usize,
+    /// Evacuated zones, and since when.
+    pub evacuated: BTreeMap<ZoneName, Steady>,
     /// While true, the list of instances can't be read.
     pub hides_instances: bool,
     /// Whether operations take effect after their time.
@@ -224,6 +228,7 @@
             is_log_up: true,
             log_delay: Duration::ZERO,
             appends_at_once: 4,
+            evacuated: BTreeMap::new(),
             hides_instances: false,
             carries_out: false,
             returning: Vec::new(),
@@ -281,6 +286,7 @@
                 id: instance,
                 pool: report.service.clone(),
                 state: InstanceState::Up,
+                zone: report.zone.clone(),
                 capacity: report.capacity,
                 labels: report.labels.clone(),
                 endpoint: Some(report.id.clone()),
@@ -330,6 +336,28 @@
         }
     }
 
+    /// Puts an endpoint and its instance into an availability zone.
+    pub fn put_in_zone(&mut self, id: &str, zone: &str) {
+        self.endpoint(id).report.zone = zone.into();
+        for instance in self.instances.values_mut() {
+            if instance.endpoint.as_deref() == Some(id) {
+                instance.zone = zone.into();
+            }
+        }
+    }
+
+    /// Operators ask for the evacuation of a zone.
+    pub fn evacuate(&mut self, zone: &str) {
+        self.evacuated.entry(zone.into()).or_insert(self.now.steady);
+        self.cell.evacuate(&zone.into());
+    }
+
+    /// Operators withdraw it.
+    pub fn withdraw_evacuation(&mut self, zone: &str) {
+        self.evacuated.remove(zone);
+        self.cell.evacuation_withdrawn(zone);
+    }
+
     /// Tells the cell every endpoint's entry.
     pub fn list(&mut self) {
         for endpoint in self.endpoints.values() {
@@ -355,6 +383,8 @@
         self.pending.clear();
         self.looks.clear();
         self.cell.configure(self.cfg.clone());
+        let zones = self.evacuated.keys().cloned().collect();
+        self.cell.evacuations_read(zones);
         self.list();
     }
 
--- a/crates/pomelohitch-emulator/src/fleet/instances.rs
+++ b/crates/pomelohitch-emulator/src/fleet/instances.rs
@@ -51,6 +51,7 @@
             let instance = self.instances.get_mut(&id).expect("it is listed");
             instance.state = InstanceState::Up;
             report.labels = instance.labels.clone();
+            report.zone = instance.zone.clone();
             instance.endpoint = Some(report.id.clone());
             self.cell.endpoint_listed(report.clone());
             let mut endpoint = Endpoint::new(report);
--- a/crates/pomelohitch-emulator/src/fleet/orders.rs
+++ b/crates/pomelohitch-emulator/src/fleet/orders.rs
@@ -7,7 +7,7 @@
 use pomelohitch_sched::{EndpointId, Resources, TaskId};
 
 use super::faults::{Delayed, Luck};
-use super::{Fleet, ORDER_WITHIN};
+use super::{EVACUATED_WITHIN, Fleet, ORDER_WITHIN};
 
 impl Fleet {
     pub(super) fn carry_out(&mut self, actions: Vec<Action>) {
@@ -136,6 +136,11 @@
             self.broken.push(format!("{task} starts after it was done"));
         }
         let endpoint = &self.endpoints[at];
+        let evacuated = self.evacuated.get(&endpoint.report.zone);
+        if evacuated.is_some_and(|&since| self.now.steady > since + EVACUATED_WITHIN) {
+            self.broken
+                .push(format!("{task} starts in an evacuated zone"));
+        }
         let mut used = Resources::default();
         for run in endpoint.runs.values() {
             used += &run.room;
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -11,6 +11,7 @@
 //! * [`together`]: gangs, and steps that want one rack.
 //! * [`advice`]: which endpoints the policy allows.
 //! * [`stalls`]: runs that stand still.
+//! * [`evacuate`]: evacuation of availability zones.
 //! * [`evict`]: lasting tasks that have to go elsewhere, and pacing of fillers.
 //! * [`follow`]: pools follow demand.
 //! * [`upkeep`]: the list of instances, and operations on them.
@@ -27,6 +28,7 @@
 use crate::config::{FleetConfig, Queue};
 use crate::demand::Demand;
 use crate::endpoint::Endpoint;
+use crate::evacuations::Evacuations;
 use crate::flow::Flow;
 use crate::id::{EndpointId, Epoch, JobId, QueueName, ServiceName, WorkspaceName};
 use crate::instances::Instances;
@@ -44,6 +46,7 @@
 pub mod books;
 pub mod calls;
 pub mod ends;
+pub mod evacuate;
 pub mod evict;
 pub mod follow;
 pub mod lives;
@@ -206,6 +209,7 @@
     due: BTreeSet<Due>,
     ended: BTreeSet<Due>,
     instances: Instances,
+    evacuations: Evacuations,
     operations: Rate,
     /// From then on the former leader surely sends no more orders for instances.
     operates_from: Steady,
@@ -313,6 +317,7 @@
             due: BTreeSet::new(),
             ended: BTreeSet::new(),
             instances: Instances::default(),
+            evacuations: Evacuations::default(),
             flow: settings
                 .link_bytes_per_s
                 .map_or_else(Flow::default, Flow::of_link),
@@ -584,16 +589,21 @@
     }
 
     /// Whether an action waited too long for its record: a start whose task may run elsewhere by
-    /// now, or whose run was given up meanwhile, or an operation on an instance that may have been
-    /// given work since.
+    /// now, whose run was given up or whose zone is evacuated meanwhile, or an operation on an
+    /// instance that may have been given work since.
     fn is_void(&self, action: &Action) -> bool {
         let is_old = |at: Steady| self.now.steady.saturating_sub(at) > self.settings.start_stale;
         match action {
             Action::Order {
+                target,
                 order: Order::Start { task, run, .. },
                 at,
                 ..
-            } => is_old(*at) || self.run(*task, *run).is_none(),
+            } => {
+                let endpoint = self.endpoints.get(&target.id);
+                let is_evacuated = endpoint.is_some_and(|e| self.is_evacuated(e));
+                is_old(*at) || is_evacuated || self.run(*task, *run).is_none()
+            }
             Action::Operate { at, .. } => is_old(*at),
             _ => false,
         }
--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -134,6 +134,11 @@
                 reason: "too many jobs are held",
             });
         }
+        if draft.repeat.is_none()
+            && let Some(refused) = self.refuse_evacuated()
+        {
+            return Some(refused);
+        }
         if let Some(refused) = self.refuse_unservable(draft) {
             return Some(refused);
         }
--- a/crates/pomelohitch-sched/src/cell/evict.rs
+++ b/crates/pomelohitch-sched/src/cell/evict.rs
@@ -33,13 +33,13 @@
 const PACE_FLOOR: u32 = 15;
 
 impl Cell {
-    /// Moves lasting tasks away from endpoints that leave or have to be empty soon, no faster
-    /// than their steps allow and only while there is room elsewhere.
+    /// Moves lasting tasks away from endpoints that leave, have to be empty soon or lie in an
+    /// evacuated zone, no faster than their steps allow and only while there is room elsewhere.
     pub(super) fn tend_lasting(&mut self) {
         let is_draining = |e: &Endpoint| e.report.as_ref().is_some_and(|r| r.is_draining);
         let with_lasting = self.endpoints.iter().filter(|(_, e)| e.lasting > 0);
-        let (leaving, rest): (Vec<_>, Vec<_>) =
-            with_lasting.partition(|(_, e)| is_draining(e) || e.is_reserved);
+        let (leaving, rest): (Vec<_>, Vec<_>) = with_lasting
+            .partition(|(_, e)| is_draining(e) || e.is_reserved || self.is_evacuated(e));
         let due = rest.into_iter().filter(|(_, e)| e.is_due);
         let due: Vec<EndpointId> = due.map(|(id, _)| id.clone()).collect();
         let leaving: Vec<EndpointId> = leaving.into_iter().map(|(id, _)| id.clone()).collect();
--- a/crates/pomelohitch-sched/src/cell/follow.rs
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -154,6 +154,7 @@
                 && !has_lasting
                 && (is_off || endpoint.is_some_and(|e| e.is_listed)),
             is_reserved: endpoint.is_some_and(|e| e.is_reserved),
+            is_evacuated: self.is_instance_evacuated(instance),
             used: endpoint.map_or(0, |e| e.used.cpu),
         }
     }
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -132,6 +132,7 @@
         let report = endpoint.report.as_ref();
         endpoint.is_listed
             && !endpoint.is_reserved
+            && !self.is_evacuated(endpoint)
             && endpoint.lease_confirmed
             && (!endpoint.is_doubted || !self.settings.policy.doubts_silent)
             && endpoint.avoided_until <= now
@@ -170,7 +171,7 @@
         Room {
             cpu: as_f64(cpu),
             under_way: as_f64(used) * LEFT * task.as_secs_f64() * 1000.0,
-            awaited: as_f64(self.instances.awaited_cpu(service)),
+            awaited: as_f64(self.instances.awaited_cpu(service, &self.evacuations)),
         }
     }
 
--- a/crates/pomelohitch-sched/src/cell/waves.rs
+++ b/crates/pomelohitch-sched/src/cell/waves.rs
@@ -48,7 +48,8 @@
 
     pub(super) fn tend_wave(&mut self, wave: &Remaining, reserved: &mut BTreeSet<EndpointId>) {
         let mut left: Vec<&InstanceId> = wave.left.iter().collect();
-        left.sort_by_key(|id| self.emptying_effort(id));
+        // An evacuated zone is emptied in any case.
+        left.sort_by_key(|id| (!self.is_zone_evacuated(id), self.emptying_effort(id)));
         let mut may_begin = wave.may_begin;
         let mut in_use = Vec::new();
         for id in left {
@@ -129,6 +130,11 @@
         needed.unwrap_or(at_once).saturating_sub(under_way).max(1)
     }
 
+    fn is_zone_evacuated(&self, id: &InstanceId) -> bool {
+        let instance = self.instances.list().get(id);
+        instance.is_some_and(|i| self.is_instance_evacuated(i))
+    }
+
     /// How much is on an instance: lasting tasks, then processors in use.
     fn emptying_effort(&self, id: &InstanceId) -> (usize, u64) {
         let endpoint = self.endpoint_on(id);
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Steady;
-use crate::id::{EndpointId, RunNumber, ServiceName, TaskId};
+use crate::id::{EndpointId, RunNumber, ServiceName, TaskId, ZoneName};
 use crate::resources::Resources;
 
 /// How much slower than ours an endpoint's clock may run; the platform's own bound.
@@ -31,7 +31,7 @@
     /// Where it takes calls, IP:PORT.
     pub addr: std::net::SocketAddr,
     /// Its availability zone.
-    pub zone: Box<str>,
+    pub zone: ZoneName,
     /// Whether it is about to leave.
     pub is_draining: bool,
     /// Room for tasks.
--- a/crates/pomelohitch-sched/src/id.rs
+++ b/crates/pomelohitch-sched/src/id.rs
@@ -17,6 +17,8 @@
 pub type QueueName = Box<str>;
 /// A service's name, which is also that of its pool.
 pub type ServiceName = Arc<str>;
+/// An availability zone's name.
+pub type ZoneName = Arc<str>;
 /// A workspace's name.
 pub type WorkspaceName = Arc<str>;
 /// Counts leaderships; every order carries it, so that a former leader's orders can be told.
--- a/crates/pomelohitch-sched/src/instances.rs
+++ b/crates/pomelohitch-sched/src/instances.rs
@@ -9,7 +9,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{EndpointId, InstanceId, ServiceName};
+use crate::evacuations::Evacuations;
+use crate::id::{EndpointId, InstanceId, ServiceName, ZoneName};
 use crate::order::OperationOutcome;
 use crate::progress::{self, Record};
 use crate::resources::Resources;
@@ -37,6 +38,8 @@
     pub pool: ServiceName,
     /// How it is.
     pub state: InstanceState,
+    /// Its availability zone.
+    pub zone: ZoneName,
     /// Room for tasks.
     pub capacity: Resources,
     /// Its kind and its rack; both stay with it, whichever pool it is in.
@@ -288,14 +291,16 @@
         self.under_way.get(id)?.to.as_ref()
     }
 
-    /// Thousandths of a core of the instances that are on their way to the pool.
+    /// Thousandths of a core of the instances that are on their way to the pool and may be given
+    /// work there.
     #[must_use]
-    pub fn awaited_cpu(&self, pool: &ServiceName) -> u64 {
+    pub fn awaited_cpu(&self, pool: &ServiceName, evacuations: &Evacuations) -> u64 {
         let is_coming = |i: &&Instance| match self.under_way.get(&i.id) {
             Some(under_way) => under_way.to.as_ref() == Some(pool),
             None => i.state == InstanceState::Moving && i.pool == *pool,
         };
-        let coming = self.list.values().filter(is_coming);
+        let usable = self.list.values().filter(|i| !evacuations.cover(&i.zone));
+        let coming = usable.filter(is_coming);
         coming.map(|i| i.capacity.cpu).sum()
     }
 
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`progress`]: how far a job is; the durable records.
 //! * [`demand`]: what each service will want.
 //! * [`endpoint`]: what is known of one endpoint, its clock and its lease.
+//! * [`evacuations`]: availability zones in which nothing may start.
 //! * [`flow`]: how many starts may be under way.
 //! * [`order`]: what goes out and how it ended.
 //! * [`place`]: which endpoint takes a task.
@@ -28,6 +29,7 @@
 pub mod config;
 pub mod demand;
 pub mod endpoint;
+pub mod evacuations;
 pub mod flow;
 pub mod id;
 pub mod instances;
@@ -44,7 +46,9 @@
 pub mod urgency;
 
 pub use cell::{Cell, Settings};
-pub use id::{EndpointId, Epoch, InstanceId, JobId, QueueName, ServiceName, TaskId, WorkspaceName};
+pub use id::{
+    EndpointId, Epoch, InstanceId, JobId, QueueName, ServiceName, TaskId, WorkspaceName, ZoneName,
+};
 pub use resources::Resources;
 
 /// A point of time on the steady clock that also counts while the machine is suspended.
--- a/crates/pomelohitch-sched/src/pools.rs
+++ b/crates/pomelohitch-sched/src/pools.rs
@@ -52,6 +52,8 @@
     pub is_movable: bool,
     /// Whether it is being emptied for a move already.
     pub is_reserved: bool,
+    /// Whether its zone is evacuated, so that it can't be given work in any pool.
+    pub is_evacuated: bool,
     /// Thousandths of a core in use.
     pub used: u64,
 }
@@ -70,7 +72,8 @@
 pub struct Plan {
     /// Moves that bring each pool what it wants, as far as others can spare it.
     pub moves: Vec<Move>,
-    /// Moves to the spare pool of instances that none will want soon.
+    /// Moves to the spare pool of instances that none will want soon, or that lie in an evacuated
+    /// zone.
     pub surplus: Vec<Move>,
 }
 
@@ -119,7 +122,7 @@
         let Some(spare) = self.balances.iter().position(|b| b.pool.is_spare) else {
             return moves;
         };
-        while let Some(idle) = self.idle() {
+        while let Some(idle) = self.idle_evacuated().or_else(|| self.idle()) {
             moves.push(self.transfer(idle, spare));
         }
         moves
@@ -136,7 +139,8 @@
         let to = &self.balances[needy].pool.name;
         let label = self.balances[needy].wanted_label();
         let suits = |i: &&Candidate| label.is_none_or(|l| i.labels.iter().any(|own| **own == *l));
-        let others = self.free().filter(|i| i.pool != *to).filter(suits);
+        let usable = self.free().filter(|i| !i.is_evacuated);
+        let others = usable.filter(|i| i.pool != *to).filter(suits);
         let able = others.filter(|i| self.balance(i).is_some_and(|b| b.can_give(i)));
         able.min_by_key(|i| self.effort(i))
     }
@@ -158,6 +162,13 @@
         (rank, instance.used)
     }
 
+    /// An idle instance in an evacuated zone.
+    fn idle_evacuated(&self) -> Option<&'a Candidate> {
+        let is_off = |i: &Candidate| self.balance(i).is_none_or(|b| b.pool.is_spare);
+        let mut idle = self.free().filter(|i| i.is_evacuated && i.used == 0);
+        idle.find(|i| !is_off(i))
+    }
+
     /// An idle instance that no pool will want soon, its own or another.
     ///
     /// What waits for a place counts against it: whether what is on its way will do isn't known yet.
@@ -165,7 +176,8 @@
         let over: f64 = self.balances.iter().filter_map(Balance::over).sum();
         let backlog: f64 = self.balances.iter().map(|b| b.pool.backlog).sum();
         let over = over - backlog;
-        let idle = self.free().filter(|i| i.used == 0);
+        let usable = self.free().filter(|i| !i.is_evacuated);
+        let idle = usable.filter(|i| i.used == 0);
         let mut unmissed = idle.filter(|i| {
             let balance = self.balance(i);
             balance.is_some_and(|b| !b.pool.is_spare && b.has_over(i)) && over >= as_f64(i.cpu)
@@ -188,14 +200,16 @@
             .balances
             .iter_mut()
             .find(|b| b.pool.name == instance.pool);
-        if let Some(from) = from {
+        if let Some(from) = from.filter(|_| !instance.is_evacuated) {
             from.have -= as_f64(instance.cpu);
             from.count -= 1;
         }
         let to = &mut self.balances[to];
-        to.have += as_f64(instance.cpu);
-        to.count += 1;
-        to.is_short = false;
+        if !instance.is_evacuated {
+            to.have += as_f64(instance.cpu);
+            to.count += 1;
+            to.is_short = false;
+        }
         Move {
             instance: instance.id.clone(),
             to: to.pool.name.clone(),
@@ -214,7 +228,8 @@
 
 impl Balance<'_> {
     fn new<'a>(pool: &'a Pool, instances: &[Candidate], margins: Margins) -> Balance<'a> {
-        let own = instances.iter().filter(|i| i.pool == pool.name);
+        let usable = instances.iter().filter(|i| !i.is_evacuated);
+        let own = usable.filter(|i| i.pool == pool.name);
         Balance {
             pool,
             margins,
--- a/crates/pomelohitch-sched/tests/cell.rs
+++ b/crates/pomelohitch-sched/tests/cell.rs
@@ -6,6 +6,8 @@
 mod calls;
 #[path = "cell/ends.rs"]
 mod ends;
+#[path = "cell/evacuation.rs"]
+mod evacuation;
 #[path = "cell/leaders.rs"]
 mod leaders;
 #[path = "cell/links.rs"]
--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -349,6 +349,7 @@
         id: format!("m{number}").into(),
         pool: "pricing".into(),
         state,
+        zone: "a".into(),
         capacity: Resources::default(),
         labels: Arc::default(),
         endpoint: Some(format!("e{number}").into()),
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -329,6 +329,7 @@
         match records::operator_record(key, value) {
             Ok(OperatorRecord::Config(cfg)) => cell.configure(Arc::new(cfg)),
             Ok(OperatorRecord::Wave(wave)) => cell.wave(wave),
+            Ok(OperatorRecord::Evacuation(zone)) => cell.evacuate(&zone),
             Ok(OperatorRecord::Other) => {}
             Err(error) => warn!(%error, "record passed over"),
         }
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -1,6 +1,6 @@
 //! The one thread that holds the state of all jobs and decides.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -15,7 +15,7 @@
 use pomelohitch_sched::order::{
     Action, Answer, CallId, LookFailure, Operation, OperationOutcome, Order, Outcome, Target,
 };
-use pomelohitch_sched::{Cell, EndpointId, Epoch, InstanceId, Steady, TaskId};
+use pomelohitch_sched::{Cell, EndpointId, Epoch, InstanceId, Steady, TaskId, ZoneName};
 use tracing::{error, info, warn};
 
 use super::super::clock;
@@ -63,6 +63,8 @@
     Config(Arc<FleetConfig>),
     /// A wave was read.
     Wave(Wave),
+    /// What operators ask of availability zones has changed.
+    Evacuation(EvacuationChange),
     /// An endpoint's entry was read.
     EndpointListed(Report),
     /// An endpoint's entry was removed.
@@ -97,6 +99,17 @@
     Leave,
 }
 
+/// A change of the evacuations that operators ask for.
+#[derive(Debug)]
+pub enum EvacuationChange {
+    /// One was asked for.
+    Asked(ZoneName),
+    /// One was withdrawn.
+    Withdrawn(ZoneName),
+    /// All were read anew.
+    Read(BTreeSet<ZoneName>),
+}
+
 /// What a leadership begins with.
 #[derive(Debug)]
 pub struct Parts {
@@ -187,6 +200,7 @@
         former: parts.former,
         end: None,
     };
+    core.show_evacuations();
     let end = core.lead(&parts.rx);
     shared.set_leading(None);
     info!(
@@ -271,6 +285,7 @@
                 self.cell.configure(cfg);
             }
             Event::Wave(wave) => self.cell.wave(wave),
+            Event::Evacuation(change) => self.take_evacuation(change),
             Event::EndpointListed(report) => self.cell.endpoint_listed(report),
             Event::EndpointUnlisted(id) => self.cell.endpoint_unlisted(&id),
             Event::EndpointsRead(reports) => self.take_all(reports),
@@ -306,6 +321,20 @@
         });
     }
 
+    fn take_evacuation(&mut self, change: EvacuationChange) {
+        match change {
+            EvacuationChange::Asked(zone) => self.cell.evacuate(&zone),
+            EvacuationChange::Withdrawn(zone) => self.cell.evacuation_withdrawn(&zone),
+            EvacuationChange::Read(zones) => self.cell.evacuations_read(zones),
+        }
+        self.show_evacuations();
+    }
+
+    fn show_evacuations(&self) {
+        let count = self.cell.evacuations().len();
+        metrics::gauge!("evacuated_zones").set(f64::from(u32::try_from(count).unwrap_or(u32::MAX)));
+    }
+
     fn take_all(&mut self, reports: Vec<Report>) {
         let mut gone = self.cell.listed();
         for report in reports {
--- a/pomelohitchd/src/fleet/leader/watch.rs
+++ b/pomelohitchd/src/fleet/leader/watch.rs
@@ -10,7 +10,7 @@
 use pomelohitch_sched::progress::Record;
 use tracing::{info, warn};
 
-use super::core::{Event, spawn_for};
+use super::core::{EvacuationChange, Event, spawn_for};
 use crate::fleet::shared::Shared;
 
 /// A read of what operators write waits so long. Short, since a connection that went silent shows
@@ -71,14 +71,19 @@
         for (key, value) in &newest.records {
             take_operator(key, value, tx);
         }
+        let keys = newest.records.iter().map(|(key, _)| key);
+        let zones = keys.filter_map(|key| records::evacuated_zone(key));
+        let read = EvacuationChange::Read(zones.collect());
+        let _ = tx.send(Event::Evacuation(read));
         return Ok(Some(newest.end));
     };
     match store.read(Topic::Operators, from, OPERATORS_WAIT)? {
         Read::Dropped => Ok(None),
         Read::Records { records, next } => {
             for Record { key, value } in &records {
-                if let Some(value) = value {
-                    take_operator(key, value, tx);
+                match value {
+                    Some(value) => take_operator(key, value, tx),
+                    None => take_removal(key, tx),
                 }
             }
             Ok(Some(next))
@@ -90,6 +95,7 @@
     let event = match records::operator_record(key, value) {
         Ok(OperatorRecord::Config(cfg)) => Event::Config(Arc::new(cfg)),
         Ok(OperatorRecord::Wave(wave)) => Event::Wave(wave),
+        Ok(OperatorRecord::Evacuation(zone)) => Event::Evacuation(EvacuationChange::Asked(zone)),
         Ok(OperatorRecord::Other) => return,
         Err(error) => {
             warn!(%error, "record of an operator passed over");
@@ -100,6 +106,14 @@
     let _ = tx.send(event);
 }
 
+fn take_removal(key: &str, tx: &Sender<Event>) {
+    if let Some(zone) = records::evacuated_zone(key) {
+        // The receiver is gone only when the leadership is over, and then so is this thread.
+        let withdrawn = EvacuationChange::Withdrawn(zone);
+        let _ = tx.send(Event::Evacuation(withdrawn));
+    }
+}
+
 fn read_endpoints(store: &Store, from: Option<u64>, tx: &Sender<Event>) -> Outcome {
     let Some(from) = from else {
         let newest = store.newest(Topic::Endpoints)?;
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -184,6 +184,12 @@
         labels: "",
         about: "How long appends of the leader to the platform's store took.",
     },
+    gauge(
+        "evacuated_zones",
+        "zones",
+        "",
+        "Availability zones that are being evacuated, at the leader.",
+    ),
     counter(
         "requests_given_up",
         "requests",
