fix: a job handed in again isn't accepted before its record is durable

Cause: a batch without records was carried out at once, even with earlier batches in flight. A caller's second try for a job that the leader held already makes such a batch, so that it was answered 2xx while the record of the first try was still on its way; the leader then ended, and its successor knew nothing of the job.

Ruled out: records read in pages by the successor (the append was never taken); answers after being fenced.

Change: batches in flight are a structure of their own, in which a batch without records waits for the appends before it. It takes no place among the appends that may be in flight.

--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`core`]: the one thread that holds the state of all jobs and decides.
 //! * [`journal`]: makes records durable.
+//! * [`in_flight`]: what waits for records that aren't durable yet.
 //! * [`patience`]: how long an append is waited for.
 //! * [`lanes`]: calls endpoints, in order for each.
 //! * [`watch`]: reads what operators and endpoints write into the store.
@@ -31,6 +32,7 @@
 pub mod duties;
 pub mod handover;
 pub mod heartbeats;
+pub mod in_flight;
 pub mod journal;
 pub mod lanes;
 pub mod patience;
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -1,6 +1,6 @@
 //! The one thread that holds the state of all jobs and decides.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -23,6 +23,7 @@
 use super::super::shared::{Shared, spawn_with};
 use super::super::wire::{self, Claim, Leader, ProbeReply};
 use super::duties::Duties;
+use super::in_flight::InFlight;
 use super::journal::{self, Journal, Sequence};
 use super::lanes::{self, Lanes};
 use super::{handover, heartbeats, watch};
@@ -145,9 +146,7 @@
     duties: Duties,
     calls: HashMap<CallId, SyncSender<Answer>>,
     next_call: CallId,
-    /// Appends in flight, keyed by the sequence number of their last part; a confirmation of the
-    /// leadership has no batch.
-    committing: VecDeque<(Sequence, Option<Batch>)>,
+    in_flight: InFlight,
     committed_at: Steady,
     pub(super) appends_lost: Option<Steady>,
     pub(super) reads_lost: Option<Steady>,
@@ -191,7 +190,7 @@
         duties,
         calls: HashMap::new(),
         next_call: 0,
-        committing: VecDeque::new(),
+        in_flight: InFlight::default(),
         committed_at: Steady::ZERO,
         appends_lost: None,
         reads_lost: None,
@@ -348,14 +347,17 @@
 
     /// Carries out what waited for records that are durable now, in the order of its decision.
     fn take_committed(&mut self, sequence: Sequence) {
-        while let Some((_, batch)) = self.committing.pop_front_if(|(last, _)| *last <= sequence) {
-            if let Some(batch) = batch {
-                let actions = self.cell.committed(batch);
-                self.carry_out(actions);
-            }
+        for batch in self.in_flight.committed(sequence) {
+            self.act_on(batch);
         }
     }
 
+    /// Carries out what a batch has decided, whose records are durable.
+    fn act_on(&mut self, batch: Batch) {
+        let actions = self.cell.committed(batch);
+        self.carry_out(actions);
+    }
+
     fn carry_out(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
@@ -390,32 +392,33 @@
 
     fn commit(&mut self) {
         let now = clock::steady();
-        let is_behind = !self.committing.is_empty();
+        let is_behind = !self.in_flight.is_empty();
         let gap = if is_behind {
             BATCH_GAP_BEHIND
         } else {
             BATCH_GAP
         };
-        if self.committing.len() >= journal::AT_ONCE || now < self.committed_at + gap {
+        if self.in_flight.appends() >= journal::AT_ONCE || now < self.committed_at + gap {
             return;
         }
         match self.cell.take_batch() {
             Ok(None) => {
                 if !is_behind && now >= self.committed_at + journal::CONFIRM_EVERY {
                     let sequence = self.journal.confirm(self.epoch);
-                    self.committing.push_back((sequence, None));
+                    self.in_flight.append(sequence, None);
                     self.committed_at = now;
                 }
             }
             Ok(Some(batch)) if batch.records.is_empty() => {
-                let actions = self.cell.committed(batch);
-                self.carry_out(actions);
+                if let Some(batch) = self.in_flight.follow(batch) {
+                    self.act_on(batch);
+                }
             }
             Ok(Some(mut batch)) => {
                 self.committed_at = now;
                 let records = std::mem::take(&mut batch.records);
                 let sequence = self.journal.commit(records);
-                self.committing.push_back((sequence, Some(batch)));
+                self.in_flight.append(sequence, Some(batch));
             }
             Err(error) => {
                 error!(%error, "records can't be encoded");
--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 #[path = "fleet/callers.rs"]
 mod callers;
+#[path = "fleet/in_flight.rs"]
+mod in_flight;
 #[path = "fleet/journal.rs"]
 mod journal;
 #[path = "fleet/lanes.rs"]
--- /dev/null
+++ b/pomelohitchd/tests/fleet/in_flight.rs
@@ -0,0 +1,56 @@
+//! Batches whose records aren't durable yet.
+
+use pomelohitch_sched::cell::Batch;
+use pomelohitch_sched::order::{Action, Answer};
+use pomelohitchd::fleet::leader::in_flight::InFlight;
+
+fn reply(call: u64) -> Batch {
+    let mut batch = Batch::default();
+    batch.actions.push(Action::Reply {
+        call,
+        answer: Answer::Accepted,
+    });
+    batch
+}
+
+fn calls(batches: Vec<Batch>) -> Vec<u64> {
+    let actions = batches.into_iter().flat_map(|b| b.actions);
+    let calls = actions.map(|action| match action {
+        Action::Reply { call, .. } => call,
+        other => panic!("{other:?}"),
+    });
+    calls.collect()
+}
+
+/// Guards against a job that is told to be accepted at its second try while the record of the first
+/// is on its way: it is lost if the leader ends then.
+#[test]
+fn answers_wait_for_the_records_of_earlier_batches() {
+    let mut in_flight = InFlight::default();
+    in_flight.append(1, Some(reply(10)));
+    in_flight.append(3, Some(reply(11)));
+    assert!(in_flight.follow(reply(12)).is_none());
+    assert_eq!(calls(in_flight.committed(1)), [10]);
+    assert_eq!(calls(in_flight.committed(2)), [0; 0]);
+    assert_eq!(calls(in_flight.committed(3)), [11, 12]);
+    assert!(in_flight.is_empty());
+}
+
+#[test]
+fn an_answer_that_rests_on_no_record_is_given_at_once() {
+    let mut in_flight = InFlight::default();
+    let given = in_flight.follow(reply(10));
+    assert_eq!(calls(given.into_iter().collect()), [10]);
+    assert!(in_flight.is_empty());
+}
+
+#[test]
+fn batches_without_records_take_no_place_among_appends() {
+    let mut in_flight = InFlight::default();
+    in_flight.append(1, None);
+    in_flight.append(2, Some(reply(10)));
+    for call in 11..20 {
+        assert!(in_flight.follow(reply(call)).is_none());
+    }
+    assert_eq!(in_flight.appends(), 2);
+}
