fix: members hold requests back from a leader whose answers are late

Cause: a member gave a request up after 1.2 s and passed it on again, whole, while the first try still waited on the leader's link. Callers were told 504 for what had never reached a leader.

Ruled out: descriptions of jobs to the members that carry calls (70 kB/s), records (70 kB/s), polls (20 kB/s) as what fills the link.

Change: a window on requests passed on, of each member for each leadership (additive increase, multiplicative decrease; pure, `pomelohitch_sched::forwarding`). A request carries the epoch of the leader that it is for and is taken by no other, so that an answer of a later leader settles what became of a try without an answer: callers are told that answer in place of 504.

--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`endpoint`]: what is known of one endpoint, its clock and its lease.
 //! * [`evacuations`]: availability zones in which nothing may start.
 //! * [`flow`]: how many starts may be under way.
+//! * [`forwarding`]: how many requests of callers may wait for the leader's answer.
 //! * [`order`]: what goes out and how it ended.
 //! * [`place`]: which endpoint takes a task.
 //! * [`urgency`]: which job goes first.
@@ -31,6 +32,7 @@
 pub mod endpoint;
 pub mod evacuations;
 pub mod flow;
+pub mod forwarding;
 pub mod id;
 pub mod instances;
 pub mod job;
--- /dev/null
+++ b/crates/pomelohitch-sched/tests/forwarding.rs
@@ -0,0 +1,128 @@
+//! The window on requests that a member passes on.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use pomelohitch_sched::forwarding::Window;
+
+const STEP: Duration = Duration::from_millis(10);
+const STEPS_PER_S: usize = 100;
+/// A request is given up when its answer takes longer.
+const WITHIN: Duration = Duration::from_millis(1200);
+
+/// What became of the requests of some members whose leader answers so many a second.
+#[derive(Debug, Default)]
+struct Outcome {
+    answered: usize,
+    refused: usize,
+    /// Passed on, and given up before its answer came.
+    given_up: usize,
+}
+
+/// Plays `members`, each with `per_s` new requests a second, for `seconds`. Refused and given up
+/// requests come again a second later.
+fn play(members: usize, per_s: usize, served_per_s: usize, seconds: u32) -> Outcome {
+    let mut windows = vec![Window::default(); members];
+    let mut queue: VecDeque<(Duration, usize, bool)> = VecDeque::new();
+    let mut again: VecDeque<(Duration, usize)> = VecDeque::new();
+    let mut outcome = Outcome::default();
+    let (mut due, mut served) = (0, 0);
+    let steps = seconds * 100;
+    for now in (1..=steps).map(|n| STEP * n) {
+        due += per_s;
+        let mut arrivals: Vec<usize> = Vec::new();
+        while due >= STEPS_PER_S {
+            due -= STEPS_PER_S;
+            arrivals.extend(0..members);
+        }
+        while let Some((_, member)) = again.pop_front_if(|(at, _)| *at <= now) {
+            arrivals.push(member);
+        }
+        for member in arrivals {
+            if windows[member].take() {
+                queue.push_back((now, member, true));
+            } else {
+                outcome.refused += 1;
+                again.push_back((now + windows[member].retry_after(), member));
+            }
+        }
+        for (sent_at, member, is_waited_for) in &mut queue {
+            if *is_waited_for && now >= *sent_at + WITHIN {
+                *is_waited_for = false;
+                windows[*member].gave_up(now, WITHIN);
+                outcome.given_up += 1;
+                again.push_back((now + Duration::from_secs(1), *member));
+            }
+        }
+        served = (served + served_per_s).min(served_per_s * STEPS_PER_S);
+        while served >= STEPS_PER_S
+            && let Some((sent_at, member, is_waited_for)) = queue.pop_front()
+        {
+            served -= STEPS_PER_S;
+            if is_waited_for {
+                windows[member].answered(now, now.saturating_sub(sent_at));
+                outcome.answered += 1;
+            }
+        }
+    }
+    outcome
+}
+
+/// Guards against members that fill a full leader's link with requests they have given up.
+#[test]
+fn a_leader_that_is_full_answers_what_it_can() {
+    let outcome = play(16, 8, 80, 30);
+    insta::assert_debug_snapshot!(outcome);
+    let could = 80 * 30;
+    assert!(outcome.answered * 10 >= could * 8, "{outcome:?}");
+    assert!(outcome.given_up * 20 <= outcome.answered, "{outcome:?}");
+}
+
+/// Guards against requests that are refused while the leader has room.
+#[test]
+fn nothing_is_refused_while_the_leader_answers() {
+    let outcome = play(16, 8, 400, 20);
+    assert_eq!((outcome.refused, outcome.given_up), (0, 0));
+}
+
+/// Guards against a window that stays small after the leader was silent for a while.
+#[test]
+fn a_window_grows_again_after_a_silence() {
+    let mut window = Window::default();
+    let second = Duration::from_secs(1);
+    for n in 0..8 {
+        while window.take() {}
+        for _ in 0..64 {
+            window.gave_up(second * (10 + 2 * n), WITHIN);
+        }
+    }
+    let smallest = std::iter::repeat_with(|| window.take()).take_while(|is_taken| *is_taken);
+    let smallest = smallest.count();
+    assert_eq!(smallest, 4);
+    for _ in 0..smallest {
+        window.unsent();
+    }
+    let mut answered = 0;
+    for n in 0..400 {
+        let mut taken = 0;
+        while window.take() {
+            taken += 1;
+        }
+        for _ in 0..taken {
+            window.answered(second * 60 + STEP * n, STEP);
+            answered += 1;
+        }
+    }
+    assert!(answered > 400 * 16, "{answered}");
+}
+
+#[test]
+fn callers_are_told_to_come_back_later_the_longer_answers_take() {
+    let mut window = Window::default();
+    assert_eq!(window.retry_after(), Duration::from_secs(1));
+    for n in 0..40 {
+        assert!(window.take());
+        window.answered(Duration::from_secs(n), Duration::from_millis(580));
+    }
+    assert!(window.retry_after() > Duration::from_secs(2));
+}
--- a/pomelohitchd/src/fleet.rs
+++ b/pomelohitchd/src/fleet.rs
@@ -15,6 +15,7 @@
 //! * [`succession`]: which member should lead.
 //! * [`internal`]: serves other entry instances.
 //! * [`callers`]: serves callers.
+//! * [`forwarding`]: passes requests of callers on to the leader.
 //! * [`calls`]: calls to endpoints.
 //! * [`relay`]: calls to endpoints that other members carry.
 //! * [`leader`]: the work of the leader.
@@ -25,6 +26,7 @@
 pub mod calls;
 pub mod clock;
 pub mod election;
+pub mod forwarding;
 pub mod internal;
 pub mod leader;
 pub mod lifecycle;
--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -1,21 +1,20 @@
 //! Serves callers: passes their requests to the leader, which may be this process.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc;
 use std::time::Duration;
 
-use pomelohitch_adapter::call::{Effect, Request};
 use pomelohitch_adapter::callers as format;
 use pomelohitch_route::Head;
+use pomelohitch_sched::Epoch;
 use pomelohitch_sched::cell::calls::Verb;
 use pomelohitch_sched::order::Answer;
 use rouille::Response;
 use tracing::{info, warn};
 
 use super::leader::core::{Event, Incoming as LeaderCall};
-use super::shared::Shared;
-use super::wire;
+use super::shared::{Leading, Shared};
+use super::{forwarding, wire};
 use crate::front::{Incoming, Limits, Service};
 
 /// How long a request may wait for a leader, or for its answer, before the caller is told to come
@@ -29,7 +28,7 @@
 /// Pause before another try.
 const AGAIN_AFTER: Duration = Duration::from_millis(60);
 /// When to come back if no leader is known.
-const RETRY_AFTER: &str = "1";
+const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Limits for callers.
 #[must_use]
@@ -83,37 +82,45 @@
 }
 
 /// What became of a try at the leader.
-enum Try {
-    /// The leader's answer.
-    Answered(Response),
+pub(super) enum Try {
+    /// The answer of the leader with this epoch.
+    Answered(Epoch, Response),
     /// Nothing was done.
     Undone,
-    /// It may have been done.
-    Unknown,
+    /// Nothing was sent, since too many requests wait for the leader; when to come back.
+    Full(Duration),
+    /// The leader with this epoch may have done it.
+    Unknown(Epoch),
 }
 
 /// Answers a caller: the leader's answer, or after some patience that there is none.
 ///
-/// Once a try may have handed a job in, no refusal of a later try is passed back, whatever its
-/// reason: a key may be withdrawn between the two, and the caller would take the job for refused
-/// while it runs. Reads have no effect, so that every answer to them is true.
+/// Once a try may have handed a job in, no refusal of a later try is passed back that comes from the
+/// same leadership, whatever its reason: a key may be withdrawn between the two, and the caller would
+/// take the job for refused while it runs. A later leader has read all that earlier ones have written
+/// and nothing of theirs is written any more, so that its answers are true. Reads have no effect, so
+/// that every answer to them is.
 pub fn answer(shared: &Shared, incoming: &Incoming) -> Response {
     let patience = patience(&incoming.head);
     let has_effect = has_effect(&incoming.head.method);
-    let mut may_be_done = false;
+    let mut done_by: Option<Epoch> = None;
     loop {
         match try_once(shared, incoming, patience) {
-            Try::Answered(response) if may_be_done && !confirms(response.status_code) => {
-                if response.status_code != UNAVAILABLE {
-                    return give_up(incoming, may_be_done);
+            Try::Answered(epoch, response) => {
+                let status = response.status_code;
+                if confirms(status) || done_by.is_none_or(|former| former < epoch) {
+                    return response;
+                }
+                if status != UNAVAILABLE {
+                    return give_up(incoming, true);
                 }
             }
-            Try::Answered(response) => return response,
-            Try::Undone => {}
-            Try::Unknown => may_be_done |= has_effect,
+            Try::Full(retry_after) if done_by.is_none() => return refuse(incoming, retry_after),
+            Try::Unknown(epoch) if has_effect => done_by = done_by.max(Some(epoch)),
+            Try::Undone | Try::Full(_) | Try::Unknown(_) => {}
         }
         if incoming.arrived.elapsed() + AGAIN_AFTER >= patience {
-            return give_up(incoming, may_be_done);
+            return give_up(incoming, done_by.is_some());
         }
         shared.wait(AGAIN_AFTER);
     }
@@ -149,9 +156,23 @@
     if may_be_done {
         return Response::text("{}").with_status_code(504);
     }
+    unavailable(RETRY_AFTER)
+}
+
+/// Refuses a request that wasn't passed on.
+fn refuse(incoming: &Incoming, retry_after: Duration) -> Response {
+    let waited_ms = incoming.arrived.elapsed().as_millis();
+    warn!(path = %incoming.head.target, method = %incoming.head.method, ?retry_after, waited_ms,
+        "request refused: too many wait for the leader");
+    metrics::counter!("requests_not_passed_on").increment(1);
+    unavailable(retry_after)
+}
+
+fn unavailable(retry_after: Duration) -> Response {
+    let seconds = retry_after.as_secs_f64().ceil().to_string();
     Response::text("{}")
-        .with_status_code(503)
-        .with_additional_header("Retry-After", RETRY_AFTER)
+        .with_status_code(UNAVAILABLE)
+        .with_additional_header("Retry-After", seconds)
 }
 
 fn try_once(shared: &Shared, incoming: &Incoming, patience: Duration) -> Try {
@@ -159,14 +180,14 @@
     if left.is_zero() {
         return Try::Undone;
     }
-    if shared.leading().is_some() {
+    if let Some(leading) = shared.leading() {
         let host = incoming.head.headers.get("Host").unwrap_or_default();
-        return ask_here(shared, incoming, host, &incoming.head.target, left);
+        return ask_here(&leading, incoming, host, &incoming.head.target, left);
     }
     let own = shared.site.load().internal;
     match shared.view().leader {
         Some(leader) if leader.addr != own => {
-            pass_on(shared, leader.addr, incoming, left.min(TRY_WITHIN))
+            forwarding::pass_on(shared, &leader, incoming, left.min(TRY_WITHIN))
         }
         _ => Try::Undone,
     }
@@ -176,26 +197,38 @@
 pub fn answer_passed_on(shared: &Shared, incoming: &Incoming, path: &str) -> Response {
     let host = incoming.head.headers.get(wire::CALLER_HOST);
     let host = host.unwrap_or_default();
-    let epoch = shared.leading().map_or(0, |l| l.epoch);
-    match ask_here(shared, incoming, host, path, TRY_WITHIN) {
-        Try::Answered(response) => {
+    let for_epoch = incoming.head.headers.get(wire::FOR_EPOCH);
+    let for_epoch: Option<Epoch> = for_epoch.and_then(|epoch| epoch.parse().ok());
+    let leading = shared.leading();
+    let leading = leading.filter(|l| for_epoch.is_none_or(|epoch| epoch == l.epoch));
+    let Some(leading) = leading else {
+        return Response::text("").with_status_code(421);
+    };
+    match ask_here(&leading, incoming, host, path, TRY_WITHIN) {
+        Try::Answered(epoch, response) => {
             response.with_additional_header(wire::LEADER_EPOCH, epoch.to_string())
         }
-        Try::Undone => Response::text("").with_status_code(421),
-        Try::Unknown => Response::text("").with_status_code(504),
+        Try::Undone | Try::Full(_) => Response::text("").with_status_code(421),
+        Try::Unknown(_) => Response::text("").with_status_code(504),
     }
 }
 
 /// Hands a request to the leader in this process.
-fn ask_here(shared: &Shared, incoming: &Incoming, host: &str, path: &str, within: Duration) -> Try {
-    let Some(leading) = shared.leading() else {
-        return Try::Undone;
-    };
+fn ask_here(
+    leading: &Leading,
+    incoming: &Incoming,
+    host: &str,
+    path: &str,
+    within: Duration,
+) -> Try {
     let verb = match &*incoming.head.method {
         "POST" => Verb::Submit(format::draft(&incoming.body)),
         "GET" | "HEAD" => Verb::Read,
         "DELETE" => Verb::Cancel,
-        _ => return Try::Answered(Response::text("{}").with_status_code(405)),
+        _ => {
+            let refusal = Response::text("{}").with_status_code(405);
+            return Try::Answered(leading.epoch, refusal);
+        }
     };
     let (path, _) = path.split_once('?').unwrap_or((path, ""));
     let (tx, rx) = mpsc::sync_channel(1);
@@ -213,9 +246,9 @@
     match answer {
         Ok(answer) => {
             log_answer(incoming, &answer);
-            Try::Answered(respond(&answer))
+            Try::Answered(leading.epoch, respond(&answer))
         }
-        Err(_) => Try::Unknown,
+        Err(_) => Try::Unknown(leading.epoch),
     }
 }
 
@@ -243,47 +276,10 @@
     )
 }
 
-fn json(status: u16, body: Vec<u8>, retry_after: Option<String>) -> Response {
+pub(super) fn json(status: u16, body: Vec<u8>, retry_after: Option<String>) -> Response {
     let response = Response::from_data("application/json", body).with_status_code(status);
     match retry_after {
         Some(seconds) => response.with_additional_header("Retry-After", seconds),
         None => response,
     }
 }
-
-fn pass_on(shared: &Shared, leader: SocketAddr, incoming: &Incoming, within: Duration) -> Try {
-    let head = &incoming.head;
-    let path = format!("{}{}", wire::CALL, head.target);
-    let host = head.headers.get("Host").unwrap_or_default();
-    let mut headers = vec![(wire::CALLER_HOST, host)];
-    headers.extend(
-        head.headers
-            .get("Authorization")
-            .map(|a| ("Authorization", a)),
-    );
-    let answer = shared.leader_client(leader).pass_on(
-        &head.method,
-        &Request {
-            step: "pass on",
-            path: &path,
-            body: (!incoming.body.is_empty()).then_some(&incoming.body[..]),
-            headers: &headers,
-            within,
-        },
-    );
-    match answer {
-        Ok(answer) if answer.header(wire::LEADER_EPOCH).is_some() => {
-            let retry_after = answer.header("Retry-After").map(str::to_owned);
-            Try::Answered(json(answer.status, answer.body, retry_after))
-        }
-        Ok(answer) if answer.status == 504 => Try::Unknown,
-        Ok(_) => Try::Undone,
-        Err(error) => {
-            info!(%error, "leader didn't answer");
-            match error.effect() {
-                Effect::None => Try::Undone,
-                Effect::Unknown => Try::Unknown,
-            }
-        }
-    }
-}
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -15,6 +15,7 @@
 use tracing::info;
 
 use super::clock::{self, FleetTime};
+use super::forwarding::Forwarding;
 use super::leader::core::Event;
 use super::wire::{Claim, Leader, Member};
 
@@ -77,6 +78,8 @@
     is_leaving: AtomicBool,
     claim_asked: Mutex<Option<Claim>>,
     to_leader: Mutex<Option<Client>>,
+    /// Requests of callers that wait for the leader's answer.
+    pub forwarding: Forwarding,
 }
 
 impl Shared {
@@ -101,6 +104,7 @@
             is_leaving: AtomicBool::new(false),
             claim_asked: Mutex::new(None),
             to_leader: Mutex::new(None),
+            forwarding: Forwarding::default(),
         }
     }
 
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -190,6 +190,11 @@
         "",
         "Availability zones that are being evacuated, at the leader.",
     ),
+    counter(
+        "requests_not_passed_on",
+        "requests",
+        "Requests of callers that were refused because too many waited for the leader's answer.",
+    ),
     counter(
         "requests_given_up",
         "requests",
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -9,8 +9,8 @@
 
 use pomelohitch_route::{Head, head};
 use pomelohitchd::fleet::callers;
-use pomelohitchd::fleet::shared::Shared;
-use pomelohitchd::fleet::wire::Leader;
+use pomelohitchd::fleet::shared::{Leading, Shared};
+use pomelohitchd::fleet::wire::{self, Leader};
 use pomelohitchd::front::Incoming;
 
 use super::site::{nowhere, site};
@@ -25,6 +25,10 @@
 const GONE: &str = "HTTP/1.1 410 Gone\r\nX-Leader-Epoch: 1\r\nContent-Length: 2\r\n\r\n{}";
 const UNKNOWN: &str = "HTTP/1.1 504 Unknown\r\nContent-Length: 0\r\n\r\n";
 
+const REFUSED_LATER: &str =
+    "HTTP/1.1 503 Busy\r\nX-Leader-Epoch: 2\r\nRetry-After: 2\r\nContent-Length: 2\r\n\r\n{}";
+const NO_KEY_LATER: &str = "HTTP/1.1 401 No\r\nX-Leader-Epoch: 2\r\nContent-Length: 2\r\n\r\n{}";
+
 /// A leader that gives these answers one after another, and the last one from then on.
 fn leader(answers: &[&'static str]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
@@ -54,8 +58,13 @@
 }
 
 fn call(method: &str) -> Incoming {
+    call_with(method, "Deadline-Ms: 900\r\n")
+}
+
+/// A call with these further header lines.
+fn call_with(method: &str, headers: &str) -> Incoming {
     let request = format!(
-        "{method} /q/00000000000000a1 HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 900\r\n\
+        "{method} /q/00000000000000a1 HTTP/1.1\r\nHost: h\r\n{headers}\
         Content-Length: 2\r\n\r\n"
     );
     let limits = head::Limits::default();
@@ -125,6 +134,70 @@
     );
 }
 
+/// Guards against a 504 for a request of which a later leader knows that it hasn't run.
+#[test]
+fn a_later_leader_settles_what_became_of_an_unanswered_try() {
+    for (later, answer) in [
+        (REFUSED_LATER, (503, true)),
+        (NO_KEY_LATER, (401, false)),
+        (ACCEPTED, (200, false)),
+    ] {
+        assert_eq!(told(leader(&[UNKNOWN, later])), answer);
+    }
+}
+
+/// Guards against a try that arrives late, after a later leadership of the same process has answered.
+#[test]
+fn a_request_for_another_leadership_is_not_taken() {
+    let shared = Shared::new(site());
+    let (events, taken) = std::sync::mpsc::channel();
+    shared.set_leading(Some(Leading { epoch: 7, events }));
+    let incoming = call_with("POST", &format!("{}: 6\r\n", wire::FOR_EPOCH));
+    let response = callers::answer_passed_on(&shared, &incoming, "/q/00000000000000a1");
+    assert_eq!(response.status_code, 421);
+    assert!(taken.try_recv().is_err());
+}
+
+/// Guards against a member that goes on passing requests on to a leader whose answers don't come.
+#[test]
+fn requests_beyond_the_window_are_refused_unsent() {
+    const CALLERS: usize = 24;
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let addr = listener.local_addr().expect("it is bound");
+    let accepted = Arc::new(AtomicUsize::new(0));
+    let count = accepted.clone();
+    std::thread::spawn(move || {
+        let streams = listener.incoming().inspect(|_| {
+            count.fetch_add(1, Ordering::SeqCst);
+        });
+        let kept: Vec<_> = streams.collect();
+        drop(kept);
+    });
+    let shared = Arc::new(Shared::new(site()));
+    let leader = Leader {
+        epoch: 1,
+        member: "front-a-2".into(),
+        addr,
+        began_ms: 1,
+    };
+    assert!(shared.follow(&leader, true));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|_| {
+            let shared = shared.clone();
+            // One try takes all of its patience.
+            let incoming = call_with("POST", "Deadline-Ms: 1600\r\n");
+            std::thread::spawn(move || callers::answer(&shared, &incoming).status_code)
+        })
+        .collect();
+    let told: Vec<_> = callers
+        .into_iter()
+        .map(|caller| caller.join().expect("it is answered"))
+        .collect();
+    let refused = told.iter().filter(|status| **status == 503).count();
+    assert_eq!(refused, 8, "{told:?}");
+    assert_eq!(accepted.load(Ordering::SeqCst), 16);
+}
+
 /// A read has no effect, so that it can always be repeated: callers are told when.
 #[test]
 fn a_read_without_an_answer_was_not_done() {
