fix: operations on instances that were given up aren't carried out when a cut heals

Cause: the platform doesn't check fences. An operation that a leader sends as its zone is cut off stays in the system's send buffer; the call is given up after 1.2 s and its connection closed, which goes on sending: it is carried out when the cut heals, beside a later leader's.

Ruled out: a former leader that decides after it was cut off (confirmed at most 1.5 s before; the call was decided before the cut).

Change: calls of operations go over connections that are reset when a call is given up (`Client::resetting`, a transport of our own for the HTTP client, which offers no access to its sockets).

Test: a peer that reads after the call was given up meets a reset; fails without the option.

--- a/pomelohitchd/src/fleet/leader/duties.rs
+++ b/pomelohitchd/src/fleet/leader/duties.rs
@@ -147,7 +147,8 @@
             shared: shared.clone(),
             epoch,
             member: site.member.clone(),
-            client: site.instances.map(|addr| Client::new(addr, CONNECT)),
+            // Fences aren't checked: an order that arrives late would be taken beside a later leader's.
+            client: site.instances.map(|addr| Client::resetting(addr, CONNECT)),
             confirmed,
         }
     }
