perf: members only ask about jobs of a queue that the leader refuses

Change: a refusal of that kind says so (`Refused::is_for_queue`), and members ask for the job's state in place of handing it in until the time that was told is over. A state says that an earlier try was accepted, which the caller is told; otherwise it is refused.

--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -80,6 +80,7 @@
         let Some(cfg) = self.cfg.clone() else {
             return Some(Answer::Refused {
                 retry_after: NO_CONFIG_RETRY_AFTER,
+                is_for_queue: false,
                 reason: "no configuration yet",
             });
         };
@@ -125,12 +126,14 @@
         if self.is_log_down {
             return Some(Answer::Refused {
                 retry_after: LOG_RETRY_AFTER,
+                is_for_queue: false,
                 reason: "jobs can't be made durable now",
             });
         }
         if self.jobs.len() >= self.settings.max_jobs {
             return Some(Answer::Refused {
                 retry_after: FULL_RETRY_AFTER,
+                is_for_queue: false,
                 reason: "too many jobs are held",
             });
         }
@@ -180,6 +183,7 @@
             .filter(|wait| *wait > LONGEST_WAIT)?;
         Some(Answer::Refused {
             retry_after: (wait.saturating_sub(LONGEST_WAIT)).clamp(SOONEST_RETRY, LATEST_RETRY),
+            is_for_queue: true,
             reason: "more tasks wait than can be started in time",
         })
     }
@@ -222,6 +226,7 @@
         if self.is_log_down {
             return Some(Answer::Refused {
                 retry_after: LOG_RETRY_AFTER,
+                is_for_queue: false,
                 reason: "the cancelling can't be made durable now",
             });
         }
--- a/crates/pomelohitch-sched/src/cell/evacuate.rs
+++ b/crates/pomelohitch-sched/src/cell/evacuate.rs
@@ -77,6 +77,7 @@
             && instances.all(|i| self.is_instance_evacuated(i));
         is_evacuated.then_some(Answer::Refused {
             retry_after: EVACUATED_RETRY_AFTER,
+            is_for_queue: false,
             reason: "every availability zone is being evacuated",
         })
     }
--- a/crates/pomelohitch-sched/src/order.rs
+++ b/crates/pomelohitch-sched/src/order.rs
@@ -151,6 +151,8 @@
     Refused {
         /// When to come back.
         retry_after: Duration,
+        /// Whether the other jobs of its queue are refused until then, too.
+        is_for_queue: bool,
         /// Why.
         reason: &'static str,
     },
--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -83,16 +83,26 @@
 
 /// What became of a try at the leader.
 pub(super) enum Try {
-    /// The answer of the leader with this epoch.
-    Answered(Epoch, Response),
+    /// The leader answered.
+    Answered(Reply),
     /// Nothing was done.
     Undone,
-    /// Nothing was sent, since too many requests wait for the leader; when to come back.
+    /// Nothing was handed in, since the leader is full; when to come back.
     Full(Duration),
     /// The leader with this epoch may have done it.
     Unknown(Epoch),
 }
 
+/// An answer of a leader.
+pub(super) struct Reply {
+    /// Its epoch.
+    pub(super) epoch: Epoch,
+    /// For the caller.
+    pub(super) response: Response,
+    /// How long the other jobs of the queue are refused, too.
+    pub(super) queue_refused_for: Option<Duration>,
+}
+
 /// Answers a caller: the leader's answer, or after some patience that there is none.
 ///
 /// Once a try may have handed a job in, no refusal of a later try is passed back that comes from the
@@ -106,7 +116,9 @@
     let mut done_by: Option<Epoch> = None;
     loop {
         match try_once(shared, incoming, patience) {
-            Try::Answered(epoch, response) => {
+            Try::Answered(Reply {
+                epoch, response, ..
+            }) => {
                 let status = response.status_code;
                 if confirms(status) || done_by.is_none_or(|former| former < epoch) {
                     return response;
@@ -129,7 +141,7 @@
 /// The leader can't serve the request now; it may a moment later.
 const UNAVAILABLE: u16 = 503;
 /// The job isn't held, which is also what a repeated cancel is told.
-const GONE: u16 = 410;
+pub(super) const GONE: u16 = 410;
 
 fn has_effect(method: &str) -> bool {
     !matches!(method, "GET" | "HEAD")
@@ -205,14 +217,27 @@
         return Response::text("").with_status_code(421);
     };
     match ask_here(&leading, incoming, host, path, TRY_WITHIN) {
-        Try::Answered(epoch, response) => {
-            response.with_additional_header(wire::LEADER_EPOCH, epoch.to_string())
-        }
+        Try::Answered(reply) => passed_back(reply),
         Try::Undone | Try::Full(_) => Response::text("").with_status_code(421),
         Try::Unknown(_) => Response::text("").with_status_code(504),
     }
 }
 
+/// The response to the member that passed a request on.
+fn passed_back(reply: Reply) -> Response {
+    let epoch = reply.epoch.to_string();
+    let response = reply
+        .response
+        .with_additional_header(wire::LEADER_EPOCH, epoch);
+    match reply.queue_refused_for {
+        Some(time) => {
+            let millis = time.as_millis().to_string();
+            response.with_additional_header(wire::QUEUE_REFUSED_MS, millis)
+        }
+        None => response,
+    }
+}
+
 /// Hands a request to the leader in this process.
 fn ask_here(
     leading: &Leading,
@@ -226,8 +251,11 @@
         "GET" | "HEAD" => Verb::Read,
         "DELETE" => Verb::Cancel,
         _ => {
-            let refusal = Response::text("{}").with_status_code(405);
-            return Try::Answered(leading.epoch, refusal);
+            return Try::Answered(Reply {
+                epoch: leading.epoch,
+                response: Response::text("{}").with_status_code(405),
+                queue_refused_for: None,
+            });
         }
     };
     let (path, _) = path.split_once('?').unwrap_or((path, ""));
@@ -246,7 +274,11 @@
     match answer {
         Ok(answer) => {
             log_answer(incoming, &answer);
-            Try::Answered(leading.epoch, respond(&answer))
+            Try::Answered(Reply {
+                epoch: leading.epoch,
+                response: respond(&answer),
+                queue_refused_for: queue_refused_for(&answer),
+            })
         }
         Err(_) => Try::Unknown(leading.epoch),
     }
@@ -261,13 +293,24 @@
     info!(path = %incoming.head.target, method = %incoming.head.method, ?answer, took_ms, "answered");
 }
 
+fn queue_refused_for(answer: &Answer) -> Option<Duration> {
+    match answer {
+        Answer::Refused {
+            retry_after,
+            is_for_queue: true,
+            ..
+        } => Some(*retry_after),
+        _ => None,
+    }
+}
+
 fn bearer(head: &Head) -> Option<&str> {
     let value = head.headers.get("Authorization")?;
     let (scheme, key) = value.split_once(' ')?;
     scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
 }
 
-fn respond(answer: &Answer) -> Response {
+pub(super) fn respond(answer: &Answer) -> Response {
     let reply = format::reply(answer);
     json(
         reply.status,
--- a/pomelohitchd/src/fleet/forwarding.rs
+++ b/pomelohitchd/src/fleet/forwarding.rs
@@ -1,15 +1,16 @@
 //! Passes requests of callers on to a leader in another process.
 
-use std::net::SocketAddr;
+use std::collections::HashMap;
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use pomelohitch_adapter::call::{Effect, Request};
 use pomelohitch_sched::forwarding::Window;
+use pomelohitch_sched::order::Answer;
 use pomelohitch_sched::{Epoch, Steady};
 use tracing::info;
 
-use super::callers::{Try, json};
+use super::callers::{GONE, Reply, Try, json, respond};
 use super::clock;
 use super::shared::Shared;
 use super::wire::{self, Leader};
@@ -25,11 +26,13 @@
     freed: Condvar,
 }
 
-/// The window of one leadership.
+/// What is known of one leadership.
 #[derive(Debug, Default)]
 struct State {
     epoch: Epoch,
     window: Window,
+    /// Until when it refuses new jobs of a queue, by the host and the path's beginning.
+    refusing: HashMap<Box<str>, Steady>,
 }
 
 /// One request's place in the window.
@@ -66,6 +69,24 @@
         })
     }
 
+    /// Takes in that the leader with `epoch` refuses new jobs of a queue for some time.
+    fn refuses(&self, epoch: Epoch, queue: Box<str>, time: Duration) {
+        let now = clock::steady();
+        let mut state = self.lock();
+        if state.epoch == epoch {
+            state.refusing.retain(|_, until| *until > now);
+            state.refusing.insert(queue, now + time);
+        }
+    }
+
+    /// How long the leader with `epoch` goes on refusing new jobs of a queue, if it does.
+    fn refused_for(&self, epoch: Epoch, queue: &str) -> Option<Duration> {
+        let state = self.lock();
+        let until = state.refusing.get(queue).filter(|_| state.epoch == epoch)?;
+        let left = until.saturating_sub(clock::steady());
+        (!left.is_zero()).then_some(left)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -98,22 +119,63 @@
         Ok(place) => place,
         Err(retry_after) => return Try::Full(retry_after),
     };
-    let sent = send(shared, leader.addr, leader.epoch, incoming, within);
+    let queue = queue(incoming);
+    let refused_for = shared.forwarding.refused_for(leader.epoch, &queue);
+    let refused_for = refused_for.filter(|_| &*incoming.head.method == "POST");
+    let sent = match refused_for {
+        Some(time) => ask_instead(shared, leader, incoming, within, time),
+        None => send(shared, leader, incoming, &incoming.head.method, within),
+    };
     match &sent {
-        Try::Answered(..) => place.free(Window::answered),
+        Try::Answered(reply) => {
+            if let Some(time) = reply.queue_refused_for {
+                shared.forwarding.refuses(reply.epoch, queue, time);
+            }
+            place.free(Window::answered);
+        }
         Try::Unknown(_) => place.free(Window::gave_up),
-        Try::Undone | Try::Full(_) => place.free(|window, _, _| window.unsent()),
+        Try::Full(_) => place.free(Window::answered),
+        Try::Undone => place.free(|window, _, _| window.unsent()),
     }
     sent
 }
 
+/// Whose jobs a request is about: the host, and the path without the last part.
+fn queue(incoming: &Incoming) -> Box<str> {
+    let head = &incoming.head;
+    let host = head.headers.get("Host").unwrap_or_default();
+    let (prefix, _) = head.target.rsplit_once('/').unwrap_or_default();
+    format!("{host}{prefix}").into()
+}
+
+/// Asks for a job's state in place of handing it in, while the leader refuses new jobs of its queue: an
+/// earlier try may have been accepted, and the question is a fraction of the job's size.
+fn ask_instead(
+    shared: &Shared,
+    leader: &Leader,
+    incoming: &Incoming,
+    within: Duration,
+    refused_for: Duration,
+) -> Try {
+    match send(shared, leader, incoming, "GET", within) {
+        Try::Answered(reply) if reply.response.status_code == 200 => Try::Answered(Reply {
+            response: respond(&Answer::Accepted),
+            ..reply
+        }),
+        Try::Answered(reply) if reply.response.status_code == GONE => Try::Full(refused_for),
+        Try::Unknown(_) => Try::Undone,
+        other => other,
+    }
+}
+
 fn send(
     shared: &Shared,
-    addr: SocketAddr,
-    epoch: Epoch,
+    leader: &Leader,
     incoming: &Incoming,
+    method: &str,
     within: Duration,
 ) -> Try {
+    let epoch = leader.epoch;
     let head = &incoming.head;
     let path = format!("{}{}", wire::CALL, head.target);
     let for_epoch = epoch.to_string();
@@ -121,12 +183,13 @@
     let mut headers = vec![(wire::CALLER_HOST, host), (wire::FOR_EPOCH, &for_epoch)];
     let key = head.headers.get("Authorization");
     headers.extend(key.map(|key| ("Authorization", key)));
-    let answer = shared.leader_client(addr).pass_on(
-        &head.method,
+    let has_body = !incoming.body.is_empty() && method == &*head.method;
+    let answer = shared.leader_client(leader.addr).pass_on(
+        method,
         &Request {
             step: "pass on",
             path: &path,
-            body: (!incoming.body.is_empty()).then_some(&incoming.body[..]),
+            body: has_body.then_some(&incoming.body[..]),
             headers: &headers,
             within,
         },
@@ -135,9 +198,14 @@
         Ok(answer) => match answer.header(wire::LEADER_EPOCH).map(str::parse) {
             Some(answered_by) => {
                 let retry_after = answer.header("Retry-After").map(str::to_owned);
-                // Without a number the answer settles no doubt about an earlier try.
-                let answered_by = answered_by.unwrap_or(0);
-                Try::Answered(answered_by, json(answer.status, answer.body, retry_after))
+                let refused_ms = answer.header(wire::QUEUE_REFUSED_MS);
+                let refused_ms = refused_ms.and_then(|ms| ms.parse().ok());
+                Try::Answered(Reply {
+                    // Without a number the answer settles no doubt about an earlier try.
+                    epoch: answered_by.unwrap_or(0),
+                    response: json(answer.status, answer.body, retry_after),
+                    queue_refused_for: refused_ms.map(Duration::from_millis),
+                })
             }
             None if answer.status == 504 => Try::Unknown(epoch),
             None => Try::Undone,
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -23,6 +23,10 @@
 /// without it comes from a process that doesn't lead, or not any more, and didn't touch it.
 pub const LEADER_EPOCH: &str = "X-Leader-Epoch";
 
+/// On a refusal of a request that was passed on: for how many milliseconds the other jobs of its queue
+/// are refused, too.
+pub const QUEUE_REFUSED_MS: &str = "X-Queue-Refused-Ms";
+
 /// Who leads.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Leader {
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -31,6 +31,13 @@
 
 /// A leader that gives these answers one after another, and the last one from then on.
 fn leader(answers: &[&'static str]) -> SocketAddr {
+    noting_leader(answers).0
+}
+
+/// The same, with the methods of the requests that it was sent.
+fn noting_leader(answers: &[&'static str]) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let methods = Arc::new(Mutex::new(Vec::new()));
+    let noted = methods.clone();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let addr = listener.local_addr().expect("it is bound");
     let answers: Mutex<VecDeque<&str>> = Mutex::new(answers.iter().copied().collect());
@@ -39,6 +46,15 @@
             let mut stream = stream.expect("a caller connects");
             let mut buf = [0; 4096];
             while stream.read(&mut buf).is_ok_and(|n| n > 0) {
+                let text = String::from_utf8_lossy(&buf);
+                let (method, _) = text.split_once(' ').unwrap_or_default();
+                if text.starts_with('{') {
+                    // The body may come after the head.
+                    continue;
+                }
+                let mut noted = noted.lock().expect("no test panics here");
+                noted.push(method.to_owned());
+                drop(noted);
                 let mut answers = answers.lock().expect("no test panics here");
                 let answer = answers[0];
                 if answers.len() > 1 {
@@ -50,7 +66,7 @@
             }
         }
     });
-    addr
+    (addr, methods)
 }
 
 fn post() -> Incoming {
@@ -134,6 +150,26 @@
     );
 }
 
+/// Guards against jobs that are sent whole, over a full link, to be refused.
+#[test]
+fn jobs_of_a_queue_that_the_leader_refuses_are_only_asked_about() {
+    const QUEUE_REFUSED: &str = "HTTP/1.1 503 Busy\r\nX-Leader-Epoch: 1\r\nRetry-After: 9\r\n\
+        X-Queue-Refused-Ms: 9000\r\nContent-Length: 2\r\n\r\n{}";
+    let (addr, methods) = noting_leader(&[QUEUE_REFUSED, GONE, ACCEPTED]);
+    let shared = Shared::new(site());
+    let leader = Leader {
+        epoch: 1,
+        member: "front-a-2".into(),
+        addr,
+        began_ms: 1,
+    };
+    shared.follow(&leader, true);
+    let told = [(); 3].map(|()| callers::answer(&shared, &post()).status_code);
+    assert_eq!(told, [503, 503, 200]);
+    let methods = methods.lock().expect("no test panics here");
+    assert_eq!(*methods, ["POST", "GET", "GET"]);
+}
+
 /// Guards against a 504 for a request of which a later leader knows that it hasn't run.
 #[test]
 fn a_later_leader_settles_what_became_of_an_unanswered_try() {
