perf: members ask a few others about a silent leader, and start with fewer threads

The system has 32,768 thread ids; each member that starts, or suspects the leader, asked all others at once, a thread there and one here for each: up to 90,000 at 300 members. 13 threads a member at rest are 3,900 of them.

Change: 24 others are asked, other ones each time; none while no leader is known at all, where the store takes one claim anyway. Services that nobody waits for (internal, readiness, metrics) have one thread instead of two: 10 at rest.

Before: refused at 300.

--- a/pomelohitchd/src/fleet/election.rs
+++ b/pomelohitchd/src/fleet/election.rs
@@ -11,6 +11,7 @@
 use pomelohitch_sched::Steady;
 use tracing::info;
 
+use super::leader::core::millis;
 use super::shared::{Shared, View};
 use super::wire::{self, Probe, ProbeReply};
 use super::{clock, leader, peers, succession};
@@ -64,10 +65,15 @@
     view.is_read && silent_for > SUSPECT_AFTER + hold_back
 }
 
-/// Whether nobody else hears the leader either.
+/// Whether nobody else hears the leader either. Without any leader there is nothing to be heard: the
+/// store takes one claim.
 fn is_silent(shared: &Shared) -> bool {
     let view = shared.view();
-    let others = shared.peers();
+    if view.leader.is_none() {
+        return true;
+    }
+    let seed = millis(clock::steady());
+    let others = succession::asked(shared.peers(), seed);
     let probe = Probe { with_store: false };
     let answers = peers::ask_all::<ProbeReply>(&others, wire::PROBE, &probe);
     let is_heard = answers
--- a/pomelohitchd/src/fleet/lifecycle.rs
+++ b/pomelohitchd/src/fleet/lifecycle.rs
@@ -95,15 +95,9 @@
     let callers = listen(site.callers)?;
     serve_metrics(&shared, site.metrics, metrics);
     let peers = internal::service(&shared);
-    spawn("internal", move || {
-        front::serve_with(peers, &internal, internal::limits());
-    })
-    .context(ThreadSnafu)?;
+    front::serve_in_background(peers, internal, internal::limits());
     let ready = callers::readiness(&shared);
-    spawn("readiness", move || {
-        front::serve_with(ready, &readiness, internal::limits());
-    })
-    .context(ThreadSnafu)?;
+    front::serve_in_background(ready, readiness, internal::limits());
     relay_calls(&shared, site.relay)?;
     spawn_with("members", &shared, members::run).context(ThreadSnafu)?;
     spawn_with("election", &shared, election::run).context(ThreadSnafu)?;
@@ -140,13 +134,9 @@
         is_leaving: Box::new(move || leaving.is_leaving()),
         answer: Box::new(move |_| Response::text(metrics.render())),
     };
-    let started = listen(addr).map(|listener| {
-        spawn("metrics", move || {
-            front::serve_with(service, &listener, internal::limits());
-        })
-    });
-    if !matches!(started, Ok(Ok(_))) {
-        warn!(%addr, "metrics aren't shown");
+    match listen(addr) {
+        Ok(listener) => front::serve_in_background(service, listener, internal::limits()),
+        Err(error) => warn!(%addr, %error, "metrics aren't shown"),
     }
 }
 
--- a/pomelohitchd/src/fleet/succession.rs
+++ b/pomelohitchd/src/fleet/succession.rs
@@ -5,6 +5,7 @@
 //! smaller leads only while no larger one can.
 
 use std::cmp::Reverse;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,6 +18,27 @@
 /// then the larger one, which noticed the same silence, has claimed it.
 const DEFERENCE: Duration = Duration::from_millis(400);
 
+/// Most members that are asked whether they hear a silent leader. If half of the others do, it shows in
+/// all but one of some million questions.
+const ASKED: usize = 24;
+
+/// The members to ask whether they hear a silent leader, others for each `seed`.
+///
+/// The load that this answers: hundreds of members start, or notice a silence, at the same moment.
+/// Each asking all others would take tens of thousands of connections and threads.
+#[must_use]
+pub fn asked(mut members: Vec<SocketAddr>, seed: u64) -> Vec<SocketAddr> {
+    if members.len() > ASKED {
+        members.sort_by_cached_key(|member| {
+            let mut hasher = DefaultHasher::new();
+            (seed, member).hash(&mut hasher);
+            hasher.finish()
+        });
+        members.truncate(ASKED);
+    }
+    members
+}
+
 /// The member that should lead next: of those that reach the store the largest, and of equal ones
 /// the one that started last. In a rolling restart its turn is over, while any other may be the
 /// next to go.
--- a/pomelohitchd/src/front.rs
+++ b/pomelohitchd/src/front.rs
@@ -89,12 +89,7 @@
 
 /// Serves `service` within `limits` until it leaves and the last answer is written.
 pub fn serve_with(service: Service, listener: &TcpListener, limits: Limits) {
-    let front = Arc::new(Front {
-        service,
-        connections: Gauge::new(limits.connections),
-        body_bytes: Gauge::new(limits.body_bytes_together),
-        limits,
-    });
+    let front = front(service, limits);
     match listener.try_clone() {
         Ok(listener) => accept_in_background(&front, listener),
         Err(error) => warn!(%error, "callers can't be accepted"),
@@ -105,6 +100,20 @@
     shut_down(&front, listener);
 }
 
+/// Serves `service` within `limits` in the background, until the process ends.
+pub fn serve_in_background(service: Service, listener: TcpListener, limits: Limits) {
+    accept_in_background(&front(service, limits), listener);
+}
+
+fn front(service: Service, limits: Limits) -> Arc<Front> {
+    Arc::new(Front {
+        service,
+        connections: Gauge::new(limits.connections),
+        body_bytes: Gauge::new(limits.body_bytes_together),
+        limits,
+    })
+}
+
 /// The balancer notices only after a while that this entry instance leaves. For that long new
 /// connections are still served; afterwards they are told to go elsewhere until the last request
 /// in flight has its answer.
--- a/pomelohitchd/tests/fleet/leaders.rs
+++ b/pomelohitchd/tests/fleet/leaders.rs
@@ -5,7 +5,7 @@
 
 use pomelohitchd::fleet::clock::{self, FleetTime};
 use pomelohitchd::fleet::shared::Shared;
-use pomelohitchd::fleet::succession::{deference, larger, successor};
+use pomelohitchd::fleet::succession::{asked, deference, larger, successor};
 use pomelohitchd::fleet::wire::{Leader, Member, ProbeReply};
 
 use super::site::{nowhere, site};
@@ -22,6 +22,18 @@
     (([127, 0, 0, 1], port).into(), reply)
 }
 
+/// Guards against hundreds of members that each ask all others at the same moment.
+#[test]
+fn few_members_are_asked_about_a_silent_leader() {
+    let members: Vec<_> = (1..=300)
+        .map(|n| SocketAddr::from(([10, 0, 0, 1], n)))
+        .collect();
+    let first = asked(members.clone(), 1);
+    assert_eq!(first.len(), 24);
+    assert_ne!(first, asked(members.clone(), 2));
+    assert_eq!(asked(members[..24].to_vec(), 1), members[..24]);
+}
+
 /// Members are restarted one after another. Handed to one whose turn is still to come, the
 /// leadership changes again two seconds later, and each change holds work back.
 #[test]
