perf: calls stay with the members that carry them while endpoints come and go

Cause: endpoints were dealt out by their hash modulo a number of shards that followed the count of endpoints called so far.

--- a/crates/pomelohitch-sched/src/relaying.rs
+++ b/crates/pomelohitch-sched/src/relaying.rs
@@ -15,6 +15,8 @@
 const RELAYED_FROM: usize = 600;
 /// Bytes a second of the calls to an endpoint at work, both ways.
 const ENDPOINT_BYTES_PER_S: f64 = 3_000.0;
+/// Shards are kept until there are this many times as many as wanted.
+const MOST_OVER: u64 = 4;
 /// The share of the link that calls to endpoints may take.
 const LINK_SHARE: f64 = 0.25;
 
@@ -37,10 +39,22 @@
         }
         let shards = (endpoints / services).div_ceil(SHARD).max(1);
         Layout {
-            shards: shards as u64,
+            shards: nearest_power(shards as u64),
         }
     }
 
+    /// The layout that follows this one where `wanted` would fit best.
+    ///
+    /// Endpoints come and go all the time, and each changed number of shards moves many of them to
+    /// other members, with new connections. It grows at once, shrinks by much only, and calls that
+    /// members carry don't go back to the leader.
+    #[must_use]
+    pub fn followed_by(self, wanted: Layout) -> Layout {
+        let grows = wanted.shards > self.shards;
+        let shrinks = wanted.shards > 0 && wanted.shards * MOST_OVER <= self.shards;
+        if grows || shrinks { wanted } else { self }
+    }
+
     /// The one of `members` that carries an endpoint's calls; `None` if the leader makes them.
     pub fn member<'a, M: Hash + Copy + 'a>(
         &self,
@@ -56,6 +70,17 @@
     }
 }
 
+/// The power of two that is the smallest factor away: doubled, half of the endpoints stay where they are.
+fn nearest_power(number: u64) -> u64 {
+    let above = number.next_power_of_two();
+    let below = (above / 2).max(1);
+    if number * number <= above * below {
+        below
+    } else {
+        above
+    }
+}
+
 /// Stable within one process, which is as long as a layout is used.
 fn hash(key: &impl Hash) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/pomelohitch-sched/tests/relaying.rs
+++ b/crates/pomelohitch-sched/tests/relaying.rs
@@ -51,3 +51,29 @@
         assert!(member == 3 || after[&id] == member, "{id}");
     }
 }
+
+/// Guards against endpoints that all go to other members whenever one comes or goes.
+#[test]
+fn endpoints_that_come_and_go_leave_the_others_where_they_are() {
+    let mut layout = Layout::default();
+    let mut changes = Vec::new();
+    for endpoints in (600..3000)
+        .step_by(40)
+        .chain([2900, 2400, 2950, 2380, 590, 30])
+    {
+        let next = layout.followed_by(Layout::of(endpoints, 5, Some(25e6)));
+        if next != layout {
+            changes.push((endpoints, next.shards));
+        }
+        layout = next;
+    }
+    insta::assert_debug_snapshot!(changes);
+}
+
+/// Guards against more shards that leave no endpoint at its member.
+#[test]
+fn half_of_the_endpoints_stay_when_the_shards_double() {
+    let [few, many] = [4, 8].map(|shards| carried(Layout { shards }, &MEMBERS));
+    let stayed = few.iter().filter(|(id, member)| many[*id] == **member);
+    assert!(stayed.count() >= 40, "of 120");
+}
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -268,7 +268,7 @@
             self.check_store();
             self.check_size();
             self.check_former();
-            self.lanes.prune(self.cell.endpoints());
+            self.lanes.sync(self.cell.endpoints());
         }
     }
 
--- a/pomelohitchd/src/fleet/leader/lanes.rs
+++ b/pomelohitchd/src/fleet/leader/lanes.rs
@@ -2,7 +2,7 @@
 //!
 //! All calls are made on one thread, each as a task of its own.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::mpsc::Sender;
@@ -11,7 +11,7 @@
 use pomelohitch_sched::endpoint::Endpoint;
 use pomelohitch_sched::order::{LookFailure, LookOrder, Order, Outcome, Refusal, Target};
 use pomelohitch_sched::relaying::Layout;
-use pomelohitch_sched::{EndpointId, Epoch, ServiceName, Steady};
+use pomelohitch_sched::{EndpointId, Epoch, Steady};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::task::{self, LocalSet};
 use tracing::info;
@@ -48,6 +48,15 @@
     Look(LookOrder),
     /// The endpoint isn't known any more.
     Forget(EndpointId),
+    /// What is called.
+    Fleet(Size),
+}
+
+/// How much there is to call.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Size {
+    endpoints: usize,
+    services: usize,
 }
 
 /// Hands calls to the thread that makes them. It ends when this is dropped.
@@ -55,6 +64,8 @@
 pub struct Lanes {
     commands: UnboundedSender<Command>,
     known: HashSet<EndpointId>,
+    /// How many endpoints there were when they were last counted.
+    counted: usize,
     events: Sender<Event>,
 }
 
@@ -76,6 +87,7 @@
         Ok(Lanes {
             commands,
             known: HashSet::new(),
+            counted: 0,
             events,
         })
     }
@@ -111,8 +123,28 @@
         }
     }
 
-    /// Closes connections to endpoints that aren't known any more.
-    pub fn prune(&mut self, known: &BTreeMap<EndpointId, Endpoint>) {
+    /// Takes in which endpoints there are: connections to others are closed.
+    pub fn sync(&mut self, known: &BTreeMap<EndpointId, Endpoint>) {
+        self.count(known);
+        self.prune(known);
+    }
+
+    fn count(&mut self, known: &BTreeMap<EndpointId, Endpoint>) {
+        if self.counted == known.len() {
+            return;
+        }
+        self.counted = known.len();
+        let reports = known.values().filter_map(|e| e.report.as_ref());
+        let services: BTreeSet<_> = reports.map(|r| &r.service).collect();
+        let size = Size {
+            endpoints: known.len(),
+            services: services.len(),
+        };
+        // A thread that has ended calls nobody.
+        let _ = self.commands.send(Command::Fleet(size));
+    }
+
+    fn prune(&mut self, known: &BTreeMap<EndpointId, Endpoint>) {
         if self.known.len() <= known.len() {
             return;
         }
@@ -133,6 +165,7 @@
             Command::Order(sending) => routes.order(sending),
             Command::Look(look) => routes.look(look),
             Command::Forget(id) => routes.forget(&id),
+            Command::Fleet(size) => routes.size = size,
         }
     }
 }
@@ -142,7 +175,7 @@
     calls: Rc<Calls>,
     events: Sender<Event>,
     options: Options,
-    services: HashMap<EndpointId, ServiceName>,
+    size: Size,
     layout: Layout,
     /// The other members, as of the last look at the layout.
     members: Vec<SocketAddr>,
@@ -156,7 +189,7 @@
             calls: Rc::default(),
             events,
             options,
-            services: HashMap::new(),
+            size: Size::default(),
             layout: Layout::default(),
             members: Vec::new(),
             links: BTreeMap::new(),
@@ -172,18 +205,14 @@
             return;
         }
         self.laid_out_at = Some(now);
-        let services: BTreeSet<_> = self.services.values().collect();
-        let layout = Layout::of(
-            self.services.len(),
-            services.len(),
-            self.options.link_bytes_per_s,
-        );
+        let Size {
+            endpoints,
+            services,
+        } = self.size;
+        let wanted = Layout::of(endpoints, services, self.options.link_bytes_per_s);
+        let layout = self.layout.followed_by(wanted);
         if layout != self.layout {
-            info!(
-                shards = layout.shards,
-                endpoints = self.services.len(),
-                "calls divided"
-            );
+            info!(shards = layout.shards, endpoints, "calls divided");
             self.layout = layout;
         }
         let members = self.options.members.as_ref().map(|members| members());
@@ -195,10 +224,6 @@
 
     /// The member that carries an endpoint's calls, if one does and is reached.
     fn link(&mut self, target: &Target) -> Option<&Link> {
-        if !self.services.contains_key(&target.id) {
-            self.services
-                .insert(target.id.clone(), target.service.clone());
-        }
         if self.layout == Layout::default() {
             return None;
         }
@@ -248,7 +273,6 @@
     }
 
     fn forget(&mut self, id: &EndpointId) {
-        self.services.remove(id);
         self.calls.forget(id);
         for link in self.links.values() {
             link.forget(id);
--- a/pomelohitchd/tests/fleet/relays.rs
+++ b/pomelohitchd/tests/fleet/relays.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 
 use pomelohitch_adapter_standin::recorder::{Recorder, Start};
-use pomelohitch_sched::TaskId;
-use pomelohitch_sched::endpoint::{Ended, How, Look, Running};
+use pomelohitch_sched::endpoint::{Ended, Endpoint, How, Look, Report, Running};
 use pomelohitch_sched::id::RunNumber;
 use pomelohitch_sched::job::JobSpec;
 use pomelohitch_sched::order::{LookFailure, LookOrder, Order, Outcome, Target};
+use pomelohitch_sched::{Resources, TaskId};
 use pomelohitchd::fleet::clock;
 use pomelohitchd::fleet::leader::core::Event;
 use pomelohitchd::fleet::leader::lanes::{Lanes, Options};
@@ -39,10 +39,28 @@
         members: Some(Box::new(move || members.clone())),
         link_bytes_per_s: Some(SLOW),
     };
-    let lanes = Lanes::start(tx, options).expect("there is room for a thread");
+    let mut lanes = Lanes::start(tx, options).expect("there is room for a thread");
+    lanes.sync(&[("e1".into(), endpoint())].into());
     (lanes, rx)
 }
 
+/// The endpoint that is called, as the scheduler knows it.
+fn endpoint() -> Endpoint {
+    let report = Report {
+        id: "e1".into(),
+        born: 1,
+        service: "pricing".into(),
+        addr: site::nowhere(),
+        zone: "a".into(),
+        is_draining: false,
+        capacity: Resources::default(),
+        labels: Arc::default(),
+    };
+    let mut endpoint = Endpoint::new(1);
+    endpoint.report = Some(report);
+    endpoint
+}
+
 fn target(addr: SocketAddr) -> Target {
     Target {
         id: Arc::from("e1"),
