perf: pools and waves are decided in time that grows with the instances

Cause: for each instance that is switched off all others were looked at again, with comparisons of names for each; the order of a wave's instances looked up what is on each at every comparison.

Change: candidates know the place of their pool's balance; what is in surplus is found in one pass, since what a pool has over only shrinks meanwhile; sort keys are computed once. The same decisions; their tests are unchanged.

--- a/crates/pomelohitch-sched/src/cell/waves.rs
+++ b/crates/pomelohitch-sched/src/cell/waves.rs
@@ -49,7 +49,7 @@
     pub(super) fn tend_wave(&mut self, wave: &Remaining, reserved: &mut BTreeSet<EndpointId>) {
         let mut left: Vec<&InstanceId> = wave.left.iter().collect();
         // An evacuated zone is emptied in any case.
-        left.sort_by_key(|id| (!self.is_zone_evacuated(id), self.emptying_effort(id)));
+        left.sort_by_cached_key(|id| (!self.is_zone_evacuated(id), self.emptying_effort(id)));
         let mut may_begin = wave.may_begin;
         let mut in_use = Vec::new();
         for id in left {
--- a/crates/pomelohitch-sched/src/pools.rs
+++ b/crates/pomelohitch-sched/src/pools.rs
@@ -5,7 +5,6 @@
 //! two, so that a pool that has enough for what is coming is left alone. Instances that no pool
 //! will want for a while go to the spare pool, where they are switched off and cost nothing.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::id::{InstanceId, ServiceName};
@@ -80,13 +79,17 @@
 /// Decides which instances should move.
 #[must_use]
 pub fn plan(pools: &[Pool], instances: &[Candidate], margins: &Margins) -> Plan {
+    let place = |name: &ServiceName| pools.iter().position(|p| p.name == *name);
+    let rows = instances.iter().map(|candidate| Row {
+        candidate,
+        balance: place(&candidate.pool),
+        is_taken: false,
+    });
+    let rows: Vec<_> = rows.collect();
+    let balance = |(at, pool)| Balance::new(pool, &rows, at, *margins);
     let mut ledger = Ledger {
-        balances: pools
-            .iter()
-            .map(|p| Balance::new(p, instances, *margins))
-            .collect(),
-        instances,
-        taken: BTreeSet::new(),
+        balances: pools.iter().enumerate().map(balance).collect(),
+        rows,
     };
     Plan {
         moves: ledger.satisfy(),
@@ -97,8 +100,16 @@
 /// What each pool has while moves are decided one after another.
 struct Ledger<'a> {
     balances: Vec<Balance<'a>>,
-    instances: &'a [Candidate],
-    taken: BTreeSet<&'a InstanceId>,
+    rows: Vec<Row<'a>>,
+}
+
+/// An instance while moves are decided.
+struct Row<'a> {
+    candidate: &'a Candidate,
+    /// The place of its pool's balance.
+    balance: Option<usize>,
+    /// Whether it moves already.
+    is_taken: bool,
 }
 
 impl<'a> Ledger<'a> {
@@ -122,8 +133,11 @@
         let Some(spare) = self.balances.iter().position(|b| b.pool.is_spare) else {
             return moves;
         };
-        while let Some(idle) = self.idle_evacuated().or_else(|| self.idle()) {
-            moves.push(self.transfer(idle, spare));
+        // What a pool has over only shrinks, so that an instance that is kept now stays kept.
+        for at in 0..self.rows.len() {
+            if self.is_idle(at) {
+                moves.push(self.transfer(at, spare));
+            }
         }
         moves
     }
@@ -135,20 +149,27 @@
         most.map(|(index, _)| index)
     }
 
-    fn giver(&self, needy: usize) -> Option<&'a Candidate> {
-        let to = &self.balances[needy].pool.name;
+    fn giver(&self, needy: usize) -> Option<usize> {
         let label = self.balances[needy].wanted_label();
-        let suits = |i: &&Candidate| label.is_none_or(|l| i.labels.iter().any(|own| **own == *l));
-        let usable = self.free().filter(|i| !i.is_evacuated);
-        let others = usable.filter(|i| i.pool != *to).filter(suits);
-        let able = others.filter(|i| self.balance(i).is_some_and(|b| b.can_give(i)));
-        able.min_by_key(|i| self.effort(i))
+        let suits = |i: &Candidate| label.is_none_or(|l| i.labels.iter().any(|own| **own == *l));
+        let able = self.rows.iter().enumerate().filter(|(_, row)| {
+            let is_other = row.balance != Some(needy);
+            let is_usable = row.is_free() && !row.candidate.is_evacuated;
+            let gives = self.balance(row);
+            is_other
+                && is_usable
+                && suits(row.candidate)
+                && gives.is_some_and(|b| b.can_give(row.candidate))
+        });
+        able.min_by_key(|(_, row)| self.effort(row))
+            .map(|(at, _)| at)
     }
 
     /// Idle instances that nobody will miss come first, as they cost; then those that are off,
     /// those that are being emptied, and the emptiest.
-    fn effort(&self, instance: &Candidate) -> (u8, u64) {
-        let balance = self.balance(instance);
+    fn effort(&self, row: &Row<'_>) -> (u8, u64) {
+        let instance = row.candidate;
+        let balance = self.balance(row);
         let is_off = balance.is_some_and(|b| b.pool.is_spare);
         let is_missed = balance.is_none_or(|b| !b.has_over(instance));
         let rank = match (is_off, is_missed, instance.used) {
@@ -162,44 +183,33 @@
         (rank, instance.used)
     }
 
-    /// An idle instance in an evacuated zone.
-    fn idle_evacuated(&self) -> Option<&'a Candidate> {
-        let is_off = |i: &Candidate| self.balance(i).is_none_or(|b| b.pool.is_spare);
-        let mut idle = self.free().filter(|i| i.is_evacuated && i.used == 0);
-        idle.find(|i| !is_off(i))
-    }
-
-    /// An idle instance that no pool will want soon, its own or another.
+    /// Whether an instance is idle and no pool will want it soon, its own or another, or its zone is
+    /// evacuated.
     ///
     /// What waits for a place counts against it: whether what is on its way will do isn't known yet.
-    fn idle(&self) -> Option<&'a Candidate> {
+    fn is_idle(&self, at: usize) -> bool {
+        let row = &self.rows[at];
+        let Some(balance) = self.balance(row).filter(|b| !b.pool.is_spare) else {
+            return false;
+        };
+        if !row.is_free() || row.candidate.used > 0 {
+            return false;
+        }
         let over: f64 = self.balances.iter().filter_map(Balance::over).sum();
         let backlog: f64 = self.balances.iter().map(|b| b.pool.backlog).sum();
-        let over = over - backlog;
-        let usable = self.free().filter(|i| !i.is_evacuated);
-        let idle = usable.filter(|i| i.used == 0);
-        let mut unmissed = idle.filter(|i| {
-            let balance = self.balance(i);
-            balance.is_some_and(|b| !b.pool.is_spare && b.has_over(i)) && over >= as_f64(i.cpu)
-        });
-        unmissed.next()
-    }
-
-    fn free(&self) -> impl Iterator<Item = &'a Candidate> + use<'_, 'a> {
-        let movable = self.instances.iter().filter(|i| i.is_movable);
-        movable.filter(|i| !self.taken.contains(&i.id))
+        let is_unmissed = balance.has_over(row.candidate);
+        row.candidate.is_evacuated || (is_unmissed && over - backlog >= as_f64(row.candidate.cpu))
     }
 
-    fn balance(&self, instance: &Candidate) -> Option<&Balance<'a>> {
-        self.balances.iter().find(|b| b.pool.name == instance.pool)
+    fn balance(&self, row: &Row<'_>) -> Option<&Balance<'a>> {
+        self.balances.get(row.balance?)
     }
 
-    fn transfer(&mut self, instance: &'a Candidate, to: usize) -> Move {
-        self.taken.insert(&instance.id);
-        let from = self
-            .balances
-            .iter_mut()
-            .find(|b| b.pool.name == instance.pool);
+    fn transfer(&mut self, at: usize, to: usize) -> Move {
+        let row = &mut self.rows[at];
+        row.is_taken = true;
+        let instance = row.candidate;
+        let from = row.balance.and_then(|at| self.balances.get_mut(at));
         if let Some(from) = from.filter(|_| !instance.is_evacuated) {
             from.have -= as_f64(instance.cpu);
             from.count -= 1;
@@ -217,6 +227,12 @@
     }
 }
 
+impl Row<'_> {
+    fn is_free(&self) -> bool {
+        self.candidate.is_movable && !self.is_taken
+    }
+}
+
 /// What a pool has beside what it wants.
 struct Balance<'a> {
     pool: &'a Pool,
@@ -227,9 +243,9 @@
 }
 
 impl Balance<'_> {
-    fn new<'a>(pool: &'a Pool, instances: &[Candidate], margins: Margins) -> Balance<'a> {
-        let usable = instances.iter().filter(|i| !i.is_evacuated);
-        let own = usable.filter(|i| i.pool == pool.name);
+    fn new<'a>(pool: &'a Pool, rows: &[Row<'_>], place: usize, margins: Margins) -> Balance<'a> {
+        let own = rows.iter().filter(|row| row.balance == Some(place));
+        let own = own.map(|row| row.candidate).filter(|i| !i.is_evacuated);
         Balance {
             pool,
             margins,
