perf: passes over instances and leases by how many there are

Cause: with 3,000 endpoints a pass over instances, waves and leases takes 2 to 3 ms and came each 30 ms: a third of the scheduler's time (perf over `--example cost` with 8.6 times the instances).

Change: at least 50 microseconds for each endpoint between two passes, at most 150 ms; nothing changes below 600 endpoints.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -58,9 +58,11 @@
 pub mod upkeep;
 pub mod waves;
 
-/// How often instances, leases and lasting tasks are looked after: each pass goes through all of
-/// them, and what they wait for takes a second or more.
+/// Least time between two passes over instances, leases and lasting tasks. What these wait for takes a
+/// second or more.
 const TEND_EVERY: Duration = Duration::from_millis(30);
+/// The same for each endpoint, in large fleets.
+const TEND_PER_ENDPOINT: Duration = Duration::from_micros(50);
 /// Least time from one pass over the waiting tasks to the next. Starts wait for the next append in
 /// any case, and these are at least 15 ms apart.
 const SCHEDULE_EVERY: Duration = Duration::from_millis(10);
@@ -75,46 +77,43 @@
 /// What a cell is told about the site, and its own limits.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// How long a lease is asked for. Long enough to outlive a change of leader, which takes
-    /// about 2 s, and as short as that allows, since what a silent endpoint ran can't be started
-    /// elsewhere before.
+    /// Length of a lease. Long enough to outlive a change of leader, which takes about 2 s, and as
+    /// short as that allows: what a silent endpoint ran can't be started elsewhere before it lapses.
     pub lease: Duration,
-    /// A start is void so long after its record is durable, by the endpoint's clock, so that one
-    /// that is carried out late does nothing.
+    /// Validity of a start order, counted by the endpoint's clock from the commit of its record.
     pub start_valid: Duration,
-    /// A start that waited so long for its record isn't sent any more: what it was decided by may
-    /// be wrong by now.
+    /// Age from its decision at which a start order is dropped unsent.
     pub start_stale: Duration,
-    /// A look waits so long at the endpoint for an end.
+    /// Time for which an endpoint holds a poll until a run ends.
     pub look_wait: Duration,
-    /// The same where tasks run that end by themselves. A look that is lost hides their ends until
-    /// its time is over, and the next steps of their jobs wait.
+    /// The same where tasks run that end by themselves. A lost poll hides their ends until it expires,
+    /// and the next steps of their jobs wait.
     pub look_wait_ends: Duration,
-    /// The same where tasks have to keep a target, which only looks show.
+    /// The same where tasks have a latency target, which only polls show.
     pub look_wait_target: Duration,
-    /// Least time from one look to the next, so that ends that come close together share one.
+    /// Least time between two polls of an endpoint, so that ends close together share one.
     pub look_gap: Duration,
-    /// The same after a look that failed, or while ends can't be noted.
+    /// The same after a failed poll, or while ends can't be acknowledged.
     pub look_retry: Duration,
-    /// An endpoint that answered no look for so long gets no new work.
+    /// Silence after which an endpoint receives no new tasks.
     pub fresh: Duration,
-    /// What a former leader asked for has lapsed so long after the change of leader at the
-    /// latest: its last renewal without the store, the longest lease, and the slowest clock.
+    /// Time after a change of leader by which every lease of the former one has lapsed: its last
+    /// renewal without the store, the longest lease and the slowest clock.
     pub unread_lapse: Duration,
-    /// How long the state of a job is told after its end.
+    /// Retention of ended jobs.
     pub keep_ended: Duration,
-    /// How much earlier than due a repetition may begin.
+    /// Time before its due time at which an occurrence may begin.
     pub early: Duration,
-    /// Orders of two holders for one instance stay so far apart.
+    /// Least time between the orders of two leaders for one instance.
     pub holder_gap: Duration,
-    /// So long after the change of leader the former one may still send what it decided: its
+    /// Time after a change of leader for which the former one may still send operations: its
     /// leadership was confirmed at most 1.5 s before.
     pub former_holder: Duration,
-    /// So many operations on instances a second are taken by the platform.
+    /// Rate limit of the platform for operations on instances.
     pub operations_per_s: f64,
-    /// What this member's link carries, bytes a second, if that is known.
+    /// Bandwidth of this member's link, bytes a second, if it is known.
     pub link_bytes_per_s: Option<f64>,
-    /// Most jobs held at once; more would take more memory than an entry instance has.
+    /// Most jobs held at once, by the memory of an entry instance.
     pub max_jobs: usize,
     /// The fleet's time when the leadership begins, milliseconds since 1970: kept by steady clocks
     /// from leader to leader. `None` if no member knows it, since all have restarted; the time of day
@@ -386,7 +385,7 @@
         self.now = now;
         self.open_due();
         let gap = self.pass_gap();
-        if now.steady >= self.tended_at + TEND_EVERY.max(gap) {
+        if now.steady >= self.tended_at + self.tend_gap().max(gap) {
             self.tended_at = now.steady;
             self.drop_ended();
             self.release_lapsed();
@@ -417,6 +416,12 @@
         (self.tick_cost * PASSES_REST).min(LONGEST_GAP)
     }
 
+    /// The least time between two passes over instances and leases, by how many there are.
+    fn tend_gap(&self) -> Duration {
+        let endpoints = u32::try_from(self.endpoints.len()).unwrap_or(u32::MAX);
+        (TEND_PER_ENDPOINT * endpoints).clamp(TEND_EVERY, LONGEST_GAP)
+    }
+
     /// The queue of that name.
     fn queue(&self, name: &str) -> Option<&Queue> {
         self.cfg.as_ref()?.queues.get(*self.queues.get(name)?)
--- a/crates/pomelohitch-sched/src/cell/follow.rs
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -1,4 +1,4 @@
-//! Pools follow demand.
+//! Autoscaling of pools.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
--- a/crates/pomelohitch-sched/src/policy.rs
+++ b/crates/pomelohitch-sched/src/policy.rs
@@ -12,16 +12,16 @@
 pub struct Policy {
     /// Jobs whose objective is out of reach wait for those that can still be in time.
     pub late_last: bool,
-    /// A job's objective counts as out of reach when it can't be done within so many times of it.
-    /// Estimates are rough: taken at their word, they make jobs wait that would be in time.
+    /// Multiple of the objective beyond which it counts as out of reach. Estimates are rough: taken at
+    /// their word, they make jobs wait that would be in time.
     pub late_after: f64,
-    /// Jobs go by the latest moment at which they have to start, not by when they came.
+    /// Jobs are ordered by their latest start, not by their arrival.
     pub by_latest_start: bool,
-    /// Where not all can be in time, those wait whose work frees most for others.
+    /// Under overload the jobs are deferred whose work frees most for others.
     pub defers: bool,
     /// Late jobs go first when it is their last chance to be of use.
     pub promotes_expiring: bool,
-    /// How demand is foreseen.
+    /// How demand is forecast.
     pub demand: Foresight,
     /// How much pools provide beside what is wanted.
     pub margins: Margins,
@@ -41,10 +41,10 @@
     /// The part of a pool's processors that can be in use: tasks don't fit exactly, and what arrives
     /// varies around what is foreseen.
     pub fill: f64,
-    /// A backlog is provided for up to this part of what is wanted besides: it is gone in a second
-    /// or two, and an instance takes as long to come.
+    /// Largest backlog that is provided for, as a part of the other demand: it is gone in a second or
+    /// two, and an instance takes as long to come.
     pub most_backlog: f64,
-    /// At the height of a turn so many times what is wanted is kept, for what arrives at random.
+    /// Multiple of the demand that is kept at the peak of a turn, for random arrivals.
     pub height: f64,
     /// A rise is carried on to at most this many times the rate on top of it: a few large jobs that
     /// come together look like a steep one.
@@ -52,7 +52,7 @@
     /// An instance is kept that will be wanted within this time: switching it off and on again costs
     /// two moves.
     pub soon: Duration,
-    /// A surplus has to last so long before anything is switched off, so that a lull doesn't do it.
+    /// Time for which a surplus has to last before instances are switched off.
     pub surplus_for: Duration,
 }
 
@@ -69,12 +69,12 @@
     }
 }
 
-/// How demand is foreseen.
+/// How demand is forecast.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Foresight {
     /// By the period in which it repeats.
     pub uses_period: bool,
-    /// By its rise of late.
+    /// By its recent trend.
     pub uses_rise: bool,
     /// At the height of a turn, by what arrives.
     pub uses_height: bool,
--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -1,4 +1,4 @@
-//! Which job goes first.
+//! Ordering of waiting jobs.
 //!
 //! The load that this answers: each queue in its turn asks about five times its mean for some
 //! seconds, more than its pool holds. First come first served would then make every job late, and
