fix: places in the window aren't lost when the leader changes

Cause: a request that waited for a place could take it in the window of a later leader while it counted as one of the former leader's; given back, it wasn't found, and the place was lost until the next leadership.

Found by reading. Change: a place belongs to the window it is in.

--- a/crates/pomelohitch-sched/src/forwarding.rs
+++ b/crates/pomelohitch-sched/src/forwarding.rs
@@ -55,6 +55,12 @@
 }
 
 impl Window {
+    /// How many requests have a place.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.in_flight
+    }
+
     /// Takes a place for a request; whether there was one.
     pub fn take(&mut self) -> bool {
         let has_place = float(self.in_flight) < self.size;
--- a/pomelohitchd/src/fleet/forwarding.rs
+++ b/pomelohitchd/src/fleet/forwarding.rs
@@ -39,11 +39,18 @@
 #[derive(Debug)]
 struct Place<'a> {
     forwarding: &'a Forwarding,
+    /// Whose window it is in.
     epoch: Epoch,
     taken_at: Steady,
 }
 
 impl Forwarding {
+    /// How many requests wait for an answer of the newest leader.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.lock().window.in_flight()
+    }
+
     /// Takes a place for a request to the leader with `epoch`.
     ///
     /// # Errors
@@ -62,9 +69,10 @@
         if waited.timed_out() {
             return Err(state.window.retry_after());
         }
+        // While this waited the window of a later leader may have taken the place of the former one's.
         Ok(Place {
             forwarding: self,
-            epoch,
+            epoch: state.epoch,
             taken_at: clock::steady(),
         })
     }
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -5,7 +5,8 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Instant;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 
 use pomelohitch_route::{Head, head};
 use pomelohitchd::fleet::callers;
@@ -194,10 +195,8 @@
     assert!(taken.try_recv().is_err());
 }
 
-/// Guards against a member that goes on passing requests on to a leader whose answers don't come.
-#[test]
-fn requests_beyond_the_window_are_refused_unsent() {
-    const CALLERS: usize = 24;
+/// A leader that takes connections and answers nothing, and how many it took.
+fn silent_leader() -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let addr = listener.local_addr().expect("it is bound");
     let accepted = Arc::new(AtomicUsize::new(0));
@@ -209,22 +208,38 @@
         let kept: Vec<_> = streams.collect();
         drop(kept);
     });
-    let shared = Arc::new(Shared::new(site()));
+    (addr, accepted)
+}
+
+fn follow(shared: &Shared, epoch: u64, addr: SocketAddr) {
     let leader = Leader {
-        epoch: 1,
+        epoch,
         member: "front-a-2".into(),
         addr,
         began_ms: 1,
     };
     assert!(shared.follow(&leader, true));
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|_| {
-            let shared = shared.clone();
-            // One try takes all of its patience.
+}
+
+/// Callers at the same time, each of whose requests has one try. They are told these statuses.
+fn call_at_once(shared: &Arc<Shared>, count: usize) -> Vec<JoinHandle<u16>> {
+    let one = |_| {
+        let shared = shared.clone();
+        std::thread::spawn(move || {
             let incoming = call_with("POST", "Deadline-Ms: 1600\r\n");
-            std::thread::spawn(move || callers::answer(&shared, &incoming).status_code)
+            callers::answer(&shared, &incoming).status_code
         })
-        .collect();
+    };
+    (0..count).map(one).collect()
+}
+
+/// Guards against a member that goes on passing requests on to a leader whose answers don't come.
+#[test]
+fn requests_beyond_the_window_are_refused_unsent() {
+    let (addr, accepted) = silent_leader();
+    let shared = Arc::new(Shared::new(site()));
+    follow(&shared, 1, addr);
+    let callers = call_at_once(&shared, 24);
     let told: Vec<_> = callers
         .into_iter()
         .map(|caller| caller.join().expect("it is answered"))
@@ -234,6 +249,22 @@
     assert_eq!(accepted.load(Ordering::SeqCst), 16);
 }
 
+/// Guards against places that are lost for good when the leader changes while requests wait for one.
+#[test]
+fn every_place_in_the_window_is_given_back_when_the_leader_changes() {
+    let (addr, _) = silent_leader();
+    let shared = Arc::new(Shared::new(site()));
+    follow(&shared, 1, addr);
+    let callers = call_at_once(&shared, 24);
+    std::thread::sleep(Duration::from_millis(100));
+    follow(&shared, 2, leader(&[REFUSED_LATER]));
+    assert_eq!(callers::answer(&shared, &post()).status_code, 503);
+    for caller in callers {
+        caller.join().expect("it is answered");
+    }
+    assert_eq!(shared.forwarding.in_flight(), 0);
+}
+
 /// A read has no effect, so that it can always be repeated: callers are told when.
 #[test]
 fn a_read_without_an_answer_was_not_done() {
