refactor: what an answer of the leader says, in a function of its own

The answer of a process to a request that was passed on is read in `understand`; tests of callers share how a member learns of a leader. Same behaviour, same tests.

--- a/pomelohitchd/src/fleet/forwarding.rs
+++ b/pomelohitchd/src/fleet/forwarding.rs
@@ -4,7 +4,7 @@
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use pomelohitch_adapter::call::{Effect, Request};
+use pomelohitch_adapter::call::{self, Effect, Request};
 use pomelohitch_sched::forwarding::Window;
 use pomelohitch_sched::order::Answer;
 use pomelohitch_sched::{Epoch, Steady};
@@ -176,6 +176,7 @@
     }
 }
 
+/// Passes a request on with this method; only with its own it carries the body.
 fn send(
     shared: &Shared,
     leader: &Leader,
@@ -203,21 +204,7 @@
         },
     );
     match answer {
-        Ok(answer) => match answer.header(wire::LEADER_EPOCH).map(str::parse) {
-            Some(answered_by) => {
-                let retry_after = answer.header("Retry-After").map(str::to_owned);
-                let refused_ms = answer.header(wire::QUEUE_REFUSED_MS);
-                let refused_ms = refused_ms.and_then(|ms| ms.parse().ok());
-                Try::Answered(Reply {
-                    // Without a number the answer settles no doubt about an earlier try.
-                    epoch: answered_by.unwrap_or(0),
-                    response: json(answer.status, answer.body, retry_after),
-                    queue_refused_for: refused_ms.map(Duration::from_millis),
-                })
-            }
-            None if answer.status == 504 => Try::Unknown(epoch),
-            None => Try::Undone,
-        },
+        Ok(answer) => understand(answer, epoch),
         Err(error) => {
             info!(%error, "leader didn't answer");
             match error.effect() {
@@ -227,3 +214,24 @@
         }
     }
 }
+
+/// What the answer of a process says that was taken for the leader with `epoch`.
+fn understand(answer: call::Answer, epoch: Epoch) -> Try {
+    let Some(answered_by) = answer.header(wire::LEADER_EPOCH) else {
+        return if answer.status == 504 {
+            Try::Unknown(epoch)
+        } else {
+            Try::Undone
+        };
+    };
+    // Without a number the answer settles no doubt about an earlier try.
+    let epoch = answered_by.parse().unwrap_or(0);
+    let retry_after = answer.header("Retry-After").map(str::to_owned);
+    let refused_ms = answer.header(wire::QUEUE_REFUSED_MS);
+    let refused_ms = refused_ms.and_then(|ms| ms.parse().ok());
+    Try::Answered(Reply {
+        epoch,
+        queue_refused_for: refused_ms.map(Duration::from_millis),
+        response: json(answer.status, answer.body, retry_after),
+    })
+}
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -94,19 +94,24 @@
     }
 }
 
+/// Lets a member know of this leader.
+fn follow(shared: &Shared, epoch: u64, addr: SocketAddr) {
+    let leader = Leader {
+        epoch,
+        member: "front-a-2".into(),
+        addr,
+        began_ms: 1,
+    };
+    assert!(shared.follow(&leader, true));
+}
+
 fn told(addr: SocketAddr) -> (u16, bool) {
     told_of(addr, &post())
 }
 
 fn told_of(addr: SocketAddr, incoming: &Incoming) -> (u16, bool) {
     let shared = Shared::new(site());
-    let leader = Leader {
-        epoch: 1,
-        member: "front-a-2".into(),
-        addr,
-        began_ms: 1,
-    };
-    shared.follow(&leader, true);
+    follow(&shared, 1, addr);
     let response = callers::answer(&shared, incoming);
     let has_retry = response
         .headers
@@ -158,13 +163,7 @@
         X-Queue-Refused-Ms: 9000\r\nContent-Length: 2\r\n\r\n{}";
     let (addr, methods) = noting_leader(&[QUEUE_REFUSED, GONE, ACCEPTED]);
     let shared = Shared::new(site());
-    let leader = Leader {
-        epoch: 1,
-        member: "front-a-2".into(),
-        addr,
-        began_ms: 1,
-    };
-    shared.follow(&leader, true);
+    follow(&shared, 1, addr);
     let told = [(); 3].map(|()| callers::answer(&shared, &post()).status_code);
     assert_eq!(told, [503, 503, 200]);
     let methods = methods.lock().expect("no test panics here");
@@ -211,16 +210,6 @@
     (addr, accepted)
 }
 
-fn follow(shared: &Shared, epoch: u64, addr: SocketAddr) {
-    let leader = Leader {
-        epoch,
-        member: "front-a-2".into(),
-        addr,
-        began_ms: 1,
-    };
-    assert!(shared.follow(&leader, true));
-}
-
 /// Callers at the same time, each of whose requests has one try. They are told these statuses.
 fn call_at_once(shared: &Arc<Shared>, count: usize) -> Vec<JoinHandle<u16>> {
     let one = |_| {
@@ -314,13 +303,7 @@
         }
     });
     let shared = Arc::new(Shared::new(site()));
-    let leader = Leader {
-        epoch: 1,
-        member: "front-a-2".into(),
-        addr,
-        began_ms: 1,
-    };
-    assert!(shared.follow(&leader, true));
+    follow(&shared, 1, addr);
     for _ in 0..CALLERS {
         let shared = shared.clone();
         let caller = std::thread::spawn(move || callers::answer(&shared, &post()).status_code);
