fix: an accepted job is confirmed only once its record is durable

Cause: while the leader refuses new jobs of a queue, members asked for a job's state and took any state for proof that an earlier try was accepted. Besides, a question that wasn't answered gave its place in the window back as unsent, so that the window didn't shrink.

Change: a question of its own (`Verb::Confirm`), a POST without its body. The scheduler answers it as it answers a second try, behind the records of the first, and with Gone where the job isn't held. The window takes in how the call ended before that is interpreted.

Tests: a confirmation that comes while the record is on its way waits for it (new); members send a POST without a body where they sent a GET (the test of refused queues, which now checks that as well). Ruled out: a HEAD or GET that waits for records, since states are asked for often and wait for nothing.

--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -47,6 +47,8 @@
 pub enum Verb {
     /// Accept a job; or why what came isn't one.
     Submit(Result<Draft, Box<str>>),
+    /// Say whether a job that was handed in before is accepted, once that is durable.
+    Confirm,
     /// Tell a state, or how many wait.
     Read,
     /// Cancel a job.
@@ -95,7 +97,9 @@
         let name = &call.path[queue.prefix.len()..];
         match (&call.verb, name, id::parse_job(name)) {
             (Verb::Read, "", _) => Some(Answer::Waiting(self.waiting(queue))),
-            (Verb::Submit(_), _, Ok(job)) if self.holds_for(job, workspace.as_ref()) => {
+            (Verb::Submit(_) | Verb::Confirm, _, Ok(job))
+                if self.holds_for(job, workspace.as_ref()) =>
+            {
                 self.gated.push(accepted(call.id));
                 None
             }
@@ -104,7 +108,7 @@
             }
             (Verb::Submit(Err(reason)), _, Ok(_)) => Some(Answer::Malformed(reason.clone())),
             (Verb::Submit(_), _, Err(error)) => Some(Answer::Malformed(error.to_string().into())),
-            (_, _, Err(_)) => Some(Answer::Gone),
+            (Verb::Confirm, ..) | (_, _, Err(_)) => Some(Answer::Gone),
             (Verb::Read, _, Ok(job)) => Some(self.read(job, workspace.as_ref())),
             (Verb::Cancel, _, Ok(job)) => self.cancel(call.id, job, workspace.as_ref()),
         }
--- a/crates/pomelohitch-sched/tests/cell/calls.rs
+++ b/crates/pomelohitch-sched/tests/cell/calls.rs
@@ -1,5 +1,7 @@
 //! What callers ask and are told.
 
+use std::time::Duration;
+
 use pomelohitch_sched::cell::calls::Verb;
 use pomelohitch_sched::job::StepSpec;
 use pomelohitch_sched::order::Answer;
@@ -134,3 +136,22 @@
     fleet.pass(1);
     assert_eq!(fleet.replies[&call], Answer::Waiting(2));
 }
+
+/// Guards against a job that is told to be accepted while its record is on its way.
+#[test]
+fn an_accepted_job_is_confirmed_once_its_record_is_durable() {
+    let mut fleet = Fleet::new(1);
+    fleet.pass(40);
+    fleet.log_delay = Duration::from_millis(300);
+    let submitted = fleet.submit("00000000000000a1", job(vec![step(1, 500, 5_000)]));
+    fleet.pass(3);
+    let confirmed = fleet.call("/q/00000000000000a1", Verb::Confirm);
+    let unknown = fleet.call("/q/00000000000000a2", Verb::Confirm);
+    fleet.pass(3);
+    assert_eq!(fleet.replies.get(&unknown), Some(&Answer::Gone));
+    assert_eq!(fleet.replies.get(&confirmed), None);
+    fleet.pass(100);
+    assert_eq!(fleet.replies.get(&submitted), Some(&Answer::Accepted));
+    assert_eq!(fleet.replies.get(&confirmed), Some(&Answer::Accepted));
+    assert!(fleet.cell.job(0xa2).is_none());
+}
--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -247,6 +247,7 @@
     within: Duration,
 ) -> Try {
     let verb = match &*incoming.head.method {
+        "POST" if incoming.head.headers.get(wire::CONFIRM).is_some() => Verb::Confirm,
         "POST" => Verb::Submit(format::draft(&incoming.body)),
         "GET" | "HEAD" => Verb::Read,
         "DELETE" => Verb::Cancel,
@@ -310,7 +311,7 @@
     scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
 }
 
-pub(super) fn respond(answer: &Answer) -> Response {
+fn respond(answer: &Answer) -> Response {
     let reply = format::reply(answer);
     json(
         reply.status,
--- a/pomelohitchd/src/fleet/forwarding.rs
+++ b/pomelohitchd/src/fleet/forwarding.rs
@@ -6,11 +6,10 @@
 
 use pomelohitch_adapter::call::{self, Effect, Request};
 use pomelohitch_sched::forwarding::Window;
-use pomelohitch_sched::order::Answer;
 use pomelohitch_sched::{Epoch, Steady};
 use tracing::info;
 
-use super::callers::{GONE, Reply, Try, json, respond};
+use super::callers::{GONE, Reply, Try, json};
 use super::clock;
 use super::shared::Shared;
 use super::wire::{self, Leader};
@@ -130,10 +129,12 @@
     let queue = queue(incoming);
     let refused_for = shared.forwarding.refused_for(leader.epoch, &queue);
     let refused_for = refused_for.filter(|_| &*incoming.head.method == "POST");
-    let sent = match refused_for {
-        Some(time) => ask_instead(shared, leader, incoming, within, time),
-        None => send(shared, leader, incoming, &incoming.head.method, within),
+    let what = if refused_for.is_some() {
+        Sent::Question
+    } else {
+        Sent::Whole
     };
+    let sent = send(shared, leader, incoming, what, within);
     match &sent {
         Try::Answered(reply) => {
             if let Some(time) = reply.queue_refused_for {
@@ -142,10 +143,23 @@
             place.free(Window::answered);
         }
         Try::Unknown(_) => place.free(Window::gave_up),
-        Try::Full(_) => place.free(Window::answered),
-        Try::Undone => place.free(|window, _, _| window.unsent()),
+        Try::Undone | Try::Full(_) => place.free(|window, _, _| window.unsent()),
     }
-    sent
+    match (refused_for, sent) {
+        (Some(time), Try::Answered(reply)) if reply.response.status_code == GONE => Try::Full(time),
+        (Some(_), Try::Unknown(_)) => Try::Undone,
+        (_, sent) => sent,
+    }
+}
+
+/// What is sent of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Sent {
+    /// All of it.
+    Whole,
+    /// Whether its job was accepted before, while the leader refuses new jobs of the queue: a fraction
+    /// of the job's size.
+    Question,
 }
 
 /// Whose jobs a request is about: the host, and the path without the last part.
@@ -156,32 +170,11 @@
     format!("{host}{prefix}").into()
 }
 
-/// Asks for a job's state in place of handing it in, while the leader refuses new jobs of its queue: an
-/// earlier try may have been accepted, and the question is a fraction of the job's size.
-fn ask_instead(
-    shared: &Shared,
-    leader: &Leader,
-    incoming: &Incoming,
-    within: Duration,
-    refused_for: Duration,
-) -> Try {
-    match send(shared, leader, incoming, "GET", within) {
-        Try::Answered(reply) if reply.response.status_code == 200 => Try::Answered(Reply {
-            response: respond(&Answer::Accepted),
-            ..reply
-        }),
-        Try::Answered(reply) if reply.response.status_code == GONE => Try::Full(refused_for),
-        Try::Unknown(_) => Try::Undone,
-        other => other,
-    }
-}
-
-/// Passes a request on with this method; only with its own it carries the body.
 fn send(
     shared: &Shared,
     leader: &Leader,
     incoming: &Incoming,
-    method: &str,
+    what: Sent,
     within: Duration,
 ) -> Try {
     let epoch = leader.epoch;
@@ -192,13 +185,19 @@
     let mut headers = vec![(wire::CALLER_HOST, host), (wire::FOR_EPOCH, &for_epoch)];
     let key = head.headers.get("Authorization");
     headers.extend(key.map(|key| ("Authorization", key)));
-    let has_body = !incoming.body.is_empty() && method == &*head.method;
+    let body = match what {
+        Sent::Whole => (!incoming.body.is_empty()).then_some(&incoming.body[..]),
+        Sent::Question => {
+            headers.push((wire::CONFIRM, "1"));
+            Some(&[][..])
+        }
+    };
     let answer = shared.leader_client(leader.addr).pass_on(
-        method,
+        &head.method,
         &Request {
             step: "pass on",
             path: &path,
-            body: has_body.then_some(&incoming.body[..]),
+            body,
             headers: &headers,
             within,
         },
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -19,6 +19,8 @@
 /// On a request that is passed on: the epoch of the leader that it is for. No other leadership takes
 /// it, so that one that arrives late has no effect once a later leader has answered.
 pub const FOR_EPOCH: &str = "X-For-Epoch";
+/// On a POST that is passed on without its body: only whether the job was accepted before is asked.
+pub const CONFIRM: &str = "X-Confirm";
 /// On an answer to a request that was passed on: the epoch of the leader that gave it. An answer
 /// without it comes from a process that doesn't lead, or not any more, and didn't touch it.
 pub const LEADER_EPOCH: &str = "X-Leader-Epoch";
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -35,7 +35,7 @@
     noting_leader(answers).0
 }
 
-/// The same, with the methods of the requests that it was sent.
+/// The same, with the methods of the requests that it was sent, and which of them only ask.
 fn noting_leader(answers: &[&'static str]) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
     let methods = Arc::new(Mutex::new(Vec::new()));
     let noted = methods.clone();
@@ -54,7 +54,14 @@
                     continue;
                 }
                 let mut noted = noted.lock().expect("no test panics here");
-                noted.push(method.to_owned());
+                let asks = text.to_lowercase().contains("x-confirm: 1");
+                let has_body = !text.to_lowercase().contains("content-length: 0");
+                noted.push(match (asks, has_body) {
+                    (true, false) => format!("{method} question"),
+                    (true, true) => format!("{method} question with a body"),
+                    _ => method.to_owned(),
+                });
+                buf.fill(0);
                 drop(noted);
                 let mut answers = answers.lock().expect("no test panics here");
                 let answer = answers[0];
@@ -167,7 +174,7 @@
     let told = [(); 3].map(|()| callers::answer(&shared, &post()).status_code);
     assert_eq!(told, [503, 503, 200]);
     let methods = methods.lock().expect("no test panics here");
-    assert_eq!(*methods, ["POST", "GET", "GET"]);
+    assert_eq!(*methods, ["POST", "POST question", "POST question"]);
 }
 
 /// Guards against a 504 for a request of which a later leader knows that it hasn't run.
