feat: lost runs are logged with endpoint, incarnation and cause, and counted by cause

What the incident's log couldn't tell: whether a run was lost with its endpoint, with which incarnation, beside what, and whether the endpoint's end was announced. `run lost` now says so, `runs_lost` counts by cause. A run whose endpoint restarts under its id keeps what was known of it then, until the new incarnation shows whether it is there. No decision changes; the tests of the scheduler and the emulator pass as before.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -4,6 +4,7 @@
 //! * `archive`: records of jobs that have ended.
 //! * [`books`]: jobs, runs, and the room and bounds that runs take up.
 //! * [`ends`]: ends of runs and jobs.
+//! * [`losses`]: runs that are lost, most of them with their endpoints.
 //! * [`lives`]: endpoints come, restart and go.
 //! * [`looks`]: what endpoints say.
 //! * [`orders`]: how orders to endpoints ended.
@@ -33,6 +34,7 @@
 use crate::id::{EndpointId, Epoch, JobId, QueueName, ServiceName, WorkspaceName};
 use crate::instances::Instances;
 use crate::job::JobSpec;
+use crate::loss::LossCounts;
 use crate::order::{Action, Due, Order, Outcome, Refusal, Target};
 use crate::policy::Policy;
 use crate::progress::{self, Entry, JobState, Progress, Record};
@@ -51,6 +53,7 @@
 pub mod follow;
 pub mod lives;
 pub mod looks;
+pub mod losses;
 pub mod orders;
 pub mod schedule;
 pub mod stalls;
@@ -229,6 +232,7 @@
     dropped: BTreeMap<JobId, bool>,
     extra_records: Vec<Record>,
     noted: BTreeSet<EndpointId>,
+    lost: LossCounts,
     outbox: Vec<Action>,
     gated: Vec<Action>,
     is_fenced: bool,
@@ -333,6 +337,7 @@
             dropped: BTreeMap::new(),
             extra_records: Vec::new(),
             noted: BTreeSet::new(),
+            lost: LossCounts::new(),
             outbox: Vec::new(),
             gated: Vec::new(),
             is_fenced: false,
--- a/crates/pomelohitch-sched/src/cell/ends.rs
+++ b/crates/pomelohitch-sched/src/cell/ends.rs
@@ -13,15 +13,6 @@
 const COUNT_FADE: f64 = 0.9;
 
 impl Cell {
-    /// A run is gone without an end of its own.
-    pub(super) fn run_lost(&mut self, task: TaskId, run: RunNumber, why: &'static str) {
-        if self.forget_run(task, run) {
-            warn!(%task, run, why, "run lost");
-            self.close_done(task.job);
-            self.index(task.job);
-        }
-    }
-
     /// Takes in the end of a run.
     pub(super) fn run_ended(
         &mut self,
@@ -147,7 +138,7 @@
     }
 
     /// Closes occurrences that are done and of which nothing runs any more.
-    fn close_done(&mut self, id: JobId) {
+    pub(super) fn close_done(&mut self, id: JobId) {
         if let Some(job) = self.jobs.get_mut(&id) {
             job.progress.open.retain(|_, o| {
                 let has_runs = o.steps.iter().flatten().any(|t| !t.runs.is_empty());
--- a/crates/pomelohitch-sched/src/cell/lives.rs
+++ b/crates/pomelohitch-sched/src/cell/lives.rs
@@ -6,7 +6,8 @@
 
 use super::Cell;
 use crate::endpoint::{Endpoint, Report};
-use crate::id::{EndpointId, RunNumber, TaskId};
+use crate::id::EndpointId;
+use crate::loss::LossCause;
 
 impl Cell {
     /// Takes in an entry of the platform's list.
@@ -57,6 +58,7 @@
     /// An order that was under way meanwhile may have reached the new life, so that its runs stay
     /// in the books until a look at the new life shows which of them are there.
     pub(super) fn reborn(&mut self, id: &EndpointId, born: u64) {
+        let losses = self.losses_at(id, self.cause_of_end(id), "its endpoint restarted");
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
@@ -69,11 +71,11 @@
         fresh.used = endpoint.used;
         fresh.lasting = endpoint.lasting;
         fresh.look = endpoint.look;
-        let runs: Vec<_> = fresh.runs.keys().copied().collect();
         *endpoint = fresh;
-        for (task, run) in runs {
+        for (task, run, loss) in losses {
             if let Some(r) = self.run_mut(task, run) {
                 r.born = born;
+                r.view.loss.get_or_insert(loss);
             }
         }
         self.hurry_look(id);
@@ -81,12 +83,15 @@
 
     /// An endpoint's life has surely ended: its instance was taken down, or lives another one.
     pub(super) fn endpoint_gone(&mut self, id: &EndpointId, why: &'static str) {
+        let cause = self.cause_of_end(id);
+        let losses = self.losses_at(id, cause, why);
         let Some(endpoint) = self.endpoints.remove(id) else {
             return;
         };
-        warn!(endpoint = %id, runs = endpoint.runs.len(), why, "endpoint gone");
-        for (task, run) in endpoint.runs.into_keys() {
-            self.run_lost(task, run, why);
+        warn!(endpoint = %id, born = endpoint.born, runs = endpoint.runs.len(), ?cause, why,
+            "endpoint gone");
+        for (task, run, loss) in losses {
+            self.run_lost(task, run, loss);
         }
     }
 
@@ -99,12 +104,12 @@
             .endpoints
             .iter()
             .filter(|(_, e)| !e.is_fresh(now, fresh) && e.is_lapsed(now, unread_until))
-            .map(|(id, e)| (id.clone(), e.is_listed, e.runs.keys().copied().collect()))
+            .map(|(id, e)| (id.clone(), e.is_listed))
             .collect();
-        for (id, is_listed, runs) in lapsed {
-            let runs: Vec<(TaskId, RunNumber)> = runs;
-            for (task, run) in runs {
-                self.run_lost(task, run, "its lease has lapsed");
+        for (id, is_listed) in lapsed {
+            for (task, run, loss) in self.losses_at(&id, LossCause::Silence, "its lease has lapsed")
+            {
+                self.run_lost(task, run, loss);
             }
             if !is_listed {
                 self.endpoints.remove(&id);
--- a/crates/pomelohitch-sched/src/cell/looks.rs
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -242,6 +242,7 @@
         if !matches!(run.view.phase, Phase::Taken { .. }) {
             run.view.phase = Phase::Taken { at };
         }
+        run.view.loss = None;
         let is_first = run.view.seen_at.is_none();
         run.view.seen_at.get_or_insert(at);
         if is_first || run.view.percent != running.percent {
@@ -330,16 +331,18 @@
         };
         let view = run.view;
         match view.phase {
-            Phase::Recorded => self.run_lost(task, number, "a former leader's, not there"),
+            Phase::Recorded => {
+                self.run_missing(task, number, "a former leader's, not there");
+            }
             Phase::Taken { at } if look.sent_at > at => {
-                self.run_lost(task, number, "taken, but not there");
+                self.run_missing(task, number, "taken, but not there");
             }
             Phase::Ordered | Phase::Taken { .. } => {}
             Phase::Unanswered => {
                 let is_void = view.void_after.is_some_and(|until| look.clock > until);
                 let is_rejected = view.stop_acked_at.is_some_and(|at| look.sent_at > at);
                 if is_void || is_rejected {
-                    self.run_lost(task, number, "its start was not carried out");
+                    self.run_not_started(task, number, "its start was not carried out");
                 } else if !self.step(task).is_some_and(|s| s.is_lasting) {
                     // A stop may overtake the start, or follow it. One that ends a lasting task that
                     // has begun takes away more of its step than the step may miss.
--- a/crates/pomelohitch-sched/src/cell/orders.rs
+++ b/crates/pomelohitch-sched/src/cell/orders.rs
@@ -70,7 +70,7 @@
                 if *refusal == Refusal::Ticket {
                     self.advice.remove(&TaskId { index: 0, ..task });
                 }
-                self.run_lost(task, run, "its start was refused");
+                self.run_not_started(task, run, "its start was refused");
             }
         }
         self.hurry_look(&target.id);
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`evacuations`]: availability zones in which nothing may start.
 //! * [`flow`]: how many starts may be under way.
 //! * [`forwarding`]: how many requests of callers may wait for the leader's answer.
+//! * [`loss`]: how runs are lost.
 //! * [`order`]: what goes out and how it ended.
 //! * [`place`]: which endpoint takes a task.
 //! * [`urgency`]: which job goes first.
@@ -36,6 +37,7 @@
 pub mod id;
 pub mod instances;
 pub mod job;
+pub mod loss;
 pub mod order;
 pub mod place;
 pub mod policy;
--- a/crates/pomelohitch-sched/src/progress.rs
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -14,6 +14,7 @@
 
 use crate::id::{EndpointId, JobId, RunNumber, TaskId, job_text};
 use crate::job::{self, JobSpec, StepSpec};
+use crate::loss::Loss;
 use crate::{Steady, UnixMs};
 
 use self::stored::Stored;
@@ -120,6 +121,8 @@
     pub void_after: Option<Duration>,
     /// The share that it is paced to; `None` for all.
     pub pace: Option<u32>,
+    /// How it is lost if the endpoint's new incarnation doesn't list it.
+    pub loss: Option<Loss>,
 }
 
 /// How far a start is.
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -264,6 +264,7 @@
             self.cell
                 .tick_took(clock::steady().saturating_sub(now.steady));
             self.carry_out(actions);
+            self.count_losses();
             self.commit();
             self.check_store();
             self.check_size();
@@ -272,6 +273,12 @@
         }
     }
 
+    fn count_losses(&mut self) {
+        for (cause, count) in self.cell.take_losses() {
+            metrics::counter!("runs_lost", "cause" => cause.label()).increment(count);
+        }
+    }
+
     pub(super) fn stop(&mut self, why: &'static str, successor: Option<SocketAddr>) {
         self.end.get_or_insert(End { why, successor });
     }
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -184,6 +184,13 @@
         labels: "",
         about: "How long appends of the leader to the platform's store took.",
     },
+    Metric {
+        name: "runs_lost",
+        kind: Kind::Counter,
+        unit: "runs",
+        labels: "cause",
+        about: "Runs that were gone without an end of their own, at the leader, by what that is put down to.",
+    },
     gauge(
         "evacuated_zones",
         "zones",
