test: a task that crashes each endpoint that starts it is started without end (known red)

The emulator gets tasks that crash their endpoints, instances that come back after it, and the check of the rule: three more starts after three crashes break it.

--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Endpoints, instances, a log and callers in virtual time, with the faults that are asked for.
 //!
 //! Each start is checked against the promises: room, one run of a task at a time, steps in order,
-//! none after a noted end, none in an evacuated zone.
+//! none after a noted end, none in an evacuated zone, and few of a task that crashes its endpoints.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
@@ -16,11 +16,13 @@
 use pomelohitch_sched::order::{Answer, LookFailure, LookOrder, Operation};
 use pomelohitch_sched::{Cell, EndpointId, Now, Resources, Settings, Steady, TaskId, ZoneName};
 
+pub use self::crashes::Crashes;
 pub use self::endpoint::Endpoint;
 pub use self::faults::Faults;
 use self::faults::{Delayed, Luck};
 pub use self::link::Link;
 
+mod crashes;
 mod endpoint;
 pub(crate) mod faults;
 mod instances;
@@ -90,6 +92,8 @@
     pub loses_operations: bool,
     /// Faults that strike at random.
     pub faults: Faults,
+    /// Tasks that crash their endpoints.
+    pub crashes: Crashes,
     /// Answers by the call's number.
     pub replies: BTreeMap<u64, Answer>,
     /// What was told of waves: number, and whether it is completed.
@@ -235,6 +239,7 @@
             lives: 100,
             loses_operations: false,
             faults: Faults::default(),
+            crashes: Crashes::default(),
             replies: BTreeMap::new(),
             statuses: Vec::new(),
             operations: Vec::new(),
@@ -438,6 +443,7 @@
             for endpoint in self.endpoints.values_mut() {
                 endpoint.pass(STEP);
             }
+            self.crash_due();
             self.return_instances();
             self.end_delayed();
             self.carry_link();
--- /dev/null
+++ b/crates/pomelohitch-emulator/src/fleet/crashes.rs
@@ -0,0 +1,128 @@
+//! Tasks that crash the endpoints that start them, and the check of how often they are started.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use pomelohitch_sched::instances::{Instance, InstanceState};
+use pomelohitch_sched::{EndpointId, JobId, Steady, TaskId};
+
+use super::Fleet;
+
+/// So many endpoints may crash under a task before further starts of it count.
+const UNCOUNTED: u32 = 3;
+/// So many counted starts break the promise.
+const TOO_MANY: u32 = 3;
+
+/// Which tasks crash their endpoints, and what has come of it.
+#[derive(Debug)]
+pub struct Crashes {
+    /// Tasks that crash each endpoint that starts them.
+    pub tasks: BTreeSet<TaskId>,
+    /// How long after its start.
+    pub after: Duration,
+    /// How long an instance is down after a crash.
+    pub down: Duration,
+    /// Endpoints that crashed under each of the tasks.
+    pub under: BTreeMap<TaskId, u32>,
+    /// Endpoints that have crashed.
+    pub(super) ended: BTreeSet<EndpointId>,
+    /// Starts of each after that many crashes.
+    more: BTreeMap<TaskId, u32>,
+    due: Vec<(Steady, EndpointId)>,
+}
+
+impl Default for Crashes {
+    fn default() -> Self {
+        Crashes {
+            tasks: BTreeSet::new(),
+            after: Duration::from_millis(10),
+            down: Duration::from_secs(3),
+            under: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            more: BTreeMap::new(),
+            due: Vec::new(),
+        }
+    }
+}
+
+impl Crashes {
+    /// Makes the first task of a job one that crashes its endpoints.
+    pub fn by_first_task_of(&mut self, job: JobId) {
+        self.tasks.insert(TaskId {
+            job,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        });
+    }
+
+    /// How many endpoints crashed in all.
+    #[must_use]
+    pub fn count(&self) -> u32 {
+        self.under.values().sum()
+    }
+
+    /// Takes in a start; returns whether it is one too many.
+    fn started(&mut self, task: TaskId, at: &EndpointId, now: Steady) -> bool {
+        if !self.tasks.contains(&task) {
+            return false;
+        }
+        self.due.push((now + self.after, at.clone()));
+        if self.under.get(&task).is_none_or(|&under| under < UNCOUNTED) {
+            return false;
+        }
+        let more = self.more.entry(task).or_default();
+        *more += 1;
+        *more == TOO_MANY
+    }
+}
+
+impl Fleet {
+    /// Takes in a start of a task that may crash its endpoint.
+    pub(super) fn note_crashing(&mut self, task: TaskId, at: &EndpointId) {
+        if self.crashes.started(task, at, self.now.steady) {
+            self.broken.push(format!(
+                "{task} starts {TOO_MANY} times more after {UNCOUNTED} crashes"
+            ));
+        }
+    }
+
+    /// Endpoints crash whose time has come; another one lives on the instance after a while.
+    pub(super) fn crash_due(&mut self) {
+        let now = self.now.steady;
+        let due = self.crashes.due.extract_if(.., |(at, _)| *at <= now);
+        for (_, id) in due.collect::<Vec<_>>() {
+            let Some(endpoint) = self.endpoints.get(&id) else {
+                continue;
+            };
+            for task in endpoint.running() {
+                if self.crashes.tasks.contains(&task) {
+                    *self.crashes.under.entry(task).or_default() += 1;
+                }
+            }
+            self.crash_for(&id, self.crashes.down);
+        }
+    }
+
+    /// The endpoint crashes; another one lives on its instance after `down`.
+    pub fn crash_for(&mut self, id: &str, down: Duration) {
+        if !self.endpoints.contains_key(id) {
+            return;
+        }
+        let on = |i: &&mut Instance| i.endpoint.as_deref() == Some(id);
+        let instance = self.instances.values_mut().find(on);
+        let Some(instance) = instance else {
+            return;
+        };
+        instance.endpoint = None;
+        instance.state = InstanceState::Down;
+        let back = (
+            self.now.steady + down,
+            instance.id.clone(),
+            instance.pool.clone(),
+        );
+        self.returning.push(back);
+        self.endpoints.remove(id);
+        self.crashes.ended.insert(id.into());
+    }
+}
--- a/crates/pomelohitch-emulator/src/fleet/orders.rs
+++ b/crates/pomelohitch-emulator/src/fleet/orders.rs
@@ -91,8 +91,11 @@
     pub(super) fn order(&mut self, target: &Target, order: &Order, epoch: u64) -> Outcome {
         let Some(endpoint) = self.endpoints.get_mut(&target.id) else {
             let is_start = matches!(order, Order::Start { .. });
-            self.broken
-                .extend(is_start.then(|| format!("a start for {}, which was moved", target.id)));
+            let has_moved = !self.crashes.ended.contains(&target.id);
+            self.broken.extend(
+                (is_start && has_moved)
+                    .then(|| format!("a start for {}, which was moved", target.id)),
+            );
             return Outcome::Refused(Refusal::Elsewhere);
         };
         if endpoint.is_silent {
@@ -114,6 +117,7 @@
         {
             self.starts.push((*task, *run, target.id.clone()));
             self.check_start(*task, &target.id, &spec.steps[usize::from(task.step)]);
+            self.note_crashing(*task, &target.id);
         }
         if loses_answers {
             Outcome::Unanswered
--- a/crates/pomelohitch-sched/tests/cell.rs
+++ b/crates/pomelohitch-sched/tests/cell.rs
@@ -4,6 +4,8 @@
 
 #[path = "cell/calls.rs"]
 mod calls;
+#[path = "cell/crashes.rs"]
+mod crashes;
 #[path = "cell/ends.rs"]
 mod ends;
 #[path = "cell/evacuation.rs"]
