fix: a task that crashes each endpoint that starts it is given up after three

Cause: runs that are lost with their endpoint left by a way of their own that only took them out of the books. Attempts were counted where an endpoint lists an end, which one that crashed never does: a retry without a bound that lasts. The failing test had it under one leader with all records at hand, so that a lost count (hypothesis 2) and starts sent twice (3) are ruled out.

Change: each task has a durable count of the endpoints that were lost under it, written with the removal of the run from its record, so that a loss counts once, whoever leads. Ends that were announced or ordered don't count; a cut that turns out to be one is taken back. What is lost isn't proof: everything on the endpoint goes with it. A run seen at work for a while is taken for sound, the jobs of the others are suspected and run apart, all tasks of a job together, on an endpoint that takes nothing else until they have been at work for a while. Given up is a task after three losses, two of them crashes that only its job can have caused; after four, two of them certain; after five in any case, which is what the platform allows. Callers read the reason with the state.

Ruled out: counting alone.

--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -313,6 +313,7 @@
 
     /// The endpoint's process ends and starts again under its id. Calls that wait there break off.
     pub fn restart(&mut self, id: &str) {
+        self.note_crash(id);
         let endpoint = self.endpoint(id);
         let mut report = endpoint.report.clone();
         report.born += 1;
@@ -330,6 +331,7 @@
     /// The instance of an endpoint loses power: nothing runs there, and the platform lists it as
     /// down.
     pub fn crash(&mut self, id: &str) {
+        self.note_crash(id);
         let endpoint = self.endpoint(id);
         endpoint.is_silent = true;
         endpoint.runs.clear();
--- a/crates/pomelohitch-emulator/src/fleet/crashes.rs
+++ b/crates/pomelohitch-emulator/src/fleet/crashes.rs
@@ -22,7 +22,7 @@
     pub after: Duration,
     /// How long an instance is down after a crash.
     pub down: Duration,
-    /// Endpoints that crashed under each of the tasks.
+    /// Endpoints that crashed under each task that crashes them or ran beside.
     pub under: BTreeMap<TaskId, u32>,
     /// Endpoints that have crashed.
     pub(super) ended: BTreeSet<EndpointId>,
@@ -56,10 +56,14 @@
         });
     }
 
-    /// How many endpoints crashed in all.
+    /// How many endpoints crashed under the tasks that crash them.
     #[must_use]
     pub fn count(&self) -> u32 {
-        self.under.values().sum()
+        let own = self
+            .under
+            .iter()
+            .filter(|(task, _)| self.tasks.contains(task));
+        own.map(|(_, count)| count).sum()
     }
 
     /// Takes in a start; returns whether it is one too many.
@@ -92,18 +96,28 @@
         let now = self.now.steady;
         let due = self.crashes.due.extract_if(.., |(at, _)| *at <= now);
         for (_, id) in due.collect::<Vec<_>>() {
-            let Some(endpoint) = self.endpoints.get(&id) else {
-                continue;
-            };
-            for task in endpoint.running() {
-                if self.crashes.tasks.contains(&task) {
-                    *self.crashes.under.entry(task).or_default() += 1;
-                }
-            }
             self.crash_for(&id, self.crashes.down);
         }
     }
 
+    /// How many endpoints crashed under the task of the job that most crashed under.
+    #[must_use]
+    pub fn crashes_under(&self, job: JobId) -> u32 {
+        let own = self
+            .crashes
+            .under
+            .iter()
+            .filter(|(task, _)| task.job == job);
+        own.map(|(_, &count)| count).max().unwrap_or(0)
+    }
+
+    pub(super) fn note_crash(&mut self, id: &str) {
+        let endpoint = self.endpoints.get(id);
+        for task in endpoint.map(super::Endpoint::running).unwrap_or_default() {
+            *self.crashes.under.entry(task).or_default() += 1;
+        }
+    }
+
     /// The endpoint crashes; another one lives on its instance after `down`.
     pub fn crash_for(&mut self, id: &str, down: Duration) {
         if !self.endpoints.contains_key(id) {
@@ -116,6 +130,8 @@
         };
         instance.endpoint = None;
         instance.state = InstanceState::Down;
+        let instance = instance.clone();
+        self.note_crash(id);
         let back = (
             self.now.steady + down,
             instance.id.clone(),
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -4,6 +4,7 @@
 //! * `archive`: records of jobs that have ended.
 //! * [`books`]: jobs, runs, and the room and bounds that runs take up.
 //! * [`ends`]: ends of runs and jobs.
+//! * `isolation`: suspected jobs run apart from others.
 //! * [`losses`]: runs that are lost, most of them with their endpoints.
 //! * [`lives`]: endpoints come, restart and go.
 //! * [`looks`]: what endpoints say.
@@ -51,6 +52,7 @@
 pub mod evacuate;
 pub mod evict;
 pub mod follow;
+mod isolation;
 pub mod lives;
 pub mod looks;
 pub mod losses;
@@ -233,6 +235,11 @@
     extra_records: Vec<Record>,
     noted: BTreeSet<EndpointId>,
     lost: LossCounts,
+    given_up: u64,
+    /// Jobs that run apart from others, and since when they wait.
+    suspected: BTreeMap<JobId, Steady>,
+    /// Tasks whose runs were lost with a silent endpoint, and its incarnation.
+    presumed: BTreeMap<EndpointId, (u64, Vec<crate::TaskId>)>,
     outbox: Vec<Action>,
     gated: Vec<Action>,
     is_fenced: bool,
@@ -338,6 +345,9 @@
             extra_records: Vec::new(),
             noted: BTreeSet::new(),
             lost: LossCounts::new(),
+            given_up: 0,
+            suspected: BTreeMap::new(),
+            presumed: BTreeMap::new(),
             outbox: Vec::new(),
             gated: Vec::new(),
             is_fenced: false,
@@ -394,6 +404,7 @@
             self.tended_at = now.steady;
             self.drop_ended();
             self.release_lapsed();
+            self.tend_presumed();
             self.tend_instances();
             self.tend_lasting();
         }
--- a/crates/pomelohitch-sched/src/cell/archive.rs
+++ b/crates/pomelohitch-sched/src/cell/archive.rs
@@ -23,6 +23,7 @@
     let ended = EndedJob {
         state: job.progress.state,
         ended_ms: job.progress.ended_ms,
+        is_given_up: job.progress.is_given_up,
         spec: spec.clone(),
     };
     let mut records = vec![progress::encode(progress::ended_key(id), &ended)?];
--- a/crates/pomelohitch-sched/src/cell/books.rs
+++ b/crates/pomelohitch-sched/src/cell/books.rs
@@ -121,6 +121,7 @@
 
     /// Files a job under what it waits for, after any change of it.
     pub(super) fn index(&mut self, id: JobId) {
+        self.index_suspected(id);
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -213,8 +213,12 @@
 
     fn read(&self, id: JobId, workspace: Option<&WorkspaceName>) -> Answer {
         match self.jobs.get(&id) {
-            Some(job) if may_see(job, workspace) => Answer::State(job.shown),
-            _ => Answer::Gone,
+            Some(job) if !may_see(job, workspace) => Answer::Gone,
+            Some(job) if job.shown == JobState::Failed && job.progress.is_given_up => {
+                Answer::GivenUp
+            }
+            Some(job) => Answer::State(job.shown),
+            None => Answer::Gone,
         }
     }
 
--- a/crates/pomelohitch-sched/src/cell/ends.rs
+++ b/crates/pomelohitch-sched/src/cell/ends.rs
@@ -205,6 +205,7 @@
             }
             let is_archived = job.is_archived;
             self.jobs.remove(&due.job);
+            self.suspected.remove(&due.job);
             self.dirty.remove(&due.job);
             self.dropped.insert(due.job, is_archived);
         }
--- /dev/null
+++ b/crates/pomelohitch-sched/src/cell/isolation.rs
@@ -0,0 +1,232 @@
+//! Suspected jobs run apart from others.
+//!
+//! The load that this answers: a few jobs have a task that crashes each endpoint that starts it, and
+//! jobs that wait are packed together, so that each crash takes sound runs of others with it. A
+//! suspected job gets an endpoint on which all other runs are taken for sound, and nothing is
+//! added there until its own are, too. All of its tasks that wait go there together, since they fail
+//! together if one of them is at fault; a job puts one endpoint at risk at a time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tracing::info;
+
+use super::schedule::{Misfits, ready_steps};
+use super::{Cell, Job};
+use crate::endpoint::Endpoint;
+use crate::id::{EndpointId, JobId, TaskId, job_text};
+use crate::job::{JobSpec, StepSpec};
+use crate::place::{Allowed, Slot, Slots};
+
+/// At most this part of a service's endpoints is kept for suspected jobs, but one at least.
+const MOST_ISOLATED: usize = 4;
+
+/// An incarnation of this age isn't one of an instance that goes down again and again, whose end would
+/// be held against the job.
+const YOUNG: Duration = Duration::from_secs(10);
+
+/// How well an endpoint suits a suspected job; lower is better.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    has_unproven: bool,
+    has_lasting: bool,
+    is_young: bool,
+    runs: usize,
+}
+
+impl Cell {
+    /// Files a job under those that run apart, after any change of it.
+    pub(super) fn index_suspected(&mut self, id: JobId) {
+        let job = self.jobs.get(&id);
+        let is_suspected = self.settings.policy.crashes.isolates
+            && job.is_some_and(|j| !j.progress.state.is_final() && has_suspect(j));
+        if !is_suspected {
+            self.suspected.remove(&id);
+            return;
+        }
+        let now = self.now.steady;
+        self.suspected.entry(id).or_insert(now);
+    }
+
+    /// Endpoints with runs of suspected jobs that haven't been at work for long enough.
+    pub(super) fn isolated(&self) -> BTreeMap<EndpointId, JobId> {
+        let runs = self.suspected.keys().filter_map(|&id| {
+            let job = self.jobs.get(&id)?;
+            Some(job.progress.runs(id))
+        });
+        let unproven = runs.flatten().filter(|(task, run)| {
+            let endpoint = self.endpoints.get(&run.endpoint);
+            endpoint.is_some_and(|e| !self.is_proven(*task, run, e))
+        });
+        unproven
+            .map(|(task, run)| (run.endpoint.clone(), task.job))
+            .collect()
+    }
+
+    /// Starts suspected jobs on endpoints of their own, and takes those out of `slots`.
+    pub(super) fn start_suspected(
+        &mut self,
+        ids: &[JobId],
+        slots: &mut Slots,
+        misfits: &mut Misfits,
+    ) {
+        let isolated = self.isolated();
+        let at_risk: BTreeSet<JobId> = isolated.into_values().collect();
+        let most = slots.list.len().div_ceil(MOST_ISOLATED).max(1);
+        let mut kept = at_risk.len();
+        for id in ids {
+            let waits = self.suspected.get(id).copied().unwrap_or_default();
+            let waited = self.now.steady.saturating_sub(waits);
+            let is_patient = waited < self.settings.policy.crashes.patience;
+            if is_patient && (at_risk.contains(id) || kept >= most) {
+                continue;
+            }
+            kept += usize::from(self.start_apart(*id, is_patient, slots, misfits));
+        }
+    }
+
+    /// Starts one suspected job, or keeps an endpoint for it. Returns whether it has one.
+    fn start_apart(
+        &mut self,
+        id: JobId,
+        is_patient: bool,
+        slots: &mut Slots,
+        misfits: &mut Misfits,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&id) else {
+            return false;
+        };
+        let spec = job.spec.clone();
+        let Some((first, allowed)) = self.first_allowed(&spec, ready_steps(job), slots) else {
+            return false;
+        };
+        let step = &spec.steps[usize::from(first.step)];
+        let Some(at) = self.choose_apart(step, first, &allowed, slots) else {
+            misfits.find(step, self.fits_somewhere(step));
+            return false;
+        };
+        let chosen = slots.list[at].clone();
+        let is_clean = !self.rank(&chosen).has_unproven;
+        if is_patient && !(is_clean && chosen.may_take(step, 0)) {
+            slots.remove(&chosen.id);
+            return true;
+        }
+        let decided = self.gated.len();
+        let mut own = if step.is_gang || step.is_rack_local {
+            self.slots_together(is_patient, slots)
+        } else {
+            Slots::new(vec![chosen.clone()])
+        };
+        for (step, occurrence) in self.jobs.get(&id).map(ready_steps).unwrap_or_default() {
+            let task = TaskId {
+                job: id,
+                occurrence,
+                step,
+                index: 0,
+            };
+            self.start_step(&spec, task, &mut own, &mut Misfits::default());
+        }
+        slots.remove(&chosen.id);
+        if self.gated.len() > decided {
+            info!(job = %job_text(id), endpoint = %chosen.id, starts = self.gated.len() - decided,
+                is_clean, "suspected job isolated");
+            for id in self.isolated().into_keys() {
+                slots.remove(&id);
+            }
+            self.suspected.insert(id, self.now.steady);
+            self.index(id);
+        }
+        true
+    }
+
+    /// The first step that its workspace's bound and the policy let start, with where it may.
+    fn first_allowed(
+        &mut self,
+        spec: &Arc<JobSpec>,
+        ready: Vec<(u16, u32)>,
+        slots: &Slots,
+    ) -> Option<(TaskId, Allowed)> {
+        ready.into_iter().find_map(|(step, occurrence)| {
+            let first = TaskId {
+                job: spec.id,
+                occurrence,
+                step,
+                index: 0,
+            };
+            let need = &spec.steps[usize::from(step)].need;
+            if !self.is_within_bound(spec, need) {
+                return None;
+            }
+            let allowed = self.advised(spec, first, &slots.list)?;
+            Some((first, allowed))
+        })
+    }
+
+    /// The endpoint that suits a suspected job best; if none has room, the one to be kept free.
+    fn choose_apart(
+        &self,
+        step: &StepSpec,
+        first: TaskId,
+        allowed: &Allowed,
+        slots: &Slots,
+    ) -> Option<usize> {
+        let siblings = slots.siblings(&self.siblings(first));
+        let may_run = |(at, slot): &(usize, &Slot)| {
+            let is_spread = step.per_endpoint == 0 || siblings[*at] < step.per_endpoint;
+            let label = step.requires.as_deref();
+            let has_label = label.is_none_or(|l| slot.labels.iter().any(|own| &**own == l));
+            is_spread && has_label && allowed.has(&slot.id)
+        };
+        let candidates = slots.list.iter().enumerate().filter(may_run);
+        let best = candidates.min_by_key(|(at, slot)| {
+            let has_room = slot.may_take(step, siblings[*at]);
+            (!has_room, self.rank(slot))
+        });
+        best.map(|(at, _)| at)
+    }
+
+    /// Endpoints for a step whose tasks start together on several.
+    fn slots_together(&self, is_patient: bool, slots: &Slots) -> Slots {
+        let mut list: Vec<Slot> = slots.list.clone();
+        if is_patient {
+            list.retain(|slot| !self.rank(slot).has_unproven);
+        }
+        list.sort_by_key(|slot| self.rank(slot));
+        Slots::new(list)
+    }
+
+    fn rank(&self, slot: &Slot) -> Rank {
+        let Some(endpoint) = self.endpoints.get(&slot.id) else {
+            return Rank {
+                has_unproven: true,
+                has_lasting: false,
+                is_young: true,
+                runs: 0,
+            };
+        };
+        let age = endpoint.clock_at_least(self.now.steady);
+        Rank {
+            has_unproven: self.has_unproven(endpoint),
+            has_lasting: endpoint.lasting > 0,
+            is_young: age.is_none_or(|age| age < YOUNG),
+            runs: endpoint.runs.len(),
+        }
+    }
+
+    /// Whether some run at the endpoint, sent or not, hasn't been at work for long enough.
+    fn has_unproven(&self, endpoint: &Endpoint) -> bool {
+        endpoint.runs.keys().any(|&(task, number)| {
+            let run = self.run(task, number);
+            run.is_some_and(|r| !self.is_proven(task, r, endpoint))
+        })
+    }
+}
+
+/// Whether a task that isn't done is suspected.
+fn has_suspect(job: &Job) -> bool {
+    let steps = job.progress.open.values().flat_map(|o| &o.steps);
+    steps
+        .flatten()
+        .any(|t| !t.is_done && t.suspicion.is_suspect)
+}
--- a/crates/pomelohitch-sched/src/cell/looks.rs
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -190,6 +190,7 @@
         endpoint.heard_at = Some(look.answered_at);
         endpoint.lease_confirmed |= look.renewed;
         endpoint.lists_ends = !look.ended.is_empty();
+        self.retract_losses(id);
         self.take_ends(id, look);
         for running in &look.running {
             self.take_running(id, running, look.answered_at);
@@ -244,7 +245,7 @@
         }
         run.view.loss = None;
         let is_first = run.view.seen_at.is_none();
-        run.view.seen_at.get_or_insert(at);
+        let seen_at = *run.view.seen_at.get_or_insert(at);
         if is_first || run.view.percent != running.percent {
             run.view.percent = running.percent;
             run.view.moved_at = at;
@@ -256,6 +257,7 @@
         {
             t.checkpoint = running.checkpoint.clone();
         }
+        self.clear_suspicion(task, at.saturating_sub(seen_at));
         if is_over {
             self.stop(task, number, "its job has ended");
         } else if is_stopping {
--- a/crates/pomelohitch-sched/src/cell/losses.rs
+++ b/crates/pomelohitch-sched/src/cell/losses.rs
@@ -1,14 +1,16 @@
 //! Runs that are gone without an end of their own, most of them with their endpoints.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use tracing::warn;
+use tracing::{info, warn};
 
 use super::Cell;
 use crate::endpoint::Endpoint;
-use crate::id::{EndpointId, RunNumber, TaskId};
+use crate::id::{EndpointId, JobId, RunNumber, TaskId};
 use crate::loss::{Loss, LossCause, LossCounts};
-use crate::progress::{Phase, Run};
+use crate::progress::{JobState, Phase, Run};
+use crate::suspicion::Suspicion;
 
 impl Cell {
     /// A run is surely gone.
@@ -22,13 +24,100 @@
         let Loss {
             cause, why, born, ..
         } = loss;
+        let suspicion = self.suspect(task, &loss);
         warn!(%task, run, endpoint = %endpoint, born, ?cause, why, beside = loss.beside,
-            worked_ms = loss.worked.as_millis(), "run lost");
+            is_sole = loss.is_sole, worked_ms = loss.worked.as_millis(), lost = suspicion.lost,
+            certain = suspicion.certain, alone = suspicion.alone, "run lost");
         *self.lost.entry(cause).or_default() += 1;
+        if cause == LossCause::Silence {
+            let presumed = self.presumed.entry(endpoint).or_insert((born, Vec::new()));
+            presumed.1.push(task);
+        }
+        self.give_up(task, suspicion);
         self.close_done(task.job);
         self.index(task.job);
     }
 
+    /// Counts a loss against its task, whose record is written anew with it.
+    fn suspect(&mut self, task: TaskId, loss: &Loss) -> Suspicion {
+        let job = self.jobs.get_mut(&task.job);
+        let Some(t) = job.and_then(|j| j.progress.task_mut(task)) else {
+            return Suspicion::default();
+        };
+        if !t.is_done && t.suspicion.note(loss) {
+            self.dirty.insert(task.job);
+        }
+        t.suspicion
+    }
+
+    /// Fails the job of a task under which too many endpoints crashed.
+    fn give_up(&mut self, task: TaskId, suspicion: Suspicion) {
+        let is_over = suspicion.is_over(&self.settings.policy.crashes);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if !is_over || job.progress.state.is_final() {
+            return;
+        }
+        job.progress.is_given_up = true;
+        let Suspicion {
+            lost,
+            certain,
+            alone,
+            ..
+        } = suspicion;
+        warn!(%task, lost, certain, alone, "task given up: endpoints crash under it");
+        self.given_up += 1;
+        self.finish(task.job, JobState::Failed);
+    }
+
+    /// Takes back losses with an endpoint whose incarnation answers after all.
+    pub(super) fn retract_losses(&mut self, id: &EndpointId) {
+        let Some((born, tasks)) = self.presumed.remove(id) else {
+            return;
+        };
+        if self.endpoints.get(id).is_none_or(|e| e.born != born) {
+            return;
+        }
+        for task in tasks {
+            let job = self.jobs.get_mut(&task.job);
+            if let Some(t) = job.and_then(|j| j.progress.task_mut(task)) {
+                t.suspicion.retract();
+                info!(%task, endpoint = %id, born, lost = t.suspicion.lost, "loss retracted");
+                self.dirty.insert(task.job);
+                self.index_suspected(task.job);
+            }
+        }
+    }
+
+    /// Forgets losses that may be taken back of jobs that aren't held any more.
+    pub(super) fn tend_presumed(&mut self) {
+        let jobs = &self.jobs;
+        self.presumed.retain(|_, (_, tasks)| {
+            tasks.retain(|task| {
+                jobs.get(&task.job)
+                    .is_some_and(|j| !j.progress.state.is_final())
+            });
+            !tasks.is_empty()
+        });
+    }
+
+    /// Forgets what was lost of a task that has been at work for long.
+    pub(super) fn clear_suspicion(&mut self, task: TaskId, worked: Duration) {
+        if worked < self.settings.policy.crashes.cleared_after {
+            return;
+        }
+        let job = self.jobs.get_mut(&task.job);
+        if let Some(t) = job.and_then(|j| j.progress.task_mut(task))
+            && t.suspicion != Suspicion::default()
+        {
+            info!(%task, lost = t.suspicion.lost, "suspicion cleared");
+            t.suspicion = Suspicion::default();
+            self.dirty.insert(task.job);
+            self.index_suspected(task.job);
+        }
+    }
+
     /// A run that was started, or may have been, isn't at its endpoint any more.
     pub(super) fn run_missing(&mut self, task: TaskId, run: RunNumber, why: &'static str) {
         let Some(r) = self.run(task, run) else {
@@ -67,6 +156,7 @@
             return Vec::new();
         };
         let beside = endpoint.runs.len().saturating_sub(1);
+        let unproven = self.unproven_jobs(endpoint);
         let lost = endpoint.runs.keys().filter_map(|&(task, number)| {
             let run = self.run(task, number)?;
             let cause = if is_unsent(run) {
@@ -80,12 +170,47 @@
                 born: endpoint.born,
                 worked: worked(run, endpoint),
                 beside,
+                has_begun: matches!(run.view.phase, Phase::Taken { .. }),
+                was_at_work: self.was_at_work(task, run, endpoint),
+                is_proven: self.is_proven(task, run, endpoint),
+                is_sole: unproven.iter().all(|job| *job == task.job),
             };
             Some((task, number, run.view.loss.unwrap_or(loss)))
         });
         lost.collect()
     }
 
+    /// Whether a run can't have ended by itself since its endpoint was last heard, by its estimate.
+    fn was_at_work(&self, task: TaskId, run: &Run, endpoint: &Endpoint) -> bool {
+        let heard_at = endpoint.heard_at.unwrap_or_default();
+        let unheard = self.now.steady.saturating_sub(heard_at);
+        self.step(task)
+            .is_some_and(|s| s.is_lasting || worked(run, endpoint) + unheard < s.estimate)
+    }
+
+    /// Jobs with runs at the endpoint that haven't been at work for long enough to be taken for sound.
+    pub(super) fn unproven_jobs(&self, endpoint: &Endpoint) -> BTreeSet<JobId> {
+        let unproven = endpoint.runs.keys().filter(|&&(task, number)| {
+            let run = self.run(task, number);
+            run.is_some_and(|r| !is_unsent(r) && !self.is_proven(task, r, endpoint))
+        });
+        unproven.map(|(task, _)| task.job).collect()
+    }
+
+    pub(super) fn is_proven(&self, task: TaskId, run: &Run, endpoint: &Endpoint) -> bool {
+        let job = self.jobs.get(&task.job);
+        let t = job.and_then(|j| j.progress.task(task));
+        t.is_some_and(|t| {
+            let worked = worked(run, endpoint);
+            t.suspicion.is_proven(worked, &self.settings.policy.crashes)
+        })
+    }
+
+    /// How many jobs were given up since this was last asked because endpoints crash under them.
+    pub fn take_given_up(&mut self) -> u64 {
+        std::mem::take(&mut self.given_up)
+    }
+
     /// How many runs were lost since this was last asked, by cause.
     pub fn take_losses(&mut self) -> LossCounts {
         std::mem::take(&mut self.lost)
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -17,7 +17,7 @@
 
 /// Needs that found no room in this pass: what is larger finds none either.
 #[derive(Debug, Default)]
-struct Misfits {
+pub(super) struct Misfits {
     rooms: Vec<Resources>,
     /// What the first task needs that found no room and would fit on some empty endpoint.
     found: Option<Wanted>,
@@ -46,7 +46,7 @@
 
     /// Takes in that a task of `step` found no place; `fits` says whether it would on some empty
     /// endpoint.
-    fn find(&mut self, step: &StepSpec, fits: bool) {
+    pub(super) fn find(&mut self, step: &StepSpec, fits: bool) {
         if fits {
             self.found.get_or_insert_with(|| Wanted {
                 label: step.requires.clone(),
@@ -88,7 +88,11 @@
     fn schedule_service(&mut self, service: &ServiceName) {
         let mut slots = self.slots(service);
         let mut misfits = Misfits::default();
-        for id in self.by_urgency(service, &slots) {
+        let ids = self.by_urgency(service, &slots).into_iter();
+        let (suspected, others): (Vec<JobId>, Vec<JobId>) =
+            ids.partition(|id| self.suspected.contains_key(id));
+        self.start_suspected(&suspected, &mut slots, &mut misfits);
+        for id in others {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
@@ -119,10 +123,11 @@
 
     /// Endpoints of a service that may be given work.
     pub(super) fn slots(&self, service: &ServiceName) -> Slots {
+        let isolated = self.isolated();
         let usable = self
             .endpoints
             .iter()
-            .filter(|(_, e)| self.is_usable(e, service));
+            .filter(|(id, e)| !isolated.contains_key(*id) && self.is_usable(e, service));
         Slots::new(usable.map(|(id, e)| Slot::new(id, e)).collect())
     }
 
@@ -217,7 +222,7 @@
         (place.unwrap_or(u32::MAX), weight.unwrap_or(1))
     }
 
-    fn start_step(
+    pub(super) fn start_step(
         &mut self,
         spec: &Arc<JobSpec>,
         first: TaskId,
@@ -308,7 +313,7 @@
     }
 
     /// Whether some endpoint of the fleet, were it empty, could take a task of the step.
-    fn fits_somewhere(&self, step: &StepSpec) -> bool {
+    pub(super) fn fits_somewhere(&self, step: &StepSpec) -> bool {
         let room = step.room();
         self.endpoints.values().any(|e| {
             let has_label = step.requires.as_deref().is_none_or(|l| e.has_label(l));
@@ -324,7 +329,7 @@
 }
 
 /// Steps whose turn has come and that have tasks waiting, with their occurrence.
-fn ready_steps(job: &Job) -> Vec<(u16, u32)> {
+pub(super) fn ready_steps(job: &Job) -> Vec<(u16, u32)> {
     let mut ready = Vec::new();
     for (&occurrence, open) in &job.progress.open {
         for (step, spec) in job.spec.steps.iter().enumerate() {
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -18,6 +18,7 @@
 //! * [`loss`]: how runs are lost.
 //! * [`order`]: what goes out and how it ended.
 //! * [`place`]: which endpoint takes a task.
+//! * [`suspicion`]: which tasks are suspected of crashing their endpoints.
 //! * [`urgency`]: which job goes first.
 //! * [`instances`]: operations on instances, and maintenance in waves.
 //! * [`rate`]: how many calls a second may go out.
@@ -47,6 +48,7 @@
 pub mod relaying;
 pub mod resources;
 pub mod rto;
+pub mod suspicion;
 pub mod urgency;
 
 pub use cell::{Cell, Settings};
--- a/crates/pomelohitch-sched/src/loss.rs
+++ b/crates/pomelohitch-sched/src/loss.rs
@@ -45,6 +45,14 @@
     pub worked: Duration,
     /// How many other runs were at the endpoint.
     pub beside: usize,
+    /// Whether it had surely begun.
+    pub has_begun: bool,
+    /// Whether it can't have ended by itself before its endpoint did.
+    pub was_at_work: bool,
+    /// Whether it had been at work for long enough to be taken for sound.
+    pub is_proven: bool,
+    /// Whether every run of another job at the endpoint is taken for sound.
+    pub is_sole: bool,
 }
 
 impl Loss {
@@ -57,6 +65,10 @@
             born,
             worked: Duration::ZERO,
             beside: 0,
+            has_begun: false,
+            was_at_work: false,
+            is_proven: false,
+            is_sole: false,
         }
     }
 }
--- a/crates/pomelohitch-sched/src/order.rs
+++ b/crates/pomelohitch-sched/src/order.rs
@@ -135,6 +135,8 @@
     Accepted,
     /// The job's state.
     State(JobState),
+    /// The job failed: endpoints crash under one of its tasks.
+    GivenUp,
     /// The job is cancelled, durably.
     Cancelled,
     /// There is no such job.
--- a/crates/pomelohitch-sched/src/place.rs
+++ b/crates/pomelohitch-sched/src/place.rs
@@ -91,6 +91,16 @@
         siblings
     }
 
+    /// Takes an endpoint out.
+    pub fn remove(&mut self, id: &EndpointId) {
+        if let Some(at) = self.index.remove(id) {
+            self.list.remove(at);
+            for place in self.index.values_mut().filter(|place| **place > at) {
+                *place -= 1;
+            }
+        }
+    }
+
     /// Reads again what is free on each.
     pub fn read_again(&mut self, endpoints: &BTreeMap<EndpointId, Endpoint>) {
         for slot in &mut self.list {
--- a/crates/pomelohitch-sched/src/policy.rs
+++ b/crates/pomelohitch-sched/src/policy.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use crate::suspicion::CrashLimits;
+
 /// Which mechanisms decide.
 #[derive(Debug, Clone, Copy, PartialEq)]
 #[expect(
@@ -33,6 +35,8 @@
     pub packs: bool,
     /// An endpoint that left a start unanswered gets no work until it answers something.
     pub doubts_silent: bool,
+    /// What becomes of tasks under which endpoints crash.
+    pub crashes: CrashLimits,
 }
 
 /// How much pools provide beside what is wanted, and for how long.
@@ -94,6 +98,7 @@
             switches_off: true,
             packs: true,
             doubts_silent: true,
+            crashes: CrashLimits::default(),
         }
     }
 }
--- a/crates/pomelohitch-sched/src/progress.rs
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -15,6 +15,7 @@
 use crate::id::{EndpointId, JobId, RunNumber, TaskId, job_text};
 use crate::job::{self, JobSpec, StepSpec};
 use crate::loss::Loss;
+use crate::suspicion::Suspicion;
 use crate::{Steady, UnixMs};
 
 use self::stored::Stored;
@@ -52,6 +53,8 @@
     pub state: JobState,
     /// When the state became final; 0 before.
     pub ended_ms: UnixMs,
+    /// Whether it failed because endpoints crash under one of its tasks.
+    pub is_given_up: bool,
     /// Occurrences that have begun and aren't done.
     pub open: BTreeMap<u32, Occurrence>,
     /// The next one that is to begin.
@@ -74,6 +77,8 @@
     pub last_run: RunNumber,
     /// Runs that failed.
     pub failures: u32,
+    /// What the endpoints that were lost under it say of it.
+    pub suspicion: Suspicion,
     /// Where the next run goes on; empty at the start.
     pub checkpoint: Box<str>,
     /// Runs that may exist: at most one, but for copies.
@@ -319,6 +324,8 @@
     pub state: JobState,
     /// When.
     pub ended_ms: UnixMs,
+    /// Whether it failed because endpoints crash under one of its tasks.
+    pub is_given_up: bool,
     /// What was asked for, without the text.
     pub spec: JobSpec,
 }
@@ -330,6 +337,7 @@
         Progress {
             state: self.state,
             ended_ms: self.ended_ms,
+            is_given_up: self.is_given_up,
             next: self.spec.occurrences(),
             ..Progress::default()
         }
--- a/crates/pomelohitch-sched/src/progress/stored.rs
+++ b/crates/pomelohitch-sched/src/progress/stored.rs
@@ -9,6 +9,7 @@
 use super::{JobState, Occurrence, Progress, Run, RunView, Task};
 use crate::UnixMs;
 use crate::id::{EndpointId, RunNumber};
+use crate::suspicion::Suspicion;
 
 /// A place in [`Stored::endpoints`].
 type Place = u32;
@@ -18,6 +19,7 @@
 pub(super) struct Stored {
     state: JobState,
     ended_ms: UnixMs,
+    is_given_up: bool,
     next: u32,
     /// Endpoints that runs are at, with the life of each that is meant.
     endpoints: Vec<(EndpointId, u64)>,
@@ -31,13 +33,14 @@
     Waiting,
     /// It is done, and nothing runs.
     Done(RunNumber),
-    /// Its newest run is its only one, and none has failed or left a checkpoint.
+    /// Its newest run is its only one, and none has failed, was lost or left a checkpoint.
     Running(RunNumber, Place),
     /// Anything else.
     Other {
         is_done: bool,
         last_run: RunNumber,
         failures: u32,
+        suspicion: Suspicion,
         checkpoint: Box<str>,
         runs: Vec<StoredRun>,
     },
@@ -64,6 +67,7 @@
         Stored {
             state: progress.state,
             ended_ms: progress.ended_ms,
+            is_given_up: progress.is_given_up,
             next: progress.next,
             open: open.collect(),
             endpoints,
@@ -84,6 +88,7 @@
         Some(Progress {
             state: self.state,
             ended_ms: self.ended_ms,
+            is_given_up: self.is_given_up,
             next: self.next,
             open: open.collect::<Option<_>>()?,
         })
@@ -114,6 +119,7 @@
                 is_done: task.is_done,
                 last_run: task.last_run,
                 failures: task.failures,
+                suspicion: task.suspicion,
                 checkpoint: task.checkpoint.clone(),
             }
         }
@@ -121,7 +127,8 @@
 }
 
 fn is_plain(task: &Task, run: &Run) -> bool {
-    let is_first_try = task.failures == 0 && task.checkpoint.is_empty();
+    let is_untried = task.failures == 0 && task.suspicion == Suspicion::default();
+    let is_first_try = is_untried && task.checkpoint.is_empty();
     is_first_try && !task.is_done && !run.is_leaving && run.number == task.last_run
 }
 
@@ -152,6 +159,7 @@
             is_done,
             last_run,
             failures,
+            suspicion,
             checkpoint,
             runs,
         } => {
@@ -160,6 +168,7 @@
                 is_done,
                 last_run,
                 failures,
+                suspicion,
                 checkpoint,
                 runs: runs.collect::<Option<_>>()?,
                 failed_at: Vec::new(),
--- a/crates/pomelohitch-sched/tests/progress.rs
+++ b/crates/pomelohitch-sched/tests/progress.rs
@@ -3,6 +3,7 @@
 use pomelohitch_sched::progress::{
     self, Entry, JobState, Occurrence, Progress, Run, RunView, Task,
 };
+use pomelohitch_sched::suspicion::Suspicion;
 
 type Facts = (bool, u8, u8, u8, Vec<(u8, u8, bool)>);
 
@@ -24,6 +25,16 @@
         } else {
             (*failures % 2).into()
         },
+        suspicion: if is_plainly_done {
+            Suspicion::default()
+        } else {
+            Suspicion {
+                lost: (*failures / 2 % 4).into(),
+                certain: (*failures / 8 % 3).into(),
+                alone: (*failures / 16 % 2).into(),
+                is_suspect: *failures / 32 % 2 == 1,
+            }
+        },
         checkpoint: match checkpoint % 3 {
             0 if !is_plainly_done => "c".into(),
             _ => Box::default(),
@@ -56,6 +67,7 @@
         let progress = Progress {
             state: [JobState::Queued, JobState::Running, JobState::Failed][usize::from(state % 3)],
             ended_ms: u64::from(*state) * 1_000_000_000,
+            is_given_up: *state > 127,
             open: [(u32::from(*state), Occurrence { steps })].into(),
             next: u32::from(*state) + 1,
         };
--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -287,7 +287,10 @@
 
 /// States are asked for often and change nothing, so that only refusals of them are told.
 fn log_answer(incoming: &Incoming, answer: &Answer) {
-    if matches!(answer, Answer::State(_) | Answer::Waiting(_)) {
+    if matches!(
+        answer,
+        Answer::State(_) | Answer::GivenUp | Answer::Waiting(_)
+    ) {
         return;
     }
     let took_ms = incoming.arrived.elapsed().as_millis();
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -277,6 +277,7 @@
         for (cause, count) in self.cell.take_losses() {
             metrics::counter!("runs_lost", "cause" => cause.label()).increment(count);
         }
+        metrics::counter!("jobs_given_up").increment(self.cell.take_given_up());
     }
 
     pub(super) fn stop(&mut self, why: &'static str, successor: Option<SocketAddr>) {
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -191,6 +191,11 @@
         labels: "cause",
         about: "Runs that were gone without an end of their own, at the leader, by what that is put down to.",
     },
+    counter(
+        "jobs_given_up",
+        "jobs",
+        "Jobs that failed because endpoints crash under one of their tasks, at the leader.",
+    ),
     gauge(
         "evacuated_zones",
         "zones",
