--- a/crates/pomelohitch-sched/src/cell/losses.rs
+++ b/crates/pomelohitch-sched/src/cell/losses.rs
@@ -8,6 +8,7 @@
 use super::Cell;
 use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, JobId, RunNumber, TaskId};
+use crate::job::StepSpec;
 use crate::loss::{Loss, LossCause, LossCounts};
 use crate::progress::{JobState, Phase, Run};
 use crate::suspicion::Suspicion;
@@ -170,7 +171,6 @@
                 born: endpoint.born,
                 worked: worked(run, endpoint),
                 beside,
-                has_begun: matches!(run.view.phase, Phase::Taken { .. }),
                 was_at_work: self.was_at_work(task, run, endpoint),
                 is_proven: self.is_proven(task, run, endpoint),
                 is_sole: unproven.iter().all(|job| *job == task.job),
@@ -180,12 +180,14 @@
         lost.collect()
     }
 
-    /// Whether a run can't have ended by itself since its endpoint was last heard, by its estimate.
+    /// Whether a run has begun and can't have ended by itself since its endpoint was last heard, by its
+    /// estimate.
     fn was_at_work(&self, task: TaskId, run: &Run, endpoint: &Endpoint) -> bool {
         let heard_at = endpoint.heard_at.unwrap_or_default();
         let unheard = self.now.steady.saturating_sub(heard_at);
-        self.step(task)
-            .is_some_and(|s| s.is_lasting || worked(run, endpoint) + unheard < s.estimate)
+        let has_begun = matches!(run.view.phase, Phase::Taken { .. });
+        let goes_on = |s: &StepSpec| s.is_lasting || worked(run, endpoint) + unheard < s.estimate;
+        has_begun && self.step(task).is_some_and(goes_on)
     }
 
     /// Jobs with runs at the endpoint that haven't been at work for long enough to be taken for sound.
--- a/crates/pomelohitch-sched/src/loss.rs
+++ b/crates/pomelohitch-sched/src/loss.rs
@@ -45,9 +45,7 @@
     pub worked: Duration,
     /// How many other runs were at the endpoint.
     pub beside: usize,
-    /// Whether it had surely begun.
-    pub has_begun: bool,
-    /// Whether it can't have ended by itself before its endpoint did.
+    /// Whether it had surely begun, and can't have ended by itself before its endpoint did.
     pub was_at_work: bool,
     /// Whether it had been at work for long enough to be taken for sound.
     pub is_proven: bool,
@@ -65,7 +63,6 @@
             born,
             worked: Duration::ZERO,
             beside: 0,
-            has_begun: false,
             was_at_work: false,
             is_proven: false,
             is_sole: false,
--- a/crates/pomelohitch-sched/src/suspicion.rs
+++ b/crates/pomelohitch-sched/src/suspicion.rs
@@ -76,7 +76,7 @@
         }
         self.lost += 1;
         self.is_suspect |= !loss.is_proven || self.lost > 1;
-        let is_certain = loss.cause == LossCause::Crash && loss.has_begun && loss.was_at_work;
+        let is_certain = loss.cause == LossCause::Crash && loss.was_at_work;
         self.certain += u32::from(is_certain);
         self.alone += u32::from(is_certain && loss.is_sole && !loss.is_proven);
         true
