fix: starts that waited for their record are dropped where the room has shrunk meanwhile

What callers would see: an endpoint that doesn't guard its room takes more than it has, and all that runs there suffers.

Cause: room is read when a start is decided. Besides, a task that needs no processors fitted wherever memory was left, though the processors were taken over their room, and pools counted the room that their instances came with.

Change: a start is void if its endpoint is over its room when the record is durable; they are dropped one by one until the rest fits, a gang as a whole. Nothing starts on an endpoint that is over in any resource. Pools count the room that endpoints say they have.

A property test plays crashes, changes of room, leader, log and silence in any order.

--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -41,6 +41,8 @@
 const ORDER_WITHIN: Duration = Duration::from_millis(150);
 /// A start that was on its way when its zone was evacuated may take effect until then.
 const EVACUATED_WITHIN: Duration = Duration::from_secs(1);
+/// Room that has shrunk counts from then on.
+const SHRUNK_AFTER: Duration = Duration::from_millis(4_500);
 /// A look may take so much longer than it was told to wait.
 const LOOK_MARGIN: Duration = Duration::from_millis(250);
 
@@ -343,6 +345,16 @@
         }
     }
 
+    /// An endpoint's room changes while it runs, and its entry says so.
+    pub fn resize(&mut self, id: &str, capacity: Resources) {
+        let now = self.now.steady;
+        let endpoint = self.endpoint(id);
+        endpoint.resized = Some((now, endpoint.report.capacity));
+        endpoint.report.capacity = capacity;
+        let report = endpoint.report.clone();
+        self.cell.endpoint_listed(report);
+    }
+
     /// Puts an endpoint and its instance into an availability zone.
     pub fn put_in_zone(&mut self, id: &str, zone: &str) {
         self.endpoint(id).report.zone = zone.into();
--- a/crates/pomelohitch-emulator/src/fleet/endpoint.rs
+++ b/crates/pomelohitch-emulator/src/fleet/endpoint.rs
@@ -9,7 +9,7 @@
 use pomelohitch_sched::endpoint::{Ended, How, Look, Report, Running};
 use pomelohitch_sched::job::StepSpec;
 use pomelohitch_sched::order::{LookFailure, LookOrder, Order, Outcome, Refusal};
-use pomelohitch_sched::{Resources, TaskId};
+use pomelohitch_sched::{Resources, Steady, TaskId};
 
 /// One endpoint, with the faults that it has.
 #[derive(Debug)]
@@ -29,6 +29,8 @@
     pub slowness: f64,
     /// How long a run that is stopped goes on.
     pub stop_grace: Duration,
+    /// When its room last changed, and what it was before.
+    pub(super) resized: Option<(Steady, Resources)>,
     pub(super) clock: Duration,
     pub(super) epoch: u64,
     pub(super) lease: Duration,
@@ -65,6 +67,7 @@
             stands_still: false,
             slowness: 1.0,
             stop_grace: Duration::ZERO,
+            resized: None,
             clock: Duration::from_secs(5),
             epoch: 0,
             lease: Duration::ZERO,
--- a/crates/pomelohitch-emulator/src/fleet/orders.rs
+++ b/crates/pomelohitch-emulator/src/fleet/orders.rs
@@ -7,7 +7,7 @@
 use pomelohitch_sched::{EndpointId, Resources, TaskId};
 
 use super::faults::{Delayed, Luck};
-use super::{EVACUATED_WITHIN, Fleet, ORDER_WITHIN};
+use super::{EVACUATED_WITHIN, Fleet, ORDER_WITHIN, SHRUNK_AFTER};
 
 impl Fleet {
     pub(super) fn carry_out(&mut self, actions: Vec<Action>) {
@@ -127,6 +127,7 @@
     }
 
     pub(super) fn check_start(&mut self, task: TaskId, at: &EndpointId, step: &StepSpec) {
+        let now = self.now.steady;
         let elsewhere = self
             .endpoints
             .values()
@@ -149,7 +150,9 @@
         for run in endpoint.runs.values() {
             used += &run.room;
         }
-        if !endpoint.report.capacity.holds(&used) {
+        let before = endpoint.resized.filter(|(at, _)| now < *at + SHRUNK_AFTER);
+        let fitted_before = before.is_some_and(|(_, room)| room.holds(&used));
+        if !endpoint.report.capacity.holds(&used) && !fitted_before {
             self.broken.push(format!("{at} is over its room"));
         }
         for &after in &step.after {
--- a/crates/pomelohitch-sched/src/cell/commits.rs
+++ b/crates/pomelohitch-sched/src/cell/commits.rs
@@ -1,7 +1,10 @@
 //! What may be carried out once its records are durable.
 
+use std::collections::BTreeSet;
+
 use super::{Batch, Cell};
 use crate::Steady;
+use crate::id::TaskId;
 use crate::order::{Action, Order, Outcome, Refusal};
 
 impl Cell {
@@ -23,26 +26,44 @@
                 endpoint.look.hurry(due.max(self.now.steady));
             }
         }
-        let (mut void, mut due) = (Vec::new(), Vec::new());
-        for mut action in batch.actions {
-            self.decide_again(&mut action);
-            if !self.is_void(&action) && self.limit_start(&mut action) {
+        let mut actions = batch.actions;
+        for action in &mut actions {
+            self.decide_again(action);
+        }
+        let gangs = self.void_gangs(&actions);
+        let mut due = Vec::new();
+        for mut action in actions {
+            let is_void = is_of(&action, &gangs) || self.is_void(&action);
+            if !is_void && self.limit_start(&mut action) {
                 self.note_stop(&action);
                 due.push(action);
             } else {
-                void.push(action);
+                self.drop_action(action);
             }
         }
-        for action in void {
-            match action {
-                Action::Order { target, order, .. } => {
-                    self.ordered(&target, &order, &Outcome::Refused(Refusal::Unsent));
-                }
-                Action::Operate { instance, at, .. } => self.instances.unsent(&instance, at),
-                _ => {}
+        due
+    }
+
+    /// Gangs of which some start is void, by their first tasks. The other members would wait for it in
+    /// vain.
+    fn void_gangs(&self, actions: &[Action]) -> BTreeSet<TaskId> {
+        let starts = actions.iter().filter_map(|action| {
+            let task = started(action)?;
+            let is_gang = self.step(task).is_some_and(|s| s.is_gang);
+            (is_gang && self.is_void(action)).then_some(TaskId { index: 0, ..task })
+        });
+        starts.collect()
+    }
+
+    /// Gives up what isn't carried out, so that what it took is free again.
+    fn drop_action(&mut self, action: Action) {
+        match action {
+            Action::Order { target, order, .. } => {
+                self.ordered(&target, &order, &Outcome::Refused(Refusal::Unsent));
             }
+            Action::Operate { instance, at, .. } => self.instances.unsent(&instance, at),
+            _ => {}
         }
-        due
     }
 
     fn note_stop(&mut self, action: &Action) {
@@ -115,8 +136,8 @@
     }
 
     /// Whether an action waited too long for its record: a start whose task may run elsewhere by
-    /// now, whose run was given up or whose zone is evacuated meanwhile, or an operation on an
-    /// instance that may have been given work since.
+    /// now, whose run was given up, whose zone is evacuated or whose endpoint's room has shrunk
+    /// meanwhile, or an operation on an instance that may have been given work since.
     fn is_void(&self, action: &Action) -> bool {
         let is_old = |at: Steady| self.now.steady.saturating_sub(at) > self.settings.start_stale;
         match action {
@@ -127,11 +148,27 @@
                 ..
             } => {
                 let endpoint = self.endpoints.get(&target.id);
-                let is_evacuated = endpoint.is_some_and(|e| self.is_evacuated(e));
-                is_old(*at) || is_evacuated || self.run(*task, *run).is_none()
+                let is_taken_away = endpoint.is_some_and(|e| self.is_evacuated(e) || e.is_over());
+                is_old(*at) || is_taken_away || self.run(*task, *run).is_none()
             }
             Action::Operate { at, .. } => is_old(*at),
             _ => false,
         }
     }
 }
+
+/// The task that an action starts.
+fn started(action: &Action) -> Option<TaskId> {
+    match action {
+        Action::Order {
+            order: Order::Start { task, .. },
+            ..
+        } => Some(*task),
+        _ => None,
+    }
+}
+
+/// Whether an action starts a member of one of `gangs`.
+fn is_of(action: &Action, gangs: &BTreeSet<TaskId>) -> bool {
+    started(action).is_some_and(|task| gangs.contains(&TaskId { index: 0, ..task }))
+}
--- a/crates/pomelohitch-sched/src/cell/follow.rs
+++ b/crates/pomelohitch-sched/src/cell/follow.rs
@@ -145,11 +145,13 @@
             && !is_due.contains(&instance.id);
         let is_off = instance.endpoint.is_none() && self.is_off(&instance.pool);
         let destination = self.instances.destination(&instance.id);
+        let report = endpoint.and_then(|e| e.report.as_ref());
+        let capacity = report.map_or(instance.capacity, |r| r.capacity);
         Candidate {
             id: instance.id.clone(),
             pool: destination.unwrap_or(&instance.pool).clone(),
             labels: instance.labels.clone(),
-            cpu: instance.capacity.cpu,
+            cpu: capacity.cpu,
             is_movable: is_free
                 && !has_lasting
                 && (is_off || endpoint.is_some_and(|e| e.is_listed)),
--- a/crates/pomelohitch-sched/src/cell/lives.rs
+++ b/crates/pomelohitch-sched/src/cell/lives.rs
@@ -28,6 +28,13 @@
         if !endpoint.is_listed {
             info!(endpoint = %id, service = %report.service, born = report.born, "endpoint listed");
         }
+        if let Some(before) = endpoint.report.as_ref().map(|r| r.capacity)
+            && before != report.capacity
+            && !is_reborn
+        {
+            info!(endpoint = %id, ?before, capacity = ?report.capacity, used = ?endpoint.used,
+                "endpoint resized");
+        }
         let born = report.born;
         endpoint.is_listed = true;
         endpoint.report = Some(report);
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -137,6 +137,7 @@
         let report = endpoint.report.as_ref();
         endpoint.is_listed
             && !endpoint.is_reserved
+            && !endpoint.is_over()
             && !self.is_evacuated(endpoint)
             && endpoint.lease_confirmed
             && (!endpoint.is_doubted || !self.settings.policy.doubts_silent)
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -320,6 +320,13 @@
             .map_or_else(Resources::default, |r| r.capacity.less(&self.used))
     }
 
+    /// Whether more is taken than there is: its room has shrunk.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        let capacity = self.report.as_ref().map(|r| r.capacity);
+        capacity.is_some_and(|c| !c.holds(&self.used))
+    }
+
     /// Takes room for a run.
     pub fn occupy(&mut self, task: TaskId, number: RunNumber, booked: Booked) {
         if self.runs.insert((task, number), booked).is_none() {
--- a/crates/pomelohitch-sched/tests/cell.rs
+++ b/crates/pomelohitch-sched/tests/cell.rs
@@ -18,5 +18,7 @@
 mod pools;
 #[path = "cell/random.rs"]
 mod random;
+#[path = "cell/room.rs"]
+mod room;
 #[path = "cell/waves.rs"]
 mod waves;
--- a/crates/pomelohitch-sched/tests/cell/pools.rs
+++ b/crates/pomelohitch-sched/tests/cell/pools.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use pomelohitch_sched::Resources;
 use pomelohitch_sched::cell::calls::Verb;
 use pomelohitch_sched::instances::Wave;
 
@@ -44,6 +45,24 @@
     assert!(fleet.operations.is_empty());
 }
 
+/// Guards against pools that count room that their endpoints don't have any more.
+#[test]
+fn a_pool_whose_endpoints_have_shrunk_gets_more() {
+    let mut fleet = fleet(4, 4);
+    for id in ["e0", "e1", "e2", "e3"] {
+        let capacity = Resources {
+            cpu: 1000,
+            mem_mb: 4000,
+            gpu: 0,
+        };
+        fleet.resize(id, capacity);
+    }
+    fleet.submit("00000000000000a1", job(vec![step(4, 1000, 2_000)]));
+    fleet.pass(300);
+    assert!(pool(&fleet, "pricing") > 4);
+    fleet.assert_sound();
+}
+
 /// Three lasting tasks have to be apart, and their pool has two instances. Processors are free, so
 /// that by demand alone no instance would come, and one task would never start.
 #[test]
--- a/crates/pomelohitch-sched/tests/cell/random.rs
+++ b/crates/pomelohitch-sched/tests/cell/random.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use pomelohitch_sched::Resources;
 use pomelohitch_sched::job::StepSpec;
 use pomelohitch_sched::order::Answer;
 use pomelohitch_sched::progress::JobState;
@@ -67,6 +68,79 @@
     pomelohitch_property::check(|faults: &Vec<(u8, u8)>| play(faults));
 }
 
+/// The same with tasks that crash their endpoints, and room that shrinks and grows.
+fn disturb_room(fleet: &mut Fleet, what: u8, which: u8) {
+    let ids: Vec<_> = fleet.endpoints.keys().cloned().collect();
+    let Some(id) = ids.get(usize::from(which) % ids.len().max(1)) else {
+        return fleet.pass(100);
+    };
+    match what % 8 {
+        0 => {
+            let capacity = Resources {
+                cpu: 1000 * u64::from(what % 5),
+                mem_mb: 4000,
+                gpu: 0,
+            };
+            fleet.resize(id, capacity);
+        }
+        1 => fleet.change_leader(),
+        2 => fleet.is_log_up = which < 128,
+        3 => fleet.log_delay = Duration::from_millis(u64::from(which % 4) * 700),
+        4 => fleet.crash_for(id, Duration::from_millis(500)),
+        5 => fleet.endpoint(id).is_silent = true,
+        6 => fleet.endpoint(id).is_silent = false,
+        _ => fleet.crashes.after = Duration::from_millis(u64::from(which)),
+    }
+    fleet.pass(u32::from(which % 64) + 1);
+}
+
+fn play_crashes(faults: &[(u8, u8)]) {
+    let jobs = 0xa1..0xa7_u64;
+    let guilty = [0xa2, 0xa5];
+    let mut fleet = Fleet::new(u16::from(ENDPOINTS) + 2);
+    fleet.pass(20);
+    for id in jobs.clone() {
+        let second = StepSpec {
+            after: vec![0],
+            ..step(2, 700, 300)
+        };
+        let draft = job(vec![step(2, 500, 400), second]);
+        fleet.submit(&format!("{id:016x}"), draft);
+    }
+    for id in guilty {
+        fleet.crashes.by_first_task_of(id);
+    }
+    for &(what, which) in faults.iter().take(40) {
+        disturb_room(&mut fleet, what, which);
+    }
+    fleet.is_log_up = true;
+    fleet.log_delay = Duration::ZERO;
+    let ids: Vec<_> = fleet.endpoints.keys().cloned().collect();
+    for id in ids {
+        fleet.endpoint(&id).is_silent = false;
+        fleet.resize(&id, fleet.capacity);
+    }
+    fleet.list();
+    fleet.pass(6_000);
+    assert!(fleet.broken.is_empty(), "{faults:?}: {:?}", fleet.broken);
+    for id in jobs {
+        let state = fleet.state(&format!("{id:016x}"));
+        let may_fail = state == Answer::GivenUp && fleet.crashes_under(id) >= 2;
+        let has_ended = if guilty.contains(&id) {
+            may_fail
+        } else {
+            may_fail || state == Answer::State(JobState::Completed)
+        };
+        let is_known = state != Answer::Gone;
+        assert!(!is_known || has_ended, "{faults:?}: {id:x}: {state:?}");
+    }
+}
+
+#[test]
+fn crashes_and_changes_of_room_in_any_order_break_no_promise() {
+    pomelohitch_property::check(|faults: &Vec<(u8, u8)>| play_crashes(faults));
+}
+
 /// Orders of faults that once broke a promise.
 #[test]
 fn faults_that_broke_a_promise_before_do_so_no_more() {
--- /dev/null
+++ b/crates/pomelohitch-sched/tests/cell/room.rs
@@ -0,0 +1,109 @@
+//! Room of endpoints that shrinks and grows while they run.
+
+use std::time::Duration;
+
+use pomelohitch_sched::Resources;
+use pomelohitch_sched::job::StepSpec;
+use pomelohitch_sched::order::Answer;
+use pomelohitch_sched::progress::JobState;
+
+use super::fleet::{Fleet, job, step};
+
+const ID: &str = "00000000000000a1";
+const OTHER: &str = "00000000000000a2";
+
+fn room(cpu: u64) -> Resources {
+    Resources {
+        cpu,
+        mem_mb: 4000,
+        gpu: 0,
+    }
+}
+
+#[test]
+fn nothing_starts_beyond_room_that_has_shrunk_until_it_grows_again() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(ID, job(vec![step(3, 1000, 9_000)]));
+    fleet.pass(30);
+    fleet.resize("e0", room(2000));
+    fleet.pass(460);
+    fleet.submit(OTHER, job(vec![step(1, 1000, 300)]));
+    fleet.pass(100);
+    fleet.assert_sound();
+    assert_eq!(fleet.starts.len(), 3);
+    fleet.resize("e0", room(4000));
+    fleet.pass(60);
+    assert_eq!(fleet.state(OTHER), Answer::State(JobState::Completed));
+    fleet.pass(600);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+}
+
+/// Guards against a start that is sent by the room of when it was decided.
+#[test]
+fn a_start_whose_record_took_long_is_dropped_if_the_room_has_shrunk() {
+    let mut fleet = Fleet::new(1);
+    fleet.log_delay = Duration::from_secs(6);
+    fleet.submit(ID, job(vec![step(4, 1000, 300)]));
+    fleet.pass(100);
+    fleet.resize("e0", room(2000));
+    fleet.pass(2_400);
+    fleet.log_delay = Duration::ZERO;
+    fleet.pass(2_000);
+    fleet.assert_sound();
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+}
+
+/// Guards against a part of a gang that starts without the members that are dropped.
+#[test]
+fn a_gang_is_dropped_as_a_whole_if_the_room_of_one_endpoint_has_shrunk() {
+    let mut fleet = Fleet::new(2);
+    fleet.log_delay = Duration::from_secs(6);
+    let gang = StepSpec {
+        is_gang: true,
+        ..step(6, 1000, 300)
+    };
+    fleet.submit(ID, job(vec![gang]));
+    fleet.pass(100);
+    fleet.resize("e0", room(1000));
+    fleet.pass(1_200);
+    fleet.assert_sound();
+    assert!(fleet.starts.is_empty(), "{:?}", fleet.starts);
+    fleet.log_delay = Duration::ZERO;
+    fleet.resize("e0", room(4000));
+    fleet.pass(2_000);
+    fleet.assert_sound();
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+}
+
+/// Guards against filling memory where the processors are taken over their room.
+#[test]
+fn fillers_do_not_start_where_room_has_shrunk_below_what_runs() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(ID, job(vec![step(3, 1000, 9_000)]));
+    fleet.pass(30);
+    fleet.resize("e0", room(2000));
+    let filler = StepSpec {
+        is_filler: true,
+        ..step(1, 1000, 300)
+    };
+    fleet.pass(460);
+    fleet.submit(OTHER, job(vec![filler]));
+    fleet.pass(100);
+    fleet.assert_sound();
+    assert_eq!(fleet.starts.len(), 3);
+}
+
+/// Guards against a successor that places by the room that its former leader knew.
+#[test]
+fn a_new_leader_places_by_the_room_that_has_shrunk() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(ID, job(vec![step(2, 1000, 9_000)]));
+    fleet.pass(30);
+    fleet.resize("e0", room(2500));
+    fleet.pass(460);
+    fleet.change_leader();
+    fleet.submit(OTHER, job(vec![step(1, 1000, 300)]));
+    fleet.pass(200);
+    fleet.assert_sound();
+    assert_eq!(fleet.starts.len(), 2);
+}
