feat: crashing tasks, chance crashes and shrinking room in the emulator's loads; suspected jobs hold fewer endpoints for a shorter time

Hypothesis: what isolation costs is the endpoints that it keeps, not the wait of those that are suspected.

The part that is kept holds only while other jobs wait. The emulator refuses operations on instances that are down, as the platform does; without that two endpoints lived on one instance.

--- a/crates/pomelohitch-emulator/src/compare.rs
+++ b/crates/pomelohitch-emulator/src/compare.rs
@@ -13,7 +13,7 @@
 pub type Figure = (&'static str, fn(&Outcome) -> f64);
 
 /// What is compared.
-pub const FIGURES: [Figure; 10] = [
+pub const FIGURES: [Figure; 12] = [
     ("worth", |o| o.worth),
     ("worst windows", |o| o.worst_windows),
     ("worst queue", |o| o.worst_queue),
@@ -24,6 +24,8 @@
     ("p99, s", |o| millis(o.p99_ms)),
     ("pool seconds", |o| o.pool_s),
     ("moves", |o| as_f64(o.moves)),
+    ("crashes", |o| f64::from(o.crashes)),
+    ("given up", |o| as_f64(o.given_up)),
 ];
 
 /// How much of one figure two policies differ by.
--- a/crates/pomelohitch-emulator/src/fleet/crashes.rs
+++ b/crates/pomelohitch-emulator/src/fleet/crashes.rs
@@ -56,6 +56,12 @@
         });
     }
 
+    /// Whether some task of the job crashes its endpoints.
+    #[must_use]
+    pub fn is_by(&self, job: JobId) -> bool {
+        self.tasks.iter().any(|task| task.job == job)
+    }
+
     /// How many endpoints crashed under the tasks that crash them.
     #[must_use]
     pub fn count(&self) -> u32 {
--- a/crates/pomelohitch-emulator/src/fleet/instances.rs
+++ b/crates/pomelohitch-emulator/src/fleet/instances.rs
@@ -11,12 +11,16 @@
 impl Fleet {
     pub(super) fn operate(&mut self, id: &Arc<str>, operation: &Operation) {
         self.operations.push((id.clone(), operation.clone()));
-        let outcome = if self.loses_operations {
-            OperationOutcome::Unanswered
-        } else {
-            OperationOutcome::Taken
+        let is_up = self
+            .instances
+            .get(id)
+            .is_some_and(|i| i.state == InstanceState::Up);
+        let outcome = match () {
+            () if self.loses_operations => OperationOutcome::Unanswered,
+            () if self.carries_out && !is_up => OperationOutcome::Busy,
+            () => OperationOutcome::Taken,
         };
-        if self.carries_out && !self.loses_operations {
+        if self.carries_out && outcome == OperationOutcome::Taken {
             self.take_down(id, operation);
         }
         self.cell.operated(id, operation, outcome);
--- a/crates/pomelohitch-emulator/src/load.rs
+++ b/crates/pomelohitch-emulator/src/load.rs
@@ -196,6 +196,15 @@
     /// Every tenth endpoint takes `strength` times as long.
     #[serde(default)]
     pub slow: Vec<Span>,
+    /// The part of `strength` of the jobs has a task that crashes each endpoint that starts it.
+    #[serde(default)]
+    pub crashing: Vec<Span>,
+    /// So many endpoints a second crash for another reason.
+    #[serde(default)]
+    pub crashes: Vec<Span>,
+    /// Every fifth endpoint has the part of `strength` of its room.
+    #[serde(default)]
+    pub shrinks: Vec<Span>,
     /// The leader changes at these times, seconds.
     #[serde(default)]
     pub leader_changes_s: Vec<f64>,
--- a/crates/pomelohitch-emulator/src/play.rs
+++ b/crates/pomelohitch-emulator/src/play.rs
@@ -12,6 +12,8 @@
 use pomelohitch_sched::order::{Answer, Operation};
 use pomelohitch_sched::progress::JobState;
 use pomelohitch_sched::{Resources, Settings, TaskId};
+use rand::rngs::ChaCha8Rng;
+use rand::{RngExt, SeedableRng};
 use serde::Serialize;
 
 use crate::arrivals::{self, Arrival};
@@ -34,6 +36,8 @@
 const FINISH: Duration = Duration::from_secs(14);
 /// What a job that never ended counts as, milliseconds.
 const NEVER_MS: u128 = 600_000;
+/// An instance is down for so long after a crash.
+const CRASHED_FOR: Duration = Duration::from_secs(3);
 /// A call takes so long to come and go.
 const ON_THE_WAY: Duration = Duration::from_millis(10);
 
@@ -66,6 +70,10 @@
     pub starts_lost: usize,
     /// Looks at endpoints.
     pub looks: usize,
+    /// Endpoints that crashed under tasks that crash them.
+    pub crashes: u32,
+    /// Jobs that were given up though their tasks crash nothing.
+    pub given_up: usize,
     /// Promises that were broken.
     pub broken: Vec<String>,
 }
@@ -104,6 +112,8 @@
     over: Vec<Sent>,
     leader_changes: usize,
     pool_time: Duration,
+    luck: ChaCha8Rng,
+    has_shrunk: bool,
 }
 
 impl<'a> Stage<'a> {
@@ -140,6 +150,8 @@
             coming: arrivals.into_iter().peekable(),
             open: Vec::new(),
             over: Vec::new(),
+            luck: ChaCha8Rng::seed_from_u64(!seed),
+            has_shrunk: false,
             leader_changes: 0,
             pool_time: Duration::ZERO,
         }
@@ -207,6 +219,8 @@
         for (place, endpoint) in self.fleet.endpoints.values_mut().enumerate() {
             endpoint.slowness = if place % 10 == 0 { slowness } else { 1.0 };
         }
+        self.crash_some();
+        self.shrink();
         let due = faults
             .leader_changes_s
             .iter()
@@ -218,7 +232,51 @@
         }
     }
 
+    /// Endpoints crash that nothing is to blame for.
+    fn crash_some(&mut self) {
+        let spans = &self.load.faults.crashes;
+        let Some(span) = spans.iter().find(|span| span.holds(self.passed)) else {
+            return;
+        };
+        if self.luck.random_range(0.0..1.0) < span.strength * STEP.as_secs_f64() {
+            let place = self.luck.random_range(0..self.fleet.endpoints.len().max(1));
+            let id = self.fleet.endpoints.keys().nth(place).cloned();
+            if let Some(id) = id {
+                self.fleet.crash_for(&id, CRASHED_FOR);
+            }
+        }
+    }
+
+    /// Room shrinks, and grows again.
+    fn shrink(&mut self) {
+        let spans = &self.load.faults.shrinks;
+        let span = spans.iter().find(|span| span.holds(self.passed));
+        if span.is_some() == self.has_shrunk {
+            return;
+        }
+        self.has_shrunk = span.is_some();
+        let part = span.map_or(1.0, |span| span.strength);
+        let ids: Vec<_> = self.fleet.endpoints.keys().step_by(5).cloned().collect();
+        for id in ids {
+            let whole = self.fleet.capacity;
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                clippy::cast_precision_loss,
+                reason = "a part of an amount far below 2^52"
+            )]
+            let cpu = (whole.cpu as f64 * part) as u64;
+            self.fleet.resize(&id, Resources { cpu, ..whole });
+        }
+    }
+
     fn send(&mut self, arrival: Arrival) -> Sent {
+        let crashing = &self.load.faults.crashing;
+        if let Some(span) = crashing.iter().find(|span| span.holds(self.passed))
+            && self.luck.random_range(0.0..1.0) < span.strength
+        {
+            self.fleet.crashes.by_first_task_of(arrival.id);
+        }
         let queue = &self.load.queues[arrival.queue];
         let chain = chain(&self.fleet, &arrival);
         let objective = chain.mul_f64(queue.stretch) + Duration::from_millis(queue.slack_ms);
@@ -276,7 +334,9 @@
 
     fn outcome(mut self) -> Outcome {
         self.over.append(&mut self.open);
-        let all: Vec<&Sent> = self.over.iter().collect();
+        let crashes = &self.fleet.crashes;
+        let is_sound = |sent: &&Sent| !crashes.is_by(sent.arrival.id);
+        let all: Vec<&Sent> = self.over.iter().filter(is_sound).collect();
         let count = |is_meant: fn(&Sent) -> bool| {
             let meant = all.iter().filter(|sent| is_meant(sent)).count();
             part(as_f64(meant), as_f64(all.len()))
@@ -315,9 +375,16 @@
                 .count(),
             starts_lost: self.fleet.starts_lost,
             looks: self.fleet.looks_sent,
+            crashes: crashes.count(),
+            given_up: all.iter().filter(|sent| self.is_given_up(sent)).count(),
             broken: self.fleet.broken,
         }
     }
+
+    fn is_given_up(&self, sent: &Sent) -> bool {
+        let job = self.fleet.cell.job(sent.arrival.id);
+        job.is_some_and(|j| j.progress.is_given_up)
+    }
 }
 
 impl Sent {
--- a/crates/pomelohitch-emulator/src/policies.rs
+++ b/crates/pomelohitch-emulator/src/policies.rs
@@ -8,7 +8,7 @@
 pub type Switch = (&'static str, fn(&mut Policy));
 
 /// Every mechanism that can be switched off, by what is missing then.
-pub const SWITCHES: [Switch; 12] = [
+pub const SWITCHES: [Switch; 13] = [
     ("late-last", |p| p.late_last = false),
     ("latest-start", |p| p.by_latest_start = false),
     ("deferral", |p| p.defers = false),
@@ -21,13 +21,14 @@
     ("surplus-delay", |p| p.margins.surplus_for = Duration::ZERO),
     ("packing", |p| p.packs = false),
     ("doubt", |p| p.doubts_silent = false),
+    ("isolation", |p| p.crashes.isolates = false),
 ];
 
 /// Sets one number.
 pub type Number = (&'static str, fn(&mut Policy, f64));
 
 /// Every number that can be set.
-pub const NUMBERS: [Number; 7] = [
+pub const NUMBERS: [Number; 14] = [
     ("late-after", |p, n| p.late_after = n),
     ("fill", |p, n| p.margins.fill = n),
     ("most-backlog", |p, n| p.margins.most_backlog = n),
@@ -35,8 +36,28 @@
     ("most-rise", |p, n| p.margins.most_rise = n),
     ("soon-ms", |p, n| p.margins.soon = millis(n)),
     ("surplus-ms", |p, n| p.margins.surplus_for = millis(n)),
+    ("lost-alone", |p, n| p.crashes.lost_alone = whole(n)),
+    ("alone", |p, n| p.crashes.alone = whole(n)),
+    ("proven-ms", |p, n| p.crashes.proven_after = millis(n)),
+    ("proven-again-ms", |p, n| {
+        p.crashes.proven_again_after = millis(n)
+    }),
+    ("most-isolated", |p, n| p.crashes.most_isolated = n),
+    ("busy-patience-ms", |p, n| {
+        p.crashes.busy_patience = millis(n)
+    }),
+    ("patience-ms", |p, n| p.crashes.patience = millis(n)),
 ];
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a small count"
+)]
+fn whole(number: f64) -> u32 {
+    number.max(0.0) as u32
+}
+
 fn millis(number: f64) -> Duration {
     Duration::from_secs_f64(number.max(0.0) / 1000.0)
 }
--- a/crates/pomelohitch-emulator/tests/loads.rs
+++ b/crates/pomelohitch-emulator/tests/loads.rs
@@ -44,6 +44,7 @@
         "log-away.toml",
         "log-slow.toml",
         "steady.toml",
+        "crashes.toml",
     ] {
         for outcome in play_all(&load(name), &Settings::default(), &SEEDS) {
             assert!(outcome.broken.is_empty(), "{name}: {:?}", outcome.broken);
@@ -59,6 +60,23 @@
     assert!(mean(&outcomes, "of no use") < 0.005);
 }
 
+/// Some jobs crash the endpoints that start them, others crash by themselves, and room shrinks. No
+/// sound job is to be given up, and callers are to be surely better off than without isolation.
+#[test]
+fn sound_jobs_are_served_beside_jobs_that_crash_endpoints() {
+    let seeds: Vec<u64> = (1..=12).collect();
+    let crashes = load("crashes.toml");
+    let mixed = play_all(&crashes, &without("isolation"), &seeds);
+    let apart = play_all(&crashes, &Settings::default(), &seeds);
+    assert!(mean(&apart, "given up") < 0.5);
+    let gains = differences(&mixed, &apart);
+    let worth = gains.iter().find(|d| d.figure == "worth");
+    assert!(
+        worth.is_some_and(|d| d.is_sure() && d.difference > 0.0),
+        "{worth:?}"
+    );
+}
+
 /// One order in eighteen gets no answer. With eleven tasks a job, half of all jobs lose one.
 #[test]
 fn callers_are_served_in_time_where_orders_are_lost() {
--- a/crates/pomelohitch-sched/src/cell/isolation.rs
+++ b/crates/pomelohitch-sched/src/cell/isolation.rs
@@ -19,9 +19,6 @@
 use crate::job::{JobSpec, StepSpec};
 use crate::place::{Allowed, Slot, Slots};
 
-/// At most this part of a service's endpoints is kept for suspected jobs, but one at least.
-const MOST_ISOLATED: usize = 4;
-
 /// An incarnation of this age isn't one of an instance that goes down again and again, whose end would
 /// be held against the job.
 const YOUNG: Duration = Duration::from_secs(10);
@@ -68,17 +65,27 @@
     pub(super) fn start_suspected(
         &mut self,
         ids: &[JobId],
+        others_wait: bool,
         slots: &mut Slots,
         misfits: &mut Misfits,
     ) {
+        if ids.is_empty() {
+            return;
+        }
         let isolated = self.isolated();
         let at_risk: BTreeSet<JobId> = isolated.into_values().collect();
-        let most = slots.list.len().div_ceil(MOST_ISOLATED).max(1);
         let mut kept = at_risk.len();
+        let all = slots.list.len() + kept;
+        let most = if others_wait {
+            part_of(all, self.settings.policy.crashes.most_isolated).max(1)
+        } else {
+            all
+        };
+        let patience = self.patience(slots);
         for id in ids {
             let waits = self.suspected.get(id).copied().unwrap_or_default();
             let waited = self.now.steady.saturating_sub(waits);
-            let is_patient = waited < self.settings.policy.crashes.patience;
+            let is_patient = waited < patience;
             if is_patient && (at_risk.contains(id) || kept >= most) {
                 continue;
             }
@@ -86,6 +93,22 @@
         }
     }
 
+    /// How long suspected jobs wait to run apart: longer where what else waits needs the room.
+    fn patience(&self, slots: &Slots) -> Duration {
+        let limits = &self.settings.policy.crashes;
+        let endpoints = slots.list.iter().filter_map(|s| self.endpoints.get(&s.id));
+        let (mut used, mut all) = (0, 0);
+        for endpoint in endpoints {
+            used += endpoint.used.cpu;
+            all += endpoint.report.as_ref().map_or(0, |r| r.capacity.cpu);
+        }
+        if used * 2 > all {
+            limits.busy_patience
+        } else {
+            limits.patience
+        }
+    }
+
     /// Starts one suspected job, or keeps an endpoint for it. Returns whether it has one.
     fn start_apart(
         &mut self,
@@ -230,3 +253,13 @@
         .flatten()
         .any(|t| !t.is_done && t.suspicion.is_suspect)
 }
+
+#[expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a part of a number of endpoints"
+)]
+fn part_of(count: usize, part: f64) -> usize {
+    (count as f64 * part.clamp(0.0, 1.0)) as usize
+}
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -91,7 +91,7 @@
         let ids = self.by_urgency(service, &slots).into_iter();
         let (suspected, others): (Vec<JobId>, Vec<JobId>) =
             ids.partition(|id| self.suspected.contains_key(id));
-        self.start_suspected(&suspected, &mut slots, &mut misfits);
+        self.start_suspected(&suspected, !others.is_empty(), &mut slots, &mut misfits);
         for id in others {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
--- a/crates/pomelohitch-sched/src/suspicion.rs
+++ b/crates/pomelohitch-sched/src/suspicion.rs
@@ -12,7 +12,7 @@
 use crate::loss::{Loss, LossCause};
 
 /// When a task is suspected, and when it is given up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct CrashLimits {
     /// Endpoints lost under a task, by which it is given up if only its job can have caused `alone` of
     /// these crashes.
@@ -34,8 +34,13 @@
     pub cleared_after: Duration,
     /// Whether suspected jobs run apart from others.
     pub isolates: bool,
+    /// The part of a service's endpoints that is kept for suspected jobs at most while others wait; one
+    /// at least.
+    pub most_isolated: f64,
     /// A suspected job that waited so long to run apart starts beside others.
     pub patience: Duration,
+    /// The same while more than half of the service's processors are in use.
+    pub busy_patience: Duration,
 }
 
 impl Default for CrashLimits {
@@ -46,11 +51,13 @@
             lost_certain: 4,
             certain: 2,
             lost: 5,
-            proven_after: Duration::from_millis(400),
+            proven_after: Duration::from_millis(150),
             proven_again_after: Duration::from_secs(2),
             cleared_after: Duration::from_secs(10),
             isolates: true,
+            most_isolated: 0.2,
             patience: Duration::from_millis(1500),
+            busy_patience: Duration::from_secs(4),
         }
     }
 }
