--- a/crates/pomelohitch-emulator/src/policies.rs
+++ b/crates/pomelohitch-emulator/src/policies.rs
@@ -40,11 +40,11 @@
     ("alone", |p, n| p.crashes.alone = whole(n)),
     ("proven-ms", |p, n| p.crashes.proven_after = millis(n)),
     ("proven-again-ms", |p, n| {
-        p.crashes.proven_again_after = millis(n)
+        p.crashes.proven_again_after = millis(n);
     }),
     ("most-isolated", |p, n| p.crashes.most_isolated = n),
     ("busy-patience-ms", |p, n| {
-        p.crashes.busy_patience = millis(n)
+        p.crashes.busy_patience = millis(n);
     }),
     ("patience-ms", |p, n| p.crashes.patience = millis(n)),
 ];
