fix: nothing starts by entries of endpoints that are seconds old

What would be seen: after an outage of the store starts go out by the room of before it, and bring endpoints over a room that has shrunk meanwhile.

Cause: starts go on being decided while nothing becomes durable, by entries as old as the outage; the first append that is taken sends them, before the entries are read again.

Change: the leader keeps when the entries were last read as a whole.

Evidence: the new test fails without the check (`e0 is over its room`). Ruled out: bounding the age of decisions alone, since new ones are made all through the outage.

--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -84,6 +84,8 @@
     pub appends_at_once: usize,
     /// Evacuated zones, and since when.
     pub evacuated: BTreeMap<ZoneName, Steady>,
+    /// Whether entries of endpoints are read while the log is up.
+    pub reads_entries: bool,
     /// While true, the list of instances can't be read.
     pub hides_instances: bool,
     /// Whether operations take effect after their time.
@@ -235,6 +237,7 @@
             log_delay: Duration::ZERO,
             appends_at_once: 4,
             evacuated: BTreeMap::new(),
+            reads_entries: true,
             hides_instances: false,
             carries_out: false,
             returning: Vec::new(),
@@ -351,8 +354,18 @@
         let endpoint = self.endpoint(id);
         endpoint.resized = Some((now, endpoint.report.capacity));
         endpoint.report.capacity = capacity;
-        let report = endpoint.report.clone();
-        self.cell.endpoint_listed(report);
+        self.read_entries();
+    }
+
+    /// The leader reads what endpoints say of themselves, if it can.
+    fn read_entries(&mut self) {
+        if !self.reads_entries || !self.is_log_up {
+            return;
+        }
+        for endpoint in self.endpoints.values_mut().filter(|e| e.resized.is_some()) {
+            self.cell.endpoint_listed(endpoint.report.clone());
+        }
+        self.cell.endpoints_read(self.now.steady);
     }
 
     /// Puts an endpoint and its instance into an availability zone.
@@ -462,6 +475,7 @@
             self.end_delayed();
             self.carry_link();
             self.answer_looks();
+            self.read_entries();
             self.commit();
             let actions = self.decide(Cell::tick);
             self.carry_out(actions);
--- a/crates/pomelohitch-sched/src/cell/commits.rs
+++ b/crates/pomelohitch-sched/src/cell/commits.rs
@@ -136,8 +136,8 @@
     }
 
     /// Whether an action waited too long for its record: a start whose task may run elsewhere by
-    /// now, whose run was given up, whose zone is evacuated or whose endpoint's room has shrunk
-    /// meanwhile, or an operation on an instance that may have been given work since.
+    /// now, whose run was given up, whose zone is evacuated, whose endpoint's room has shrunk or may
+    /// have shrunk meanwhile, or an operation on an instance that may have been given work since.
     fn is_void(&self, action: &Action) -> bool {
         let is_old = |at: Steady| self.now.steady.saturating_sub(at) > self.settings.start_stale;
         match action {
@@ -149,7 +149,10 @@
             } => {
                 let endpoint = self.endpoints.get(&target.id);
                 let is_taken_away = endpoint.is_some_and(|e| self.is_evacuated(e) || e.is_over());
-                is_old(*at) || is_taken_away || self.run(*task, *run).is_none()
+                is_old(*at)
+                    || is_taken_away
+                    || !self.has_fresh_entries()
+                    || self.run(*task, *run).is_none()
             }
             Action::Operate { at, .. } => is_old(*at),
             _ => false,
--- a/crates/pomelohitch-sched/src/cell/lives.rs
+++ b/crates/pomelohitch-sched/src/cell/lives.rs
@@ -5,6 +5,7 @@
 use tracing::{info, warn};
 
 use super::Cell;
+use crate::Steady;
 use crate::endpoint::{Endpoint, Report};
 use crate::id::EndpointId;
 use crate::loss::LossCause;
@@ -43,6 +44,17 @@
         }
     }
 
+    /// Takes in that all entries were read that the platform's list held at that time.
+    pub fn endpoints_read(&mut self, at: Steady) {
+        self.entries_read_at = self.entries_read_at.max(at);
+    }
+
+    /// Whether what endpoints say of themselves is known as of just now.
+    pub(super) fn has_fresh_entries(&self) -> bool {
+        let age = self.now.steady.saturating_sub(self.entries_read_at);
+        age <= self.settings.entries_fresh
+    }
+
     /// Takes in that the platform's list no longer holds an endpoint.
     pub fn endpoint_unlisted(&mut self, id: &EndpointId) {
         if let Some(endpoint) = self.endpoints.get_mut(id)
--- a/crates/pomelohitch-sched/tests/cell/room.rs
+++ b/crates/pomelohitch-sched/tests/cell/room.rs
@@ -53,6 +53,27 @@
     assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
 }
 
+/// Guards against starts by the room of before an outage of the log, which entries don't show yet.
+#[test]
+fn nothing_starts_after_an_outage_until_entries_are_read() {
+    let mut fleet = Fleet::new(1);
+    fleet.pass(50);
+    fleet.is_log_up = false;
+    fleet.submit(ID, job(vec![step(4, 1000, 300)]));
+    fleet.pass(100);
+    fleet.reads_entries = false;
+    fleet.resize("e0", room(2000));
+    fleet.pass(600);
+    fleet.is_log_up = true;
+    fleet.pass(50);
+    fleet.assert_sound();
+    fleet.list();
+    fleet.reads_entries = true;
+    fleet.pass(200);
+    fleet.assert_sound();
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+}
+
 /// Guards against a part of a gang that starts without the members that are dropped.
 #[test]
 fn a_gang_is_dropped_as_a_whole_if_the_room_of_one_endpoint_has_shrunk() {
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -72,6 +72,8 @@
     EndpointUnlisted(EndpointId),
     /// All entries were read anew; endpoints without one aren't listed any more.
     EndpointsRead(Vec<Report>),
+    /// All entries of endpoints were read that there were at that time.
+    EndpointsAsOf(Steady),
     /// A look ended.
     Looked(Target, Result<Look, LookFailure>),
     /// An order ended.
@@ -296,6 +298,7 @@
             Event::EndpointListed(report) => self.cell.endpoint_listed(report),
             Event::EndpointUnlisted(id) => self.cell.endpoint_unlisted(&id),
             Event::EndpointsRead(reports) => self.take_all(reports),
+            Event::EndpointsAsOf(at) => self.cell.endpoints_read(at),
             Event::Looked(target, look) => self.cell.looked(&target, look),
             Event::Ordered(target, order, outcome) => self.cell.ordered(&target, &order, &outcome),
             Event::Instances(Some(list), asked_at) => self.cell.instances_listed(list, asked_at),
--- a/pomelohitchd/src/fleet/leader/watch.rs
+++ b/pomelohitchd/src/fleet/leader/watch.rs
@@ -11,6 +11,7 @@
 use tracing::{info, warn};
 
 use super::core::{EvacuationChange, Event, spawn_for};
+use crate::fleet::clock;
 use crate::fleet::shared::Shared;
 
 /// A read of what operators write waits so long. Short, since a connection that went silent shows
@@ -46,6 +47,10 @@
     let mut from = Some(endpoints);
     spawn_for("endpoints", shared, epoch, move |_| {
         let read = read_endpoints(&store, from, &tx);
+        if read.as_ref().is_ok_and(Option::is_some) {
+            // The receiver is gone only when the leadership is over, and then so is this thread.
+            let _ = tx.send(Event::EndpointsAsOf(clock::steady()));
+        }
         from = next(read, from);
         std::thread::sleep(ENDPOINTS_GAP);
     })
