test: starts are held to the largest room of the last seconds, not to that before the last change

The trace: the leader read both changes in one batch, 3.1 s after the first, and the starts were sent 2.5 s after its last whole read. Room that shrank counts after the contact time and a beat, 4.5 s.

--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -352,7 +352,7 @@
     pub fn resize(&mut self, id: &str, capacity: Resources) {
         let now = self.now.steady;
         let endpoint = self.endpoint(id);
-        endpoint.resized = Some((now, endpoint.report.capacity));
+        endpoint.resized.push((now, endpoint.report.capacity));
         endpoint.report.capacity = capacity;
         self.read_entries();
     }
@@ -362,7 +362,11 @@
         if !self.reads_entries || !self.is_log_up {
             return;
         }
-        for endpoint in self.endpoints.values_mut().filter(|e| e.resized.is_some()) {
+        for endpoint in self
+            .endpoints
+            .values_mut()
+            .filter(|e| !e.resized.is_empty())
+        {
             self.cell.endpoint_listed(endpoint.report.clone());
         }
         self.cell.endpoints_read(self.now.steady);
--- a/crates/pomelohitch-emulator/src/fleet/endpoint.rs
+++ b/crates/pomelohitch-emulator/src/fleet/endpoint.rs
@@ -29,8 +29,8 @@
     pub slowness: f64,
     /// How long a run that is stopped goes on.
     pub stop_grace: Duration,
-    /// When its room last changed, and what it was before.
-    pub(super) resized: Option<(Steady, Resources)>,
+    /// When its room changed, and what it was before each.
+    pub(super) resized: Vec<(Steady, Resources)>,
     pub(super) clock: Duration,
     pub(super) epoch: u64,
     pub(super) lease: Duration,
@@ -67,7 +67,7 @@
             stands_still: false,
             slowness: 1.0,
             stop_grace: Duration::ZERO,
-            resized: None,
+            resized: Vec::new(),
             clock: Duration::from_secs(5),
             epoch: 0,
             lease: Duration::ZERO,
--- a/crates/pomelohitch-emulator/src/fleet/orders.rs
+++ b/crates/pomelohitch-emulator/src/fleet/orders.rs
@@ -150,8 +150,9 @@
         for run in endpoint.runs.values() {
             used += &run.room;
         }
-        let before = endpoint.resized.filter(|(at, _)| now < *at + SHRUNK_AFTER);
-        let fitted_before = before.is_some_and(|(_, room)| room.holds(&used));
+        let resized = endpoint.resized.iter().rev();
+        let mut late = resized.take_while(|(at, _)| now < *at + SHRUNK_AFTER);
+        let fitted_before = late.any(|(_, room)| room.holds(&used));
         if !endpoint.report.capacity.holds(&used) && !fitted_before {
             self.broken.push(format!("{at} is over its room"));
         }
