fix: nothing starts by what operators wrote seconds ago, and reads that took long don't count as fresh

Trace: the leader and another member were stopped by signals; when the leader went on, its reads were answered from before, a start went out, and the evacuation was read 150 ms later.

What the leader acts on was as old as the time that it stood still, and a read whose answer had been waiting all the while looked new.

Change: as of when operators' records are known counts like that of entries, and what a read took beside its wait is taken off.

--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -370,6 +370,7 @@
             self.cell.endpoint_listed(endpoint.report.clone());
         }
         self.cell.endpoints_read(self.now.steady);
+        self.cell.operators_read(self.now.steady);
     }
 
     /// Puts an endpoint and its instance into an availability zone.
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -102,9 +102,9 @@
     pub look_gap: Duration,
     /// The same after a failed poll, or while ends can't be acknowledged.
     pub look_retry: Duration,
-    /// Nothing starts by entries of endpoints that were read longer ago: their room may have shrunk, or
-    /// they may be about to leave.
-    pub entries_fresh: Duration,
+    /// Nothing starts by what endpoints and operators wrote if that was read longer ago: room may have
+    /// shrunk, endpoints may be about to leave, zones to be evacuated.
+    pub written_fresh: Duration,
     /// Silence after which an endpoint receives no new tasks.
     pub fresh: Duration,
     /// Time after a change of leader by which every lease of the former one has lapsed: its last
@@ -147,7 +147,7 @@
             look_wait_target: Duration::from_millis(300),
             look_gap: Duration::from_millis(25),
             look_retry: Duration::from_millis(200),
-            entries_fresh: Duration::from_secs(3),
+            written_fresh: Duration::from_secs(3),
             fresh: Duration::from_millis(1800),
             unread_lapse: Duration::from_secs(10),
             keep_ended: Duration::from_secs(150),
@@ -240,8 +240,10 @@
     dropped: BTreeMap<JobId, bool>,
     extra_records: Vec<Record>,
     noted: BTreeSet<EndpointId>,
-    /// When the entries of endpoints were last read.
-    entries_read_at: Steady,
+    /// As of when the entries of endpoints are known.
+    endpoints_as_of: Steady,
+    /// The same of what operators wrote.
+    operators_as_of: Steady,
     lost: LossCounts,
     given_up: u64,
     /// Jobs that run apart from others, and since when they wait.
@@ -352,7 +354,8 @@
             dropped: BTreeMap::new(),
             extra_records: Vec::new(),
             noted: BTreeSet::new(),
-            entries_read_at: now.steady,
+            endpoints_as_of: now.steady,
+            operators_as_of: now.steady,
             lost: LossCounts::new(),
             given_up: 0,
             suspected: BTreeMap::new(),
@@ -419,7 +422,7 @@
         }
         if now.steady >= self.scheduled_at + SCHEDULE_EVERY.max(gap) {
             self.scheduled_at = now.steady;
-            if self.flow.has_room() && self.has_fresh_entries() {
+            if self.flow.has_room() && self.knows_written() {
                 self.schedule();
             }
             self.flow.passed(now.steady);
--- a/crates/pomelohitch-sched/src/cell/commits.rs
+++ b/crates/pomelohitch-sched/src/cell/commits.rs
@@ -151,7 +151,7 @@
                 let is_taken_away = endpoint.is_some_and(|e| self.is_evacuated(e) || e.is_over());
                 is_old(*at)
                     || is_taken_away
-                    || !self.has_fresh_entries()
+                    || !self.knows_written()
                     || self.run(*task, *run).is_none()
             }
             Action::Operate { at, .. } => is_old(*at),
--- a/crates/pomelohitch-sched/src/cell/lives.rs
+++ b/crates/pomelohitch-sched/src/cell/lives.rs
@@ -45,14 +45,20 @@
     }
 
     /// Takes in that all entries were read that the platform's list held at that time.
-    pub fn endpoints_read(&mut self, at: Steady) {
-        self.entries_read_at = self.entries_read_at.max(at);
+    pub fn endpoints_read(&mut self, as_of: Steady) {
+        self.endpoints_as_of = self.endpoints_as_of.max(as_of);
     }
 
-    /// Whether what endpoints say of themselves is known as of just now.
-    pub(super) fn has_fresh_entries(&self) -> bool {
-        let age = self.now.steady.saturating_sub(self.entries_read_at);
-        age <= self.settings.entries_fresh
+    /// Takes in that all was read that operators had written by then.
+    pub fn operators_read(&mut self, as_of: Steady) {
+        self.operators_as_of = self.operators_as_of.max(as_of);
+    }
+
+    /// Whether what endpoints and operators wrote is known as of just now. It isn't after an outage of
+    /// the store, or where this process stood still.
+    pub(super) fn knows_written(&self) -> bool {
+        let as_of = self.endpoints_as_of.min(self.operators_as_of);
+        self.now.steady.saturating_sub(as_of) <= self.settings.written_fresh
     }
 
     /// Takes in that the platform's list no longer holds an endpoint.
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -74,6 +74,8 @@
     EndpointsRead(Vec<Report>),
     /// All entries of endpoints were read that there were at that time.
     EndpointsAsOf(Steady),
+    /// All was read that operators had written by then.
+    OperatorsAsOf(Steady),
     /// A look ended.
     Looked(Target, Result<Look, LookFailure>),
     /// An order ended.
@@ -298,7 +300,8 @@
             Event::EndpointListed(report) => self.cell.endpoint_listed(report),
             Event::EndpointUnlisted(id) => self.cell.endpoint_unlisted(&id),
             Event::EndpointsRead(reports) => self.take_all(reports),
-            Event::EndpointsAsOf(at) => self.cell.endpoints_read(at),
+            Event::EndpointsAsOf(as_of) => self.cell.endpoints_read(as_of),
+            Event::OperatorsAsOf(as_of) => self.cell.operators_read(as_of),
             Event::Looked(target, look) => self.cell.looked(&target, look),
             Event::Ordered(target, order, outcome) => self.cell.ordered(&target, &order, &outcome),
             Event::Instances(Some(list), asked_at) => self.cell.instances_listed(list, asked_at),
--- a/pomelohitchd/src/fleet/leader/watch.rs
+++ b/pomelohitchd/src/fleet/leader/watch.rs
@@ -6,8 +6,8 @@
 
 use pomelohitch_adapter::records::{self, OperatorRecord};
 use pomelohitch_adapter::store::{Read, Store, Topic};
-use pomelohitch_sched::Epoch;
 use pomelohitch_sched::progress::Record;
+use pomelohitch_sched::{Epoch, Steady};
 use tracing::{info, warn};
 
 use super::core::{EvacuationChange, Event, spawn_for};
@@ -38,7 +38,12 @@
     let tx = events.clone();
     let mut from = Some(operators);
     spawn_for("operators", shared, epoch, move |_| {
+        let began = clock::steady();
         let read = read_operators(&store, from, &tx);
+        if read.as_ref().is_ok_and(Option::is_some) {
+            // The receiver is gone only when the leadership is over, and then so is this thread.
+            let _ = tx.send(Event::OperatorsAsOf(as_of(began, OPERATORS_WAIT)));
+        }
         let _ = tx.send(Event::Reads(read.is_ok()));
         from = next(read, from);
     })?;
@@ -46,16 +51,25 @@
     let tx = events.clone();
     let mut from = Some(endpoints);
     spawn_for("endpoints", shared, epoch, move |_| {
+        let began = clock::steady();
         let read = read_endpoints(&store, from, &tx);
         if read.as_ref().is_ok_and(Option::is_some) {
             // The receiver is gone only when the leadership is over, and then so is this thread.
-            let _ = tx.send(Event::EndpointsAsOf(clock::steady()));
+            let _ = tx.send(Event::EndpointsAsOf(as_of(began, ENDPOINTS_WAIT)));
         }
         from = next(read, from);
         std::thread::sleep(ENDPOINTS_GAP);
     })
 }
 
+/// As of when a read tells what was written, that began then and may have waited so long. What it took
+/// beside may have passed after its answer was made: this process may have stood still.
+fn as_of(began: Steady, wait: Duration) -> Steady {
+    let now = clock::steady();
+    let beside = now.saturating_sub(began).saturating_sub(wait);
+    now.saturating_sub(beside)
+}
+
 type Outcome = Result<Option<u64>, pomelohitch_adapter::Error>;
 
 /// Where to read on from; after a failure from the same place.
