fix: a task whose starts are refused everywhere is tried again less and less often

The wait doubles from 0.1 to 3.2 s and ends with the first start that is taken. It isn't durable: it bounds a rate, not a count.

Also a test that nothing starts by what operators wrote before a standstill.

--- a/crates/pomelohitch-emulator/src/fleet/endpoint.rs
+++ b/crates/pomelohitch-emulator/src/fleet/endpoint.rs
@@ -23,6 +23,8 @@
     pub loses_answers: bool,
     /// Every run fails.
     pub fails: bool,
+    /// Starts are refused as malformed.
+    pub refuses: bool,
     /// Runs make no progress.
     pub stands_still: bool,
     /// Runs take so many times as long.
@@ -64,6 +66,7 @@
             is_silent: false,
             loses_answers: false,
             fails: false,
+            refuses: false,
             stands_still: false,
             slowness: 1.0,
             stop_grace: Duration::ZERO,
@@ -192,6 +195,9 @@
         step: &StepSpec,
         whole: Duration,
     ) -> Outcome {
+        if self.refuses {
+            return Outcome::Refused(Refusal::Malformed);
+        }
         if deadline < self.clock {
             return Outcome::Refused(Refusal::Late);
         }
--- a/crates/pomelohitch-sched/src/cell/books.rs
+++ b/crates/pomelohitch-sched/src/cell/books.rs
@@ -10,7 +10,7 @@
 use crate::id::{EndpointId, JobId, RunNumber, ServiceName, TaskId};
 use crate::job::{JobSpec, StepSpec};
 use crate::order::{Action, Due, Order};
-use crate::progress::{JobState, Occurrence, Phase, Progress, Run, RunView};
+use crate::progress::{JobState, Occurrence, Phase, Progress, Run, RunView, Task};
 use crate::resources::Resources;
 
 impl Cell {
@@ -287,6 +287,10 @@
         runs.iter_mut().find(|r| r.number == run)
     }
 
+    pub(super) fn task_mut(&mut self, task: TaskId) -> Option<&mut Task> {
+        self.jobs.get_mut(&task.job)?.progress.task_mut(task)
+    }
+
     pub(super) fn run(&self, task: TaskId, run: RunNumber) -> Option<&Run> {
         let job = self.jobs.get(&task.job)?;
         let runs = &job.progress.task(task)?.runs;
--- a/crates/pomelohitch-sched/src/cell/losses.rs
+++ b/crates/pomelohitch-sched/src/cell/losses.rs
@@ -41,14 +41,15 @@
 
     /// Counts a loss against its task, whose record is written anew with it.
     fn suspect(&mut self, task: TaskId, loss: &Loss) -> Suspicion {
-        let job = self.jobs.get_mut(&task.job);
-        let Some(t) = job.and_then(|j| j.progress.task_mut(task)) else {
+        let Some(t) = self.task_mut(task) else {
             return Suspicion::default();
         };
-        if !t.is_done && t.suspicion.note(loss) {
+        let counts = !t.is_done && t.suspicion.note(loss);
+        let suspicion = t.suspicion;
+        if counts {
             self.dirty.insert(task.job);
         }
-        t.suspicion
+        suspicion
     }
 
     /// Fails the job of a task under which too many endpoints crashed.
@@ -81,8 +82,7 @@
             return;
         }
         for task in tasks {
-            let job = self.jobs.get_mut(&task.job);
-            if let Some(t) = job.and_then(|j| j.progress.task_mut(task)) {
+            if let Some(t) = self.task_mut(task) {
                 t.suspicion.retract();
                 info!(%task, endpoint = %id, born, lost = t.suspicion.lost, "loss retracted");
                 self.dirty.insert(task.job);
@@ -108,8 +108,7 @@
         if worked < self.settings.policy.crashes.cleared_after {
             return;
         }
-        let job = self.jobs.get_mut(&task.job);
-        if let Some(t) = job.and_then(|j| j.progress.task_mut(task))
+        if let Some(t) = self.task_mut(task)
             && t.suspicion != Suspicion::default()
         {
             info!(%task, lost = t.suspicion.lost, "suspicion cleared");
--- a/crates/pomelohitch-sched/src/cell/orders.rs
+++ b/crates/pomelohitch-sched/src/cell/orders.rs
@@ -7,7 +7,7 @@
 use super::Cell;
 use crate::id::{EndpointId, RunNumber, TaskId};
 use crate::order::{Order, Outcome, Refusal, Target};
-use crate::progress::Phase;
+use crate::progress::{Backoff, Phase};
 
 /// An endpoint that says it is unwell gets no work for so long.
 const UNWELL_AVOIDED: Duration = Duration::from_millis(1500);
@@ -49,6 +49,9 @@
                 if r.view.phase == Phase::Ordered {
                     r.view.phase = Phase::Taken { at: now };
                 }
+                if let Some(t) = self.task_mut(task) {
+                    t.backoff = Backoff::default();
+                }
             }
             Outcome::Unanswered => {
                 warn!(%task, run, endpoint = %target.id, "start not answered");
@@ -70,12 +73,23 @@
                 if *refusal == Refusal::Ticket {
                     self.advice.remove(&TaskId { index: 0, ..task });
                 }
+                if is_of_task(*refusal) {
+                    self.back_off(task);
+                }
                 self.run_not_started(task, run, "its start was refused");
             }
         }
         self.hurry_look(&target.id);
     }
 
+    /// Lets a task wait whose start was refused for a reason of its own.
+    fn back_off(&mut self, task: TaskId) {
+        let now = self.now.steady;
+        if let Some(t) = self.task_mut(task) {
+            t.backoff.refused(now);
+        }
+    }
+
     fn stopped(&mut self, target: &Target, task: TaskId, run: RunNumber, outcome: &Outcome) {
         let now = self.now.steady;
         if let Some(r) = self.run_mut(task, run)
@@ -95,6 +109,14 @@
     }
 }
 
+/// Whether a start was refused for a reason that other tasks don't have, and that stays.
+fn is_of_task(refusal: Refusal) -> bool {
+    matches!(
+        refusal,
+        Refusal::Malformed | Refusal::OldRun | Refusal::Late
+    )
+}
+
 /// Whether the endpoint itself has said how an order ended.
 fn is_answer(outcome: &Outcome) -> bool {
     !matches!(
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -12,6 +12,7 @@
 use crate::id::{EndpointId, JobId, ServiceName, TaskId, WorkspaceName};
 use crate::job::{self, JobSpec, StepSpec};
 use crate::place::{self, Allowed, Ask, Slot, Slots};
+use crate::progress::Task;
 use crate::resources::Resources;
 use crate::urgency::{self, Candidate, Room};
 
@@ -301,10 +302,9 @@
         let Some(tasks) = occurrence.map(|o| &o.steps[usize::from(first.step)]) else {
             return Vec::new();
         };
-        let waiting = tasks
-            .iter()
-            .enumerate()
-            .filter(|(_, t)| !t.is_done && t.runs.is_empty());
+        let now = self.now.steady;
+        let may_start = |t: &Task| !t.is_done && t.runs.is_empty() && !t.backoff.holds(now);
+        let waiting = tasks.iter().enumerate().filter(|(_, t)| may_start(t));
         waiting
             .map(|(index, _)| TaskId {
                 index: u32::try_from(index).unwrap_or(u32::MAX),
--- a/crates/pomelohitch-sched/src/progress.rs
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -85,6 +85,36 @@
     pub runs: Vec<Run>,
     /// Where it failed, so that it is tried elsewhere; not durable.
     pub failed_at: Vec<EndpointId>,
+    /// Its next start waits after starts that were refused; not durable.
+    pub backoff: Backoff,
+}
+
+/// How long a task waits after starts that were refused for a reason of their own.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Backoff {
+    /// Starts refused one after another.
+    refused: u32,
+    /// Not started before.
+    until: Steady,
+}
+
+/// The wait after the first refused start; each further one doubles it.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// The wait is doubled so often at most.
+const BACKOFF_DOUBLINGS: u32 = 5;
+
+impl Backoff {
+    /// Takes in that a start was refused.
+    pub fn refused(&mut self, now: Steady) {
+        self.until = now + FIRST_BACKOFF * 2_u32.pow(self.refused.min(BACKOFF_DOUBLINGS));
+        self.refused += 1;
+    }
+
+    /// Whether the next start still waits.
+    #[must_use]
+    pub fn holds(&self, now: Steady) -> bool {
+        now < self.until
+    }
 }
 
 /// A run that may exist at an endpoint.
--- a/crates/pomelohitch-sched/src/progress/stored.rs
+++ b/crates/pomelohitch-sched/src/progress/stored.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{JobState, Occurrence, Progress, Run, RunView, Task};
+use super::{Backoff, JobState, Occurrence, Progress, Run, RunView, Task};
 use crate::UnixMs;
 use crate::id::{EndpointId, RunNumber};
 use crate::suspicion::Suspicion;
@@ -172,6 +172,7 @@
                 checkpoint,
                 runs: runs.collect::<Option<_>>()?,
                 failed_at: Vec::new(),
+                backoff: Backoff::default(),
             }
         }
     })
--- a/crates/pomelohitch-sched/tests/cell/ends.rs
+++ b/crates/pomelohitch-sched/tests/cell/ends.rs
@@ -20,6 +20,24 @@
     assert_eq!(fleet.starts.len(), 3);
 }
 
+/// Guards against a start that every endpoint refuses and that is recorded and sent again at each pass.
+#[test]
+fn a_task_that_is_refused_everywhere_is_tried_again_less_and_less_often() {
+    let mut fleet = Fleet::new(2);
+    for endpoint in fleet.endpoints.values_mut() {
+        endpoint.refuses = true;
+    }
+    fleet.submit(ID, job(vec![step(1, 500, 50)]));
+    fleet.pass(1_000);
+    let task = &fleet.cell.job(0xa1).expect("it is held").progress.open[&0].steps[0][0];
+    assert!(task.last_run < 12, "{}", task.last_run);
+    for endpoint in fleet.endpoints.values_mut() {
+        endpoint.refuses = false;
+    }
+    fleet.pass(400);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+}
+
 #[test]
 fn a_task_that_failed_is_tried_elsewhere() {
     let mut fleet = Fleet::new(2);
--- a/crates/pomelohitch-sched/tests/cell/evacuation.rs
+++ b/crates/pomelohitch-sched/tests/cell/evacuation.rs
@@ -28,6 +28,21 @@
     fleet.list();
 }
 
+/// Guards against starts by what operators had asked for before the leader stood still.
+#[test]
+fn nothing_starts_until_what_operators_wrote_is_known_again() {
+    let mut fleet = fleet(3);
+    fleet.reads_entries = false;
+    fleet.pass(400);
+    fleet.submit("00000000000000a1", job(vec![step(2, 500, 50)]));
+    fleet.pass(50);
+    assert!(fleet.starts.is_empty());
+    fleet.reads_entries = true;
+    fleet.pass(50);
+    let state = fleet.state("00000000000000a1");
+    assert_eq!(state, Answer::State(JobState::Completed));
+}
+
 /// The same with instances of a pool that is off, whose operations take effect.
 fn with_spares(endpoints: u16, spares: u16) -> Fleet {
     let mut fleet = Fleet::new(endpoints);
--- a/crates/pomelohitch-sched/tests/progress.rs
+++ b/crates/pomelohitch-sched/tests/progress.rs
@@ -1,7 +1,7 @@
 //! Records of jobs.
 
 use pomelohitch_sched::progress::{
-    self, Entry, JobState, Occurrence, Progress, Run, RunView, Task,
+    self, Backoff, Entry, JobState, Occurrence, Progress, Run, RunView, Task,
 };
 use pomelohitch_sched::suspicion::Suspicion;
 
@@ -41,6 +41,7 @@
         },
         runs,
         failed_at: Vec::new(),
+        backoff: Backoff::default(),
     }
 }
 
