fix: a crash under a start whose answer was lost counts, also where the endpoint is back under its id

What would be seen: a task is started on without end where endpoints restart at once and answers to starts are lost.

Cause: the loss of such a run is found as a start that the present incarnation hasn't carried out, which counts for nothing. That the former one may have carried it out was known since the restart was seen, and not looked at.

Evidence: the new test broke the bound with lost answers (`starts 3 times more after 3 crashes`), not without.

--- a/crates/pomelohitch-emulator/src/fleet/crashes.rs
+++ b/crates/pomelohitch-emulator/src/fleet/crashes.rs
@@ -22,6 +22,8 @@
     pub after: Duration,
     /// How long an instance is down after a crash.
     pub down: Duration,
+    /// Whether endpoints start again at once, under their ids.
+    pub keeps_ids: bool,
     /// Endpoints that crashed under each task that crashes them or ran beside.
     pub under: BTreeMap<TaskId, u32>,
     /// Endpoints that have crashed.
@@ -37,6 +39,7 @@
             tasks: BTreeSet::new(),
             after: Duration::from_millis(10),
             down: Duration::from_secs(3),
+            keeps_ids: false,
             under: BTreeMap::new(),
             ended: BTreeSet::new(),
             more: BTreeMap::new(),
@@ -102,7 +105,11 @@
         let now = self.now.steady;
         let due = self.crashes.due.extract_if(.., |(at, _)| *at <= now);
         for (_, id) in due.collect::<Vec<_>>() {
-            self.crash_for(&id, self.crashes.down);
+            if self.crashes.keeps_ids && self.endpoints.contains_key(&id) {
+                self.restart(&id);
+            } else {
+                self.crash_for(&id, self.crashes.down);
+            }
         }
     }
 
--- a/crates/pomelohitch-sched/src/cell/losses.rs
+++ b/crates/pomelohitch-sched/src/cell/losses.rs
@@ -128,10 +128,15 @@
         self.run_lost(task, run, loss);
     }
 
-    /// A run's start was surely not carried out.
+    /// A run's start was surely not carried out by the endpoint's present incarnation. It may have been
+    /// by the one before.
     pub(super) fn run_not_started(&mut self, task: TaskId, run: RunNumber, why: &'static str) {
-        let born = self.run(task, run).map_or(0, |r| r.born);
-        self.run_lost(task, run, Loss::of_run(LossCause::NotStarted, why, born));
+        let Some(r) = self.run(task, run) else {
+            return;
+        };
+        let not_started = Loss::of_run(LossCause::NotStarted, why, r.born);
+        let loss = r.view.loss.unwrap_or(not_started);
+        self.run_lost(task, run, loss);
     }
 
     /// What the end of an endpoint's incarnation is put down to.
--- a/crates/pomelohitch-sched/tests/cell/crashes.rs
+++ b/crates/pomelohitch-sched/tests/cell/crashes.rs
@@ -73,6 +73,28 @@
     assert_eq!(fleet.state(&id(GUILTY)), Answer::GivenUp);
 }
 
+/// Guards against crashes that aren't counted where an endpoint is back under its id, answers or not.
+#[test]
+fn a_task_whose_endpoints_restart_under_their_ids_is_given_up() {
+    for loses_answers in [false, true] {
+        let mut fleet = Fleet::new(6);
+        fleet.crashes.by_first_task_of(GUILTY);
+        fleet.crashes.keeps_ids = true;
+        fleet.pass(20);
+        fleet.submit(&id(GUILTY), job(vec![step(2, 500, 600)]));
+        for _ in 0..400 {
+            for endpoint in fleet.endpoints.values_mut() {
+                endpoint.loses_answers = loses_answers;
+            }
+            fleet.pass(10);
+            fleet.list();
+        }
+        fleet.assert_sound();
+        let state = fleet.state(&id(GUILTY));
+        assert_eq!(state, Answer::GivenUp, "{loses_answers}");
+    }
+}
+
 /// Guards against lasting tasks that have no limit on attempts and so none on crashes.
 #[test]
 fn a_lasting_task_that_crashes_its_endpoints_is_given_up() {
