--- a/crates/pomelohitch-sched/tests/cell/crashes.rs
+++ b/crates/pomelohitch-sched/tests/cell/crashes.rs
@@ -201,3 +201,106 @@
     fleet.assert_sound();
     assert_eq!(fleet.state(&id(GUILTY)), Answer::State(JobState::Running));
 }
+
+/// Guards against kinds of steps that pass by the count or by isolation.
+#[test]
+fn whatever_a_step_asks_for_its_crashes_are_counted() {
+    let plain = || step(3, 500, 600);
+    let shapes = [
+        (
+            "gang",
+            StepSpec {
+                is_gang: true,
+                ..plain()
+            },
+        ),
+        (
+            "rack-local",
+            StepSpec {
+                is_rack_local: true,
+                ..plain()
+            },
+        ),
+        (
+            "spread",
+            StepSpec {
+                per_endpoint: 1,
+                ..plain()
+            },
+        ),
+        (
+            "labelled",
+            StepSpec {
+                requires: Some("r1".into()),
+                ..plain()
+            },
+        ),
+        (
+            "filler",
+            StepSpec {
+                is_filler: true,
+                ..plain()
+            },
+        ),
+        ("as large as an endpoint", step(3, 4000, 600)),
+    ];
+    for (name, shape) in shapes {
+        let mut fleet = Fleet::new(8);
+        fleet.crashes.by_first_task_of(GUILTY);
+        fleet.pass(20);
+        for sound in 1..=3 {
+            let draft = job(vec![shape.clone(), plain()]);
+            fleet.submit(&id(GUILTY + sound), draft);
+        }
+        fleet.submit(&id(GUILTY), job(vec![shape]));
+        fleet.pass(3_000);
+        assert!(fleet.broken.is_empty(), "{name}: {:?}", fleet.broken);
+        assert_eq!(fleet.state(&id(GUILTY)), Answer::GivenUp, "{name}");
+        for sound in 1..=3 {
+            let state = fleet.state(&id(GUILTY + sound));
+            assert_eq!(state, Answer::State(JobState::Completed), "{name}");
+        }
+    }
+}
+
+/// Guards against tasks of later steps or occurrences that aren't counted by themselves.
+#[test]
+fn a_task_of_a_later_step_that_crashes_its_endpoints_is_given_up() {
+    let mut fleet = Fleet::new(6);
+    fleet.crashes.tasks.insert(TaskId {
+        step: 1,
+        index: 1,
+        ..first_task(GUILTY)
+    });
+    fleet.pass(20);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(2, 500, 600)
+    };
+    fleet.submit(&id(GUILTY), job(vec![step(3, 500, 100), second]));
+    fleet.pass(3_000);
+    fleet.assert_sound();
+    assert_eq!(fleet.state(&id(GUILTY)), Answer::GivenUp);
+}
+
+/// Guards against suspected jobs that wait for an endpoint of their own while there is none.
+#[test]
+fn suspected_jobs_run_in_a_pool_of_one_endpoint() {
+    let mut fleet = Fleet::new(1);
+    fleet.crashes.by_first_task_of(GUILTY);
+    fleet.pass(20);
+    let lasting = StepSpec {
+        is_lasting: true,
+        ..step(1, 500, 300)
+    };
+    fleet.submit(&id(GUILTY + 1), job(vec![lasting]));
+    fleet.submit(&id(GUILTY), job(vec![step(2, 500, 600)]));
+    fleet.submit(&id(GUILTY + 2), job(vec![step(2, 500, 600)]));
+    fleet.pass(6_000);
+    fleet.assert_sound();
+    assert_eq!(fleet.state(&id(GUILTY)), Answer::GivenUp);
+    let running = Answer::State(JobState::Running);
+    assert_eq!(fleet.state(&id(GUILTY + 1)), running);
+    let completed = Answer::State(JobState::Completed);
+    assert_eq!(fleet.state(&id(GUILTY + 2)), completed);
+}
