refactor: starting a job's ready steps in one place; suspected jobs wait since their last loss, and count for their own service

Seen while reading: the wait of a suspected job counted from its last start, so that a task that crashed its endpoint late didn't wait at all; endpoints kept by suspected jobs of other services counted against the part; losses with two incarnations of one endpoint were taken back together.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -244,9 +244,9 @@
     endpoints_as_of: Steady,
     /// The same of what operators wrote.
     operators_as_of: Steady,
-    lost: LossCounts,
+    loss_counts: LossCounts,
     given_up: u64,
-    /// Jobs that run apart from others, and since when they wait.
+    /// Jobs that run apart from others, and since when they wait for it: since their last start or loss.
     suspected: BTreeMap<JobId, Steady>,
     /// Tasks whose runs were lost with a silent endpoint, and its incarnation.
     presumed: BTreeMap<EndpointId, (u64, Vec<crate::TaskId>)>,
@@ -356,7 +356,7 @@
             noted: BTreeSet::new(),
             endpoints_as_of: now.steady,
             operators_as_of: now.steady,
-            lost: LossCounts::new(),
+            loss_counts: LossCounts::new(),
             given_up: 0,
             suspected: BTreeMap::new(),
             presumed: BTreeMap::new(),
--- a/crates/pomelohitch-sched/src/cell/isolation.rs
+++ b/crates/pomelohitch-sched/src/cell/isolation.rs
@@ -15,7 +15,7 @@
 use super::schedule::{Misfits, ready_steps};
 use super::{Cell, Job};
 use crate::endpoint::Endpoint;
-use crate::id::{EndpointId, JobId, TaskId, job_text};
+use crate::id::{EndpointId, JobId, ServiceName, TaskId, job_text};
 use crate::job::{JobSpec, StepSpec};
 use crate::place::{Allowed, Slot, Slots};
 
@@ -23,6 +23,14 @@
 /// be held against the job.
 const YOUNG: Duration = Duration::from_secs(10);
 
+/// The service that suspected jobs are started on.
+pub(super) struct ServiceLoad<'a> {
+    /// The service.
+    pub(super) service: &'a ServiceName,
+    /// Whether other jobs of it wait.
+    pub(super) others_wait: bool,
+}
+
 /// How well an endpoint suits a suspected job; lower is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -65,7 +73,7 @@
     pub(super) fn start_suspected(
         &mut self,
         ids: &[JobId],
-        others_wait: bool,
+        load: &ServiceLoad<'_>,
         slots: &mut Slots,
         misfits: &mut Misfits,
     ) {
@@ -73,10 +81,14 @@
             return;
         }
         let isolated = self.isolated();
+        let is_of_service = |id: &&EndpointId| {
+            let report = self.endpoints.get(*id).and_then(|e| e.report.as_ref());
+            report.is_some_and(|r| r.service == *load.service)
+        };
+        let mut kept = isolated.keys().filter(is_of_service).count();
         let at_risk: BTreeSet<JobId> = isolated.into_values().collect();
-        let mut kept = at_risk.len();
         let all = slots.list.len() + kept;
-        let most = if others_wait {
+        let most = if load.others_wait {
             part_of(all, self.settings.policy.crashes.most_isolated).max(1)
         } else {
             all
@@ -135,25 +147,16 @@
             slots.remove(&chosen.id);
             return true;
         }
-        let decided = self.gated.len();
         let mut own = if step.is_gang || step.is_rack_local {
             self.slots_together(is_patient, slots)
         } else {
             Slots::new(vec![chosen.clone()])
         };
-        for (step, occurrence) in self.jobs.get(&id).map(ready_steps).unwrap_or_default() {
-            let task = TaskId {
-                job: id,
-                occurrence,
-                step,
-                index: 0,
-            };
-            self.start_step(&spec, task, &mut own, &mut Misfits::default());
-        }
         slots.remove(&chosen.id);
-        if self.gated.len() > decided {
-            info!(job = %job_text(id), endpoint = %chosen.id, starts = self.gated.len() - decided,
-                is_clean, "suspected job isolated");
+        let starts = self.start_ready(id, &mut own, &mut Misfits::default());
+        if starts > 0 {
+            info!(job = %job_text(id), endpoint = %chosen.id, starts, is_clean,
+                "suspected job isolated");
             for id in self.isolated().into_keys() {
                 slots.remove(&id);
             }
--- a/crates/pomelohitch-sched/src/cell/losses.rs
+++ b/crates/pomelohitch-sched/src/cell/losses.rs
@@ -29,16 +29,27 @@
         warn!(%task, run, endpoint = %endpoint, born, ?cause, why, beside = loss.beside,
             is_sole = loss.is_sole, worked_ms = loss.worked.as_millis(), lost = suspicion.lost,
             certain = suspicion.certain, alone = suspicion.alone, "run lost");
-        *self.lost.entry(cause).or_default() += 1;
+        *self.loss_counts.entry(cause).or_default() += 1;
         if cause == LossCause::Silence {
-            let presumed = self.presumed.entry(endpoint).or_insert((born, Vec::new()));
-            presumed.1.push(task);
+            self.presume_lost(task, endpoint, born);
         }
         self.give_up(task, suspicion);
+        if let Some(since) = self.suspected.get_mut(&task.job) {
+            *since = self.now.steady;
+        }
         self.close_done(task.job);
         self.index(task.job);
     }
 
+    /// Remembers a loss that is taken back if that incarnation answers after all.
+    fn presume_lost(&mut self, task: TaskId, endpoint: EndpointId, born: u64) {
+        let presumed = self.presumed.entry(endpoint).or_insert((born, Vec::new()));
+        if presumed.0 != born {
+            *presumed = (born, Vec::new());
+        }
+        presumed.1.push(task);
+    }
+
     /// Counts a loss against its task, whose record is written anew with it.
     fn suspect(&mut self, task: TaskId, loss: &Loss) -> Suspicion {
         let Some(t) = self.task_mut(task) else {
@@ -219,7 +230,7 @@
 
     /// How many runs were lost since this was last asked, by cause.
     pub fn take_losses(&mut self) -> LossCounts {
-        std::mem::take(&mut self.lost)
+        std::mem::take(&mut self.loss_counts)
     }
 }
 
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Cell, Job};
+use super::{Cell, Job, isolation};
 use crate::Steady;
 use crate::UnixMs;
 use crate::config::Queue;
@@ -92,23 +92,13 @@
         let ids = self.by_urgency(service, &slots).into_iter();
         let (suspected, others): (Vec<JobId>, Vec<JobId>) =
             ids.partition(|id| self.suspected.contains_key(id));
-        self.start_suspected(&suspected, !others.is_empty(), &mut slots, &mut misfits);
+        let load = isolation::ServiceLoad {
+            service,
+            others_wait: !others.is_empty(),
+        };
+        self.start_suspected(&suspected, &load, &mut slots, &mut misfits);
         for id in others {
-            let Some(job) = self.jobs.get(&id) else {
-                continue;
-            };
-            let spec = job.spec.clone();
-            let decided = self.gated.len();
-            for (step, occurrence) in ready_steps(job) {
-                let task = TaskId {
-                    job: id,
-                    occurrence,
-                    step,
-                    index: 0,
-                };
-                self.start_step(&spec, task, &mut slots, &mut misfits);
-            }
-            if self.gated.len() > decided {
+            if self.start_ready(id, &mut slots, &mut misfits) > 0 {
                 self.index(id);
             }
         }
@@ -122,6 +112,30 @@
         }
     }
 
+    /// Starts what can start of a job's steps whose turn has come; returns how many tasks that are.
+    pub(super) fn start_ready(
+        &mut self,
+        id: JobId,
+        slots: &mut Slots,
+        misfits: &mut Misfits,
+    ) -> usize {
+        let Some(job) = self.jobs.get(&id) else {
+            return 0;
+        };
+        let spec = job.spec.clone();
+        let decided = self.gated.len();
+        for (step, occurrence) in ready_steps(job) {
+            let first = TaskId {
+                job: id,
+                occurrence,
+                step,
+                index: 0,
+            };
+            self.start_step(&spec, first, slots, misfits);
+        }
+        self.gated.len() - decided
+    }
+
     /// Endpoints of a service that may be given work.
     pub(super) fn slots(&self, service: &ServiceName) -> Slots {
         let isolated = self.isolated();
@@ -224,7 +238,7 @@
         (place.unwrap_or(u32::MAX), weight.unwrap_or(1))
     }
 
-    pub(super) fn start_step(
+    fn start_step(
         &mut self,
         spec: &Arc<JobSpec>,
         first: TaskId,
