--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -244,6 +244,8 @@
     endpoints_as_of: Steady,
     /// The same of what operators wrote.
     operators_as_of: Steady,
+    /// Whether nothing starts because one of these lies too far back.
+    is_held_back: bool,
     loss_counts: LossCounts,
     given_up: u64,
     /// Jobs that run apart from others, and since when they wait for it: since their last start or loss.
@@ -356,6 +358,7 @@
             noted: BTreeSet::new(),
             endpoints_as_of: now.steady,
             operators_as_of: now.steady,
+            is_held_back: false,
             loss_counts: LossCounts::new(),
             given_up: 0,
             suspected: BTreeMap::new(),
@@ -422,7 +425,8 @@
         }
         if now.steady >= self.scheduled_at + SCHEDULE_EVERY.max(gap) {
             self.scheduled_at = now.steady;
-            if self.flow.has_room() && self.knows_written() {
+            self.note_held_back();
+            if self.flow.has_room() && !self.is_held_back {
                 self.schedule();
             }
             self.flow.passed(now.steady);
--- a/crates/pomelohitch-sched/src/cell/lives.rs
+++ b/crates/pomelohitch-sched/src/cell/lives.rs
@@ -61,6 +61,22 @@
         self.now.steady.saturating_sub(as_of) <= self.settings.written_fresh
     }
 
+    /// Says when starts begin to be held back by what isn't known, and when that is over.
+    pub(super) fn note_held_back(&mut self) {
+        let is_held_back = !self.knows_written();
+        if is_held_back == self.is_held_back {
+            return;
+        }
+        self.is_held_back = is_held_back;
+        let age = |as_of| self.now.steady.saturating_sub(as_of).as_millis();
+        let (endpoints_ms, operators_ms) = (age(self.endpoints_as_of), age(self.operators_as_of));
+        if is_held_back {
+            warn!(endpoints_ms, operators_ms, "starts held back");
+        } else {
+            info!(endpoints_ms, operators_ms, "starts go on");
+        }
+    }
+
     /// Takes in that the platform's list no longer holds an endpoint.
     pub fn endpoint_unlisted(&mut self, id: &EndpointId) {
         if let Some(endpoint) = self.endpoints.get_mut(id)
