--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -244,8 +244,8 @@
     endpoints_as_of: Steady,
     /// The same of what operators wrote.
     operators_as_of: Steady,
-    /// Whether nothing starts because one of these lies too far back.
-    is_held_back: bool,
+    /// Since when nothing starts because one of these lies too far back.
+    held_back_since: Option<Steady>,
     loss_counts: LossCounts,
     given_up: u64,
     /// Jobs that run apart from others, and since when they wait for it: since their last start or loss.
@@ -358,7 +358,7 @@
             noted: BTreeSet::new(),
             endpoints_as_of: now.steady,
             operators_as_of: now.steady,
-            is_held_back: false,
+            held_back_since: None,
             loss_counts: LossCounts::new(),
             given_up: 0,
             suspected: BTreeMap::new(),
@@ -426,7 +426,7 @@
         if now.steady >= self.scheduled_at + SCHEDULE_EVERY.max(gap) {
             self.scheduled_at = now.steady;
             self.note_held_back();
-            if self.flow.has_room() && !self.is_held_back {
+            if self.flow.has_room() && self.held_back_since.is_none() {
                 self.schedule();
             }
             self.flow.passed(now.steady);
--- a/crates/pomelohitch-sched/src/cell/lives.rs
+++ b/crates/pomelohitch-sched/src/cell/lives.rs
@@ -63,17 +63,20 @@
 
     /// Says when starts begin to be held back by what isn't known, and when that is over.
     pub(super) fn note_held_back(&mut self) {
+        let now = self.now.steady;
         let is_held_back = !self.knows_written();
-        if is_held_back == self.is_held_back {
+        if is_held_back == self.held_back_since.is_some() {
             return;
         }
-        self.is_held_back = is_held_back;
+        let since = self.held_back_since.take().unwrap_or(now);
+        self.held_back_since = is_held_back.then_some(now);
         let age = |as_of| self.now.steady.saturating_sub(as_of).as_millis();
         let (endpoints_ms, operators_ms) = (age(self.endpoints_as_of), age(self.operators_as_of));
         if is_held_back {
             warn!(endpoints_ms, operators_ms, "starts held back");
         } else {
-            info!(endpoints_ms, operators_ms, "starts go on");
+            let held_ms = now.saturating_sub(since).as_millis();
+            info!(held_ms, "starts go on");
         }
     }
 
