--- a/crates/pomelohitch-sched/src/cell/looks.rs
+++ b/crates/pomelohitch-sched/src/cell/looks.rs
@@ -9,6 +9,7 @@
 use crate::Steady;
 use crate::endpoint::{Endpoint, How, Look, Running};
 use crate::id::{EndpointId, RunNumber, TaskId};
+use crate::loss::LossCause;
 use crate::order::{Action, LookFailure, LookOrder, Order, Target};
 use crate::progress::{Phase, Run, RunView};
 
@@ -334,17 +335,27 @@
         let view = run.view;
         match view.phase {
             Phase::Recorded => {
-                self.run_missing(task, number, "a former leader's, not there");
+                self.run_gone(
+                    task,
+                    number,
+                    LossCause::Missing,
+                    "a former leader's, not there",
+                );
             }
             Phase::Taken { at } if look.sent_at > at => {
-                self.run_missing(task, number, "taken, but not there");
+                self.run_gone(task, number, LossCause::Missing, "taken, but not there");
             }
             Phase::Ordered | Phase::Taken { .. } => {}
             Phase::Unanswered => {
                 let is_void = view.void_after.is_some_and(|until| look.clock > until);
                 let is_rejected = view.stop_acked_at.is_some_and(|at| look.sent_at > at);
                 if is_void || is_rejected {
-                    self.run_not_started(task, number, "its start was not carried out");
+                    self.run_gone(
+                        task,
+                        number,
+                        LossCause::NotStarted,
+                        "its start was not carried out",
+                    );
                 } else if !self.step(task).is_some_and(|s| s.is_lasting) {
                     // A stop may overtake the start, or follow it. One that ends a lasting task that
                     // has begun takes away more of its step than the step may miss.
--- a/crates/pomelohitch-sched/src/cell/losses.rs
+++ b/crates/pomelohitch-sched/src/cell/losses.rs
@@ -129,24 +129,20 @@
         }
     }
 
-    /// A run that was started, or may have been, isn't at its endpoint any more.
-    pub(super) fn run_missing(&mut self, task: TaskId, run: RunNumber, why: &'static str) {
-        let Some(r) = self.run(task, run) else {
-            return;
-        };
-        let missing = Loss::of_run(LossCause::Missing, why, r.born);
-        let loss = r.view.loss.unwrap_or(missing);
-        self.run_lost(task, run, loss);
-    }
-
-    /// A run's start was surely not carried out by the endpoint's present incarnation. It may have been
-    /// by the one before.
-    pub(super) fn run_not_started(&mut self, task: TaskId, run: RunNumber, why: &'static str) {
+    /// A run isn't at its endpoint, by `cause` as far as the present incarnation is concerned. If that has
+    /// followed another one since the start, the run was lost with the other.
+    pub(super) fn run_gone(
+        &mut self,
+        task: TaskId,
+        run: RunNumber,
+        cause: LossCause,
+        why: &'static str,
+    ) {
         let Some(r) = self.run(task, run) else {
             return;
         };
-        let not_started = Loss::of_run(LossCause::NotStarted, why, r.born);
-        let loss = r.view.loss.unwrap_or(not_started);
+        let loss = r.view.loss;
+        let loss = loss.unwrap_or(Loss::of_run(cause, why, r.born));
         self.run_lost(task, run, loss);
     }
 
--- a/crates/pomelohitch-sched/src/cell/orders.rs
+++ b/crates/pomelohitch-sched/src/cell/orders.rs
@@ -6,6 +6,7 @@
 
 use super::Cell;
 use crate::id::{EndpointId, RunNumber, TaskId};
+use crate::loss::LossCause;
 use crate::order::{Order, Outcome, Refusal, Target};
 use crate::progress::{Backoff, Phase};
 
@@ -76,7 +77,7 @@
                 if is_of_task(*refusal) {
                     self.back_off(task);
                 }
-                self.run_not_started(task, run, "its start was refused");
+                self.run_gone(task, run, LossCause::NotStarted, "its start was refused");
             }
         }
         self.hurry_look(&target.id);
@@ -109,12 +110,10 @@
     }
 }
 
-/// Whether a start was refused for a reason that other tasks don't have, and that stays.
+/// Whether a start was refused for a reason that other tasks don't have, and that stays. One that came
+/// late doesn't: the leader or its link is slow then, for all tasks.
 fn is_of_task(refusal: Refusal) -> bool {
-    matches!(
-        refusal,
-        Refusal::Malformed | Refusal::OldRun | Refusal::Late
-    )
+    matches!(refusal, Refusal::Malformed | Refusal::OldRun)
 }
 
 /// Whether the endpoint itself has said how an order ended.
