perf: the member that relays an endpoint's calls is looked up, not chosen anew

Cause: for each poll and start the leader filtered all members and hashed each of them, calls x members.

Change: relaying::Assignment keeps the choice for each shard. A lost member frees its own shards; one that joins is ranked once for each shard. The rendezvous hash, and so the assignment, is the same as before.

Ruled out: fewer shards (more endpoints at a member on a slow link); a table for all members made anew at each change (750,000 hashes at this size).

--- a/crates/pomelohitch-sched/src/relaying.rs
+++ b/crates/pomelohitch-sched/src/relaying.rs
@@ -5,6 +5,7 @@
 //! is sent to few members. Each shard is assigned to a member by rendezvous hashing: when a member
 //! joins or leaves, only its own shards move.
 
+use std::collections::{BTreeSet, HashMap};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 use crate::id::{EndpointId, ServiceName};
@@ -55,21 +56,119 @@
         let shrinks = wanted.shards > 0 && wanted.shards * SHRINK_RATIO <= self.shards;
         if grows || shrinks { wanted } else { self }
     }
+}
+
+/// Assignment of the shards to members.
+///
+/// Tens of thousands of calls a second look up their member, and there may be hundreds of members,
+/// so the choice for a shard is kept until a change of the layout or of the members affects it.
+#[derive(Debug)]
+pub struct Assignment<M> {
+    layout: Layout,
+    members: BTreeSet<M>,
+    /// The choice for each shard of a service, if it was made.
+    choices: HashMap<ServiceName, Vec<Option<Choice<M>>>>,
+}
+
+/// The member of a shard, and its rank, which is higher than that of all other members.
+#[derive(Debug, Clone, Copy)]
+struct Choice<M> {
+    member: M,
+    rank: u64,
+}
+
+impl<M> Default for Assignment<M> {
+    fn default() -> Self {
+        Assignment {
+            layout: Layout::default(),
+            members: BTreeSet::new(),
+            choices: HashMap::new(),
+        }
+    }
+}
+
+impl<M: Copy + Ord + Hash> Assignment<M> {
+    /// The layout in use.
+    #[must_use]
+    pub fn layout(&self) -> Layout {
+        self.layout
+    }
+
+    /// Changes the layout, and with it the members of many endpoints.
+    pub fn set_layout(&mut self, layout: Layout) {
+        if self.layout != layout {
+            self.layout = layout;
+            self.choices.clear();
+        }
+    }
+
+    /// Sets the members that relay calls.
+    pub fn set_members(&mut self, members: BTreeSet<M>) {
+        let removed: BTreeSet<M> = self.members.difference(&members).copied().collect();
+        if !removed.is_empty() {
+            self.drop_choices(|member| removed.contains(member));
+        }
+        let added: Vec<M> = members.difference(&self.members).copied().collect();
+        for member in added {
+            self.prefer(member);
+        }
+        self.members = members;
+    }
+
+    /// Removes a member that no longer relays calls.
+    pub fn remove(&mut self, member: &M) {
+        if self.members.remove(member) {
+            self.drop_choices(|chosen| chosen == member);
+        }
+    }
 
-    /// The one of `members` that relays calls to an endpoint; `None` if the leader calls it
-    /// directly.
-    pub fn member<'a, M: Hash + Copy + 'a>(
-        &self,
-        service: &ServiceName,
-        endpoint: &EndpointId,
-        members: impl Iterator<Item = M>,
-    ) -> Option<M> {
-        if self.shards == 0 {
+    /// The member that relays calls to an endpoint; `None` if the leader calls it directly.
+    pub fn member(&mut self, service: &ServiceName, endpoint: &EndpointId) -> Option<M> {
+        let shards = self.layout.shards;
+        if shards == 0 {
             return None;
         }
-        let shard = hash(&endpoint) % self.shards;
-        members.max_by_key(|member| hash(&(member, service, shard)))
+        let shard = hash(endpoint) % shards;
+        if !self.choices.contains_key(service) {
+            let unmade = (0..shards).map(|_| None).collect();
+            self.choices.insert(service.clone(), unmade);
+        }
+        let index = usize::try_from(shard).ok()?;
+        let choice = self.choices.get_mut(service)?.get_mut(index)?;
+        if choice.is_none() {
+            let ranked = self.members.iter().map(|&member| Choice {
+                member,
+                rank: rank(&member, service, shard),
+            });
+            *choice = ranked.max_by_key(|choice| choice.rank);
+        }
+        choice.map(|choice| choice.member)
     }
+
+    /// Assigns to a new member the shards for which it has the highest rank.
+    fn prefer(&mut self, member: M) {
+        for (service, choices) in &mut self.choices {
+            for (shard, choice) in (0..).zip(choices) {
+                let rank = rank(&member, service, shard);
+                if let Some(choice) = choice.as_mut().filter(|choice| choice.rank < rank) {
+                    *choice = Choice { member, rank };
+                }
+            }
+        }
+    }
+
+    fn drop_choices(&mut self, is_dropped: impl Fn(&M) -> bool) {
+        for choice in self.choices.values_mut().flatten() {
+            if choice.as_ref().is_some_and(|c| is_dropped(&c.member)) {
+                *choice = None;
+            }
+        }
+    }
+}
+
+/// Rank of a member for a shard in rendezvous hashing.
+fn rank<M: Hash>(member: &M, service: &ServiceName, shard: u64) -> u64 {
+    hash(&(member, service, shard))
 }
 
 /// The nearest power of two by ratio. Doubling the number of shards leaves half of the endpoints at
--- a/pomelohitchd/src/fleet/leader/dispatcher.rs
+++ b/pomelohitchd/src/fleet/leader/dispatcher.rs
@@ -10,7 +10,7 @@
 
 use pomelohitch_sched::endpoint::Endpoint;
 use pomelohitch_sched::order::{Order, Outcome, PollFailure, PollOrder, Refusal, Target};
-use pomelohitch_sched::relaying::Layout;
+use pomelohitch_sched::relaying::{Assignment, Layout};
 use pomelohitch_sched::{EndpointId, Epoch, Steady};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::task::{self, LocalSet};
@@ -178,9 +178,7 @@
     events: Sender<Event>,
     options: Options,
     targets: CallTargets,
-    layout: Layout,
-    /// The other members at the last update of the layout.
-    members: Vec<SocketAddr>,
+    assignment: Assignment<SocketAddr>,
     connections: BTreeMap<SocketAddr, RelayConnection>,
     layout_updated_at: Option<Steady>,
 }
@@ -192,8 +190,7 @@
             events,
             options,
             targets: CallTargets::default(),
-            layout: Layout::default(),
-            members: Vec::new(),
+            assignment: Assignment::default(),
             connections: BTreeMap::new(),
             layout_updated_at: None,
         }
@@ -212,38 +209,46 @@
             services,
         } = self.targets;
         let wanted = Layout::of(endpoints, services, self.options.link_bytes_per_s);
-        let layout = self.layout.successor(wanted);
-        if layout != self.layout {
+        let layout = self.assignment.layout().successor(wanted);
+        if layout != self.assignment.layout() {
             info!(
                 shards = layout.shards,
                 endpoints, "assignment of endpoints to members changed"
             );
-            self.layout = layout;
+            self.assignment.set_layout(layout);
         }
+        self.update_members(now);
+    }
+
+    /// Updates the members that relay calls, and drops connections to others.
+    fn update_members(&mut self, now: Steady) {
         let members = self.options.members.as_ref().map(|members| members());
-        self.members = members.unwrap_or_default();
+        let mut members: BTreeSet<_> = members.into_iter().flatten().collect();
         let is_retry_due = |connection: &RelayConnection| {
             connection
                 .ended_at()
                 .is_some_and(|at| now >= at + RELAY_RETRY_DELAY)
         };
         self.connections
-            .retain(|peer, connection| self.members.contains(peer) && !is_retry_due(connection));
+            .retain(|peer, connection| members.contains(peer) && !is_retry_due(connection));
+        for (peer, connection) in &self.connections {
+            if connection.ended_at().is_some() {
+                members.remove(peer);
+            }
+        }
+        self.assignment.set_members(members);
     }
 
     /// Returns the open connection to the member that relays the endpoint's calls, if any.
     fn connection(&mut self, target: &Target) -> Option<&RelayConnection> {
-        if self.layout == Layout::default() {
-            return None;
-        }
-        let connections = &self.connections;
-        let is_usable = |peer: &SocketAddr| {
-            connections
-                .get(peer)
-                .is_none_or(|connection| connection.ended_at().is_none())
+        let has_ended = |connection: &RelayConnection| connection.ended_at().is_some();
+        let peer = loop {
+            let peer = self.assignment.member(&target.service, &target.id)?;
+            if !self.connections.get(&peer).is_some_and(has_ended) {
+                break peer;
+            }
+            self.assignment.remove(&peer);
         };
-        let members = self.members.iter().copied().filter(is_usable);
-        let peer = self.layout.member(&target.service, &target.id, members)?;
         let (epoch, events) = (self.options.epoch, &self.events);
         let connection = self
             .connections
