perf: only members that relayed calls learn that an endpoint is gone

Cause: the dispatcher told each connection of each endpoint that is gone. When the idle instances of the fleet are switched off, 430 a second, that was 588 x 430 messages a second, and a frame for most of them on every member's link. At quiet members the relay's thread took 37 % of the processor time they used in all.

Change: relaying::Relays remembers which members carried calls to an endpoint; these are told.

Test: messages for an endpoint that is gone don't depend on the number of members.

--- a/crates/pomelohitch-sched/src/relaying.rs
+++ b/crates/pomelohitch-sched/src/relaying.rs
@@ -166,6 +166,38 @@
     }
 }
 
+/// Members that have relayed calls to each endpoint and keep state of it.
+#[derive(Debug)]
+pub struct Relays<M> {
+    by_endpoint: HashMap<EndpointId, Vec<M>>,
+}
+
+impl<M> Default for Relays<M> {
+    fn default() -> Self {
+        Relays {
+            by_endpoint: HashMap::new(),
+        }
+    }
+}
+
+impl<M: Copy + PartialEq> Relays<M> {
+    /// Records that a member relays a call to an endpoint.
+    pub fn record(&mut self, endpoint: &EndpointId, member: M) {
+        match self.by_endpoint.get_mut(endpoint) {
+            Some(members) if members.contains(&member) => {}
+            Some(members) => members.push(member),
+            None => {
+                self.by_endpoint.insert(endpoint.clone(), vec![member]);
+            }
+        }
+    }
+
+    /// Forgets an endpoint that no longer exists; returns the members that keep state of it.
+    pub fn forget(&mut self, endpoint: &EndpointId) -> Vec<M> {
+        self.by_endpoint.remove(endpoint).unwrap_or_default()
+    }
+}
+
 /// Rank of a member for a shard in rendezvous hashing.
 fn rank<M: Hash>(member: &M, service: &ServiceName, shard: u64) -> u64 {
     hash(&(member, service, shard))
--- a/crates/pomelohitch-sched/tests/relaying.rs
+++ b/crates/pomelohitch-sched/tests/relaying.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{Hash, Hasher};
 
-use pomelohitch_sched::relaying::{Assignment, Layout};
+use pomelohitch_sched::relaying::{Assignment, Layout, Relays};
 use pomelohitch_sched::{EndpointId, ServiceName};
 
 const MEMBERS: [u32; 12] = [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
@@ -153,3 +153,17 @@
         assert!(hashes * 10 <= calls, "{hashes} hashes for {calls} calls");
     }
 }
+
+/// Guards against telling every member that an endpoint is gone.
+#[test]
+fn only_members_that_relayed_calls_learn_that_an_endpoint_is_gone() {
+    let mut relays = Relays::default();
+    let (first, second): (EndpointId, EndpointId) = ("e1".into(), "e2".into());
+    for member in [3, 3, 5, 3] {
+        relays.record(&first, member);
+    }
+    relays.record(&second, 4);
+    assert_eq!(relays.forget(&first), [3, 5]);
+    assert!(relays.forget(&first).is_empty());
+    assert_eq!(relays.forget(&second), [4]);
+}
--- a/pomelohitchd/src/fleet/leader/dispatcher.rs
+++ b/pomelohitchd/src/fleet/leader/dispatcher.rs
@@ -10,7 +10,7 @@
 
 use pomelohitch_sched::endpoint::Endpoint;
 use pomelohitch_sched::order::{Order, Outcome, PollFailure, PollOrder, Refusal, Target};
-use pomelohitch_sched::relaying::{Assignment, Layout};
+use pomelohitch_sched::relaying::{Assignment, Layout, Relays};
 use pomelohitch_sched::{EndpointId, Epoch, Steady};
 use tokio::sync::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use tokio::task::{self, LocalSet};
@@ -179,6 +179,7 @@
     options: Options,
     targets: CallTargets,
     assignment: Assignment<SocketAddr>,
+    relays: Relays<SocketAddr>,
     connections: BTreeMap<SocketAddr, RelayConnection>,
     layout_updated_at: Option<Steady>,
 }
@@ -191,6 +192,7 @@
             options,
             targets: CallTargets::default(),
             assignment: Assignment::default(),
+            relays: Relays::default(),
             connections: BTreeMap::new(),
             layout_updated_at: None,
         }
@@ -254,7 +256,11 @@
             .connections
             .entry(peer)
             .or_insert_with(|| RelayConnection::start(peer, epoch, events.clone()));
-        connection.is_open().then_some(connection)
+        if !connection.is_open() {
+            return None;
+        }
+        self.relays.record(&target.id, peer);
+        Some(connection)
     }
 
     fn order(&mut self, outgoing: OutgoingOrder) {
@@ -291,8 +297,10 @@
 
     fn forget(&mut self, id: &EndpointId) {
         self.calls.forget(id);
-        for connection in self.connections.values() {
-            connection.forget(id);
+        for peer in self.relays.forget(id) {
+            if let Some(connection) = self.connections.get(&peer) {
+                connection.forget(id);
+            }
         }
     }
 }
