perf: copies of the view share the table of members

Cause: each tick of the election (10 a second and member), each request, probe and heartbeat copied the table of all members: members squared, and 588 entries for each of 2,350 heartbeats a second at the leader.

Change: the table is shared by copies of the view; the records of a read are applied together, which wakes waiting threads once and not for each of 588 registrations; larger members are looked for only once the leader is silent.

--- a/pomelohitchd/src/fleet/election.rs
+++ b/pomelohitchd/src/fleet/election.rs
@@ -52,20 +52,23 @@
         }
         let view = shared.view();
         let epoch = view.leader.as_ref().map_or(0, |l| l.epoch);
-        let power = shared.site.load().power;
-        let claim_delay = claim_delay + succession::larger_member_delay(power, &shared.others());
         if let Some(claim) = shared.take_claim() {
             info!(has_ended = claim.has_ended, "asked to take over");
             leader::claim(shared, epoch, claim.has_ended);
-        } else if is_suspect(&view, now, claim_delay) && is_silent(shared) {
+        } else if is_suspect(shared, &view, now, claim_delay) && is_silent(shared) {
             leader::claim(shared, epoch, false);
         }
     }
 }
 
-fn is_suspect(view: &View, now: Steady, claim_delay: Duration) -> bool {
+fn is_suspect(shared: &Shared, view: &View, now: Steady, claim_delay: Duration) -> bool {
     let silent_for = now.saturating_sub(view.leader_heard_at);
-    view.is_loaded && silent_for > SUSPECT_AFTER + claim_delay
+    if !view.is_loaded || silent_for <= SUSPECT_AFTER + claim_delay {
+        return false;
+    }
+    let power = shared.site.load().power;
+    let larger_delay = succession::larger_member_delay(power, &shared.others());
+    silent_for > SUSPECT_AFTER + claim_delay + larger_delay
 }
 
 /// Whether no other member hears the leader either. Without a known leader there is no need to ask:
--- a/pomelohitchd/src/fleet/members.rs
+++ b/pomelohitchd/src/fleet/members.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use pomelohitch_adapter::store::{AppendCondition, Read, Store, Topic};
-use pomelohitch_sched::progress::{self, Record};
+use pomelohitch_sched::progress;
 use tracing::{info, warn};
 
 use super::clock;
-use super::shared::Shared;
+use super::shared::{Shared, View};
 use super::wire::{self, Leader, LivenessRecord, Member};
 
 /// Time for which a read waits for new records. If shorter, every member reads more often; if
@@ -57,15 +57,16 @@
 /// If the store can't be reached, refuses, or its answer can't be decoded.
 pub fn read_all(shared: &Shared, store: &Store) -> ReadResult {
     let newest = store.newest(Topic::Members)?;
+    let records = newest.records.iter();
+    let records: Vec<_> = records.map(|(k, v)| (&**k, Some(&**v))).collect();
     shared.update(|view| {
-        view.members.clear();
+        view.members = Arc::default();
+        apply_members(view, &records);
         view.store_answered_at = clock::steady();
         view.members_end = newest.end;
         view.is_loaded = true;
     });
-    for (key, value) in &newest.records {
-        apply_record(shared, key, Some(value), false);
-    }
+    apply_leaders(shared, &records, false);
     Ok(Some(newest.end))
 }
 
@@ -73,51 +74,72 @@
     match store.read(Topic::Members, from, READ_WAIT)? {
         Read::Dropped => Ok(None),
         Read::Records { records, next } => {
+            let records = records.iter();
+            let records: Vec<_> = records.map(|r| (&*r.key, r.value.as_deref())).collect();
             shared.update(|view| {
+                apply_members(view, &records);
                 view.store_answered_at = clock::steady();
                 view.members_end = next;
             });
-            for Record { key, value } in &records {
-                apply_record(shared, key, value.as_deref(), true);
-            }
+            apply_leaders(shared, &records, true);
             Ok(Some(next))
         }
     }
 }
 
-/// Applies one record to the view; it may be old unless `is_new`. A member whose record can't be
-/// decoded is removed.
-fn apply_record(shared: &Shared, key: &str, value: Option<&[u8]>, is_new: bool) {
-    if let Some(name) = wire::member_name(key) {
+/// Key and value of a record that was read; a deleted record has no value.
+type ReadRecord<'a> = (&'a str, Option<&'a [u8]>);
+
+/// Applies the records of members to the view. A member whose record can't be decoded is removed.
+fn apply_members(view: &mut View, records: &[ReadRecord<'_>]) {
+    for (key, value) in records {
+        let Some(name) = wire::member_name(key) else {
+            continue;
+        };
         let member = value.and_then(|v| postcard::from_bytes::<Member>(v).ok());
-        shared.update(|view| match member {
-            Some(member) => {
-                view.members.insert(name.into(), member);
+        let members = Arc::make_mut(&mut view.members);
+        match member {
+            Some(member) => members.insert(name.into(), member),
+            None => members.remove(name),
+        };
+    }
+}
+
+/// Applies the records of the leader and of its liveness; they may be old unless `is_new`.
+fn apply_leaders(shared: &Shared, records: &[ReadRecord<'_>], is_new: bool) {
+    for (key, value) in records {
+        let Some(value) = value else {
+            continue;
+        };
+        match *key {
+            wire::LEADER_KEY => {
+                if let Ok(leader) = postcard::from_bytes::<Leader>(value) {
+                    shared.observe_leader(&leader, is_new);
+                }
             }
-            None => {
-                view.members.remove(name);
+            wire::LIVENESS_KEY => {
+                if let Ok(alive) = postcard::from_bytes::<LivenessRecord>(value) {
+                    apply_liveness(shared, &alive, is_new);
+                }
             }
-        });
-    } else if key == wire::LEADER_KEY {
-        if let Some(leader) = value.and_then(|v| postcard::from_bytes::<Leader>(v).ok()) {
-            shared.observe_leader(&leader, is_new);
-        }
-    } else if key == wire::LIVENESS_KEY
-        && let Some(alive) = value.and_then(|v| postcard::from_bytes::<LivenessRecord>(v).ok())
-    {
-        if is_new {
-            shared.update_fleet_ms(alive.epoch, alive.fleet_ms);
-        } else {
-            shared.update_min_fleet_ms(alive.epoch, alive.fleet_ms);
+            _ => {}
         }
-        shared.update(|view| {
-            if view.leader.as_ref().is_some_and(|l| l.epoch == alive.epoch) {
-                view.leader_alive_at = clock::steady();
-            }
-        });
     }
 }
 
+fn apply_liveness(shared: &Shared, alive: &LivenessRecord, is_new: bool) {
+    if is_new {
+        shared.update_fleet_ms(alive.epoch, alive.fleet_ms);
+    } else {
+        shared.update_min_fleet_ms(alive.epoch, alive.fleet_ms);
+    }
+    shared.update(|view| {
+        if view.leader.as_ref().is_some_and(|l| l.epoch == alive.epoch) {
+            view.leader_alive_at = clock::steady();
+        }
+    });
+}
+
 /// Writes this member's record unless it is already in the store.
 fn register(shared: &Shared, store: &Store) {
     let site = shared.site.load();
@@ -126,7 +148,7 @@
         power: site.power,
         began_ms: shared.started_ms,
     };
-    if shared.view().members.get(&site.member) == Some(&member) {
+    if shared.member(&site.member) == Some(member) {
         return;
     }
     let record = progress::encode(wire::member_key(&site.member), &member);
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -34,8 +34,8 @@
 /// What this process knows of the members, the leader and the store.
 #[derive(Debug, Clone, Default)]
 pub struct View {
-    /// Every member, by name.
-    pub members: BTreeMap<Box<str>, Member>,
+    /// Every member, by name. Shared by all copies of the view, which are made many times a second.
+    pub members: Arc<BTreeMap<Box<str>, Member>>,
     /// The leader with the highest known epoch.
     pub leader: Option<Leader>,
     /// When this process last heard from the leader.
@@ -161,8 +161,9 @@
     #[must_use]
     pub fn others(&self) -> Vec<Member> {
         let own = self.site.load().internal;
-        let members = self.view().members.into_values();
-        members.filter(|m| m.addr != own).collect()
+        let members = self.lock().members.clone();
+        let others = members.values().filter(|m| m.addr != own);
+        others.copied().collect()
     }
 
     /// Addresses of the other members.
