perf: heartbeats are datagrams that members acknowledge

Cause: the leader had a thread and four HTTP calls a second for each member, and sent datagrams to all beside them: at 588 members 1,186 to 1,639 threads, 16 to 20 % of its processor time, and 587 more threads while it took over.

Two ways: a task for each member on one thread (no threads, but 2,350 calls a second stay), or datagrams that are acknowledged, with connections only to members that don't acknowledge. The second: one thread sends and receives, four threads call members whose acknowledgement is overdue, those first that answered last, at most 64 in an interval. Members are divided into ten groups that get their heartbeats one after another, so that 59 acknowledgements arrive together, 118 at twice the size, of 270 that the socket's default buffer holds.

Members of the former version acknowledge nothing and are called over connections; their knowledge of a later leader arrives that way.

Tests: no connection to members that acknowledge, at 30 and 60 members (588 and 1,176 in the pure part); bounded calls while a zone is silent; members that don't acknowledge are called; a later epoch deposes.

--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`job`]: job specifications and their validation.
 //! * [`policy`]: policy switches and parameters.
 //! * [`progress`]: progress of jobs, and the durable records of it.
+//! * [`acks`]: acknowledgements of the leader's heartbeats.
 //! * [`demand`]: forecast of the processors that each service needs.
 //! * [`endpoint`]: state of an endpoint, its clock and its lease.
 //! * [`evacuations`]: evacuations of availability zones.
@@ -28,6 +29,7 @@
 //! * [`cell`]: the scheduler's state, which combines all of these.
 #![forbid(unsafe_code)]
 
+pub mod acks;
 pub mod cell;
 pub mod config;
 pub mod demand;
--- a/pomelohitchd/src/fleet/internal.rs
+++ b/pomelohitchd/src/fleet/internal.rs
@@ -12,7 +12,7 @@
 
 use super::leader::core::millis;
 use super::shared::Shared;
-use super::wire::{self, Claim, Heartbeat, HeartbeatReply, Probe, ProbeReply};
+use super::wire::{self, Claim, Heartbeat, HeartbeatAck, HeartbeatReply, Probe, ProbeReply};
 use super::{callers, clock};
 use crate::front::{Incoming, Limits, Service};
 
@@ -60,8 +60,7 @@
     }
 }
 
-/// Handles a leader's heartbeat that arrived as a datagram. Returns a reply only if a later leader
-/// is known.
+/// Handles a leader's heartbeat that arrived as a datagram; returns the acknowledgement.
 #[must_use]
 pub fn handle_datagram(shared: &Shared, datagram: &[u8]) -> Option<Vec<u8>> {
     let heartbeat: Heartbeat = match postcard::from_bytes(datagram) {
@@ -71,11 +70,12 @@
             return None;
         }
     };
-    let reply = handle_heartbeat(shared, &heartbeat);
-    if reply.epoch <= heartbeat.leader.epoch {
-        return None;
-    }
-    postcard::to_allocvec(&reply)
+    let HeartbeatReply { epoch } = handle_heartbeat(shared, &heartbeat);
+    let ack = HeartbeatAck {
+        epoch,
+        member: shared.site.load().internal,
+    };
+    postcard::to_allocvec(&ack)
         .map_err(|error| warn!(%error, "reply can't be encoded"))
         .ok()
 }
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -22,10 +22,10 @@
 use snafu::{ResultExt, Snafu, ensure};
 use tracing::{info, warn};
 
-use self::heartbeats::DatagramHeartbeats;
+use self::heartbeats::Heartbeats;
 use super::clock;
 use super::shared::{Leadership, Shared, spawn, spawn_with};
-use super::wire::{self, Claim, HeartbeatReply, Leader, Probe, ProbeReply};
+use super::wire::{self, Claim, Leader, Probe, ProbeReply};
 use super::{members, peers, succession};
 
 pub mod append_timeout;
@@ -194,6 +194,7 @@
     if larger.is_empty() {
         return None;
     }
+    let larger = succession::probe_sample(larger, core::millis(clock::steady()));
     let probe = Probe { with_store: true };
     let answers = peers::ask_all::<ProbeReply>(&larger, wire::PROBE_PATH, &probe);
     succession::successor(&answers)
@@ -207,28 +208,18 @@
 /// to send heartbeats itself, or after a failure of the takeover.
 fn announce(shared: &Arc<Shared>, leader: &Leader) -> Result<mpsc::Sender<()>> {
     let (guard, ended) = mpsc::channel::<()>();
-    let peers = shared.peers();
-    let others: Vec<_> = peers.iter().map(|&peer| peers::client(peer)).collect();
-    let datagrams = DatagramHeartbeats::new(shared, leader);
+    let mut heartbeats = Heartbeats::start(shared, leader).context(ThreadSnafu)?;
     info!(
         epoch = leader.epoch,
-        members = others.len(),
+        members = shared.peers().len(),
         "leadership claimed"
     );
-    let leader = leader.clone();
     let thread = spawn_with("announce", shared, move |shared| {
         loop {
-            if let Some(datagrams) = &datagrams {
-                datagrams.send(shared, &peers);
-            }
-            let heartbeat = heartbeats::heartbeat_of(shared, &leader);
-            peers::ask_clients::<HeartbeatReply>(
-                &others,
-                wire::HEARTBEAT_PATH,
-                &heartbeat,
-                heartbeats::INTERVAL,
-            );
-            if ended.recv_timeout(heartbeats::INTERVAL) == Err(RecvTimeoutError::Disconnected) {
+            // A later leader has fenced this one, so that the next step of the takeover fails.
+            let _ = heartbeats.send_next(shared);
+            let ended = ended.recv_timeout(heartbeats::GROUP_INTERVAL);
+            if ended == Err(RecvTimeoutError::Disconnected) {
                 return;
             }
         }
--- a/pomelohitchd/src/fleet/leader/heartbeats.rs
+++ b/pomelohitchd/src/fleet/leader/heartbeats.rs
@@ -1,69 +1,186 @@
 //! Heartbeats to the other members, and the leader's liveness record in the store.
+//!
+//! One thread sends heartbeats as datagrams and receives their acknowledgements. Members that don't
+//! acknowledge them are called over connections by a fixed number of threads.
 
-use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::Arc;
-use std::sync::mpsc::Sender;
+use std::sync::mpsc::{self, Receiver, Sender, SyncSender};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use pomelohitch_adapter::store::{AppendCondition, Topic};
+use pomelohitch_sched::Epoch;
+use pomelohitch_sched::acks::Acks;
 use pomelohitch_sched::progress;
 use tracing::{info, warn};
 
 use super::core::{Event, spawn_while_leading};
+use crate::fleet::clock;
 use crate::fleet::peers;
-use crate::fleet::shared::Shared;
-use crate::fleet::wire::{self, Heartbeat, HeartbeatReply, Leader, LivenessRecord, Member};
+use crate::fleet::shared::{Shared, spawn_with};
+use crate::fleet::wire::{self, Heartbeat, HeartbeatAck, HeartbeatReply, Leader, LivenessRecord};
 
-/// Interval of the heartbeats to each member.
-pub const INTERVAL: Duration = Duration::from_millis(250);
-/// Timeout of a heartbeat.
+/// Interval between the heartbeats of two groups of members.
+pub const GROUP_INTERVAL: Duration = Duration::from_millis(25);
+/// Number of groups, so that each member gets a heartbeat every 250 ms. Sending to one group after
+/// another spreads the acknowledgements, which would overflow the socket's buffer if they arrived
+/// together.
+const GROUPS: u32 = 10;
+/// Timeout of a heartbeat over a connection.
 const TIMEOUT: Duration = Duration::from_millis(400);
-/// Maximum size of a datagram that answers a heartbeat; it holds one epoch.
-const MAX_REPLY_BYTES: usize = 64;
+/// Number of threads that send heartbeats over connections.
+const CALL_THREADS: usize = 4;
+/// Maximum number of members called over connections in an interval.
+const MAX_CALLS: usize = 64;
+/// Maximum size of a datagram that acknowledges a heartbeat.
+const MAX_ACK_BYTES: usize = 64;
 /// Interval at which the liveness record is written, for members that heartbeats don't reach.
 const LIVENESS_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of the append of the liveness record.
 const LIVENESS_APPEND_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// An answer to a heartbeat: the member's address, and the highest epoch that it knows.
+type HeartbeatAnswer = (SocketAddr, Epoch);
+
+/// Sends heartbeats to the other members. The threads that call members over connections end when
+/// this is dropped.
+#[derive(Debug)]
+pub struct Heartbeats {
+    leader: Leader,
+    datagrams: Option<Datagrams>,
+    /// The other members at the start of the current interval.
+    peers: Vec<SocketAddr>,
+    /// The group of members that is next.
+    group: u32,
+    acks: Acks<SocketAddr>,
+    calls: SyncSender<SocketAddr>,
+    answers: Receiver<HeartbeatAnswer>,
+}
+
+impl Heartbeats {
+    /// Starts the threads that call members over connections.
+    ///
+    /// # Errors
+    /// If a thread can't be started.
+    pub fn start(shared: &Arc<Shared>, leader: &Leader) -> std::io::Result<Heartbeats> {
+        let (calls, rx) = mpsc::sync_channel(MAX_CALLS);
+        let (tx, answers) = mpsc::channel();
+        let rx = Arc::new(Mutex::new(rx));
+        for _ in 0..CALL_THREADS {
+            let (rx, tx, leader) = (rx.clone(), tx.clone(), leader.clone());
+            spawn_with("heartbeat", shared, move |shared| {
+                call_members(shared, &leader, &rx, &tx);
+            })?;
+        }
+        Ok(Heartbeats {
+            leader: leader.clone(),
+            datagrams: Datagrams::new(shared),
+            peers: Vec::new(),
+            group: 0,
+            acks: Acks::default(),
+            calls,
+            answers,
+        })
+    }
+
+    /// Sends heartbeats to the next group of members, to be called every [`GROUP_INTERVAL`].
+    /// Returns whether a member has answered that it knows a later leader.
+    pub fn send_next(&mut self, shared: &Shared) -> bool {
+        let is_deposed = self.receive_answers();
+        if self.group == 0 {
+            self.begin_interval(shared);
+        }
+        if let Some(datagrams) = &self.datagrams {
+            let groups = GROUPS as usize;
+            let group = self.peers.iter().skip(self.group as usize).step_by(groups);
+            datagrams.send(&heartbeat_of(shared, &self.leader), group);
+        }
+        self.group = (self.group + 1) % GROUPS;
+        is_deposed
+    }
+
+    /// Updates the members, and calls those whose acknowledgements are overdue.
+    fn begin_interval(&mut self, shared: &Shared) {
+        let now = clock::steady();
+        self.peers = shared.peers();
+        self.acks.set_members(self.peers.iter().copied(), now);
+        for peer in self.acks.take_overdue(now, MAX_CALLS) {
+            // If the queue is full, the member is called in a later interval.
+            let _ = self.calls.try_send(peer);
+        }
+    }
+
+    /// Processes the answers that have arrived; returns whether one names a later leader.
+    fn receive_answers(&mut self) -> bool {
+        let now = clock::steady();
+        let mut newest = 0;
+        while let Some((peer, epoch)) = self.datagrams.as_ref().and_then(Datagrams::receive) {
+            newest = newest.max(epoch);
+            self.acks.acknowledged(&peer, now);
+        }
+        for (peer, epoch) in self.answers.try_iter() {
+            newest = newest.max(epoch);
+            self.acks.answered(&peer, now);
+        }
+        newest > self.leader.epoch
+    }
+}
+
+/// Sends heartbeats over connections until the queue is closed.
+fn call_members(
+    shared: &Shared,
+    leader: &Leader,
+    queue: &Mutex<Receiver<SocketAddr>>,
+    answers: &Sender<HeartbeatAnswer>,
+) {
+    loop {
+        let next = queue.lock().unwrap_or_else(PoisonError::into_inner).recv();
+        let Ok(peer) = next else {
+            return;
+        };
+        let message = heartbeat_of(shared, leader);
+        let client = peers::client(peer);
+        let reply = peers::ask::<HeartbeatReply>(&client, wire::HEARTBEAT_PATH, &message, TIMEOUT);
+        if let Ok(reply) = reply
+            && answers.send((peer, reply.epoch)).is_err()
+        {
+            return;
+        }
+    }
+}
+
 /// Builds a heartbeat of `leader` with the current time of the fleet.
-pub(super) fn heartbeat_of(shared: &Shared, leader: &Leader) -> Heartbeat {
+fn heartbeat_of(shared: &Shared, leader: &Leader) -> Heartbeat {
     Heartbeat {
         leader: leader.clone(),
         fleet_ms: shared.fleet_ms(),
     }
 }
 
-/// Sends heartbeats as datagrams. These arrive also while a connection to the leader is congested,
-/// as when it reads all records over a slow link.
+/// Socket for heartbeats as datagrams.
 #[derive(Debug)]
-pub struct DatagramHeartbeats {
+struct Datagrams {
     socket: UdpSocket,
+    /// Port at which members receive datagrams.
     port: u16,
-    leader: Leader,
 }
 
-impl DatagramHeartbeats {
-    /// Creates the socket for the heartbeats of `leader`. Logs a warning and returns `None` if that
-    /// fails.
-    #[must_use]
-    pub fn new(shared: &Shared, leader: &Leader) -> Option<DatagramHeartbeats> {
+impl Datagrams {
+    /// Creates the socket. Logs a warning and returns `None` if that fails.
+    fn new(shared: &Shared) -> Option<Datagrams> {
         let site = shared.site.load();
         let socket = UdpSocket::bind((site.internal.ip(), 0));
         let socket = socket.and_then(|s| s.set_nonblocking(true).map(|()| s));
         let socket = socket
             .map_err(|error| warn!(%error, "failed to open the socket for heartbeat datagrams"));
-        Some(DatagramHeartbeats {
+        Some(Datagrams {
             socket: socket.ok()?,
             port: site.relay.port(),
-            leader: leader.clone(),
         })
     }
 
-    /// Sends one heartbeat to each peer.
-    pub fn send(&self, shared: &Shared, peers: &[SocketAddr]) {
-        let heartbeat = heartbeat_of(shared, &self.leader);
-        let message = match postcard::to_allocvec(&heartbeat) {
+    fn send<'a>(&self, heartbeat: &Heartbeat, peers: impl Iterator<Item = &'a SocketAddr>) {
+        let message = match postcard::to_allocvec(heartbeat) {
             Ok(message) => message,
             Err(error) => {
                 warn!(%error, "failed to encode heartbeat");
@@ -76,17 +193,16 @@
         }
     }
 
-    /// Whether a member has replied that it knows a later leader.
-    #[must_use]
-    pub fn is_deposed(&self) -> bool {
-        let mut buf = [0; MAX_REPLY_BYTES];
-        while let Ok((len, _)) = self.socket.recv_from(&mut buf) {
-            let reply = postcard::from_bytes::<HeartbeatReply>(&buf[..len]);
-            if reply.is_ok_and(|r| r.epoch > self.leader.epoch) {
-                return true;
+    /// Receives the next acknowledgement, if one has arrived. Those that can't be decoded are
+    /// skipped; members that send them are called over connections.
+    fn receive(&self) -> Option<HeartbeatAnswer> {
+        let mut buf = [0; MAX_ACK_BYTES];
+        loop {
+            let len = self.socket.recv(&mut buf).ok()?;
+            if let Ok(ack) = postcard::from_bytes::<HeartbeatAck>(&buf[..len]) {
+                return Some((ack.member, ack.epoch));
             }
         }
-        false
     }
 }
 
@@ -97,23 +213,14 @@
 /// If a thread can't be started.
 pub fn start(shared: &Arc<Shared>, leader: &Leader, events: &Sender<Event>) -> std::io::Result<()> {
     let epoch = leader.epoch;
-    let mut started_for = HashMap::new();
-    let (own, tx) = (leader.clone(), events.clone());
-    let datagrams = DatagramHeartbeats::new(shared, leader);
+    let tx = events.clone();
+    let mut heartbeats = Heartbeats::start(shared, leader)?;
     spawn_while_leading("members", shared, epoch, move |shared| {
-        if let Some(datagrams) = &datagrams {
-            datagrams.send(shared, &shared.peers());
-            if datagrams.is_deposed() {
-                let _ = tx.send(Event::Deposed("a member knows a later leader"));
-            }
-        }
-        for (name, Member { addr, .. }) in shared.view().members {
-            let is_other = addr != own.addr;
-            if is_other && started_for.insert(name.clone(), addr) != Some(addr) {
-                start_heartbeats_to(shared, &own, name, addr, &tx);
-            }
+        if heartbeats.send_next(shared) {
+            // Fails only if the leadership has ended.
+            let _ = tx.send(Event::Deposed("a member knows a later leader"));
         }
-        std::thread::sleep(INTERVAL);
+        std::thread::sleep(GROUP_INTERVAL);
     })?;
     let store = shared.store();
     let mut count = 0;
@@ -139,33 +246,3 @@
         std::thread::sleep(LIVENESS_INTERVAL);
     })
 }
-
-/// Starts heartbeats to one member. They end with the leadership, and pause while the member has
-/// another address.
-fn start_heartbeats_to(
-    shared: &Arc<Shared>,
-    leader: &Leader,
-    member: Box<str>,
-    addr: SocketAddr,
-    events: &Sender<Event>,
-) {
-    let client = peers::client(addr);
-    let epoch = leader.epoch;
-    let leader = leader.clone();
-    let tx = events.clone();
-    let started = spawn_while_leading("heartbeat", shared, epoch, move |shared| {
-        if shared.view().members.get(&member).map(|m| m.addr) != Some(addr) {
-            std::thread::sleep(INTERVAL);
-            return;
-        }
-        let message = heartbeat_of(shared, &leader);
-        let reply = peers::ask::<HeartbeatReply>(&client, wire::HEARTBEAT_PATH, &message, TIMEOUT);
-        if reply.is_ok_and(|r| r.epoch > epoch) {
-            let _ = tx.send(Event::Deposed("a member knows a later leader"));
-        }
-        std::thread::sleep(INTERVAL);
-    });
-    if let Err(error) = started {
-        warn!(%error, %addr, "failed to start heartbeats");
-    }
-}
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -60,6 +60,15 @@
     pub epoch: Epoch,
 }
 
+/// Answer to a heartbeat that arrived as a datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatAck {
+    /// The highest epoch that the member knows.
+    pub epoch: Epoch,
+    /// The member's address for calls of other entry instances.
+    pub member: SocketAddr,
+}
+
 /// Asks a member for its view of the leader and the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Probe {
--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -4,6 +4,8 @@
 mod callers;
 #[path = "fleet/dispatcher.rs"]
 mod dispatcher;
+#[path = "fleet/heartbeats.rs"]
+mod heartbeats;
 #[path = "fleet/in_flight.rs"]
 mod in_flight;
 #[path = "fleet/journal.rs"]
