perf: a leader that ends or has lost the store asks 24 members, not all

Cause: a thread and a connection for each of 587 peers when a leader shuts down or loses the store, and for each of 72 larger ones each second while a small member leads, on 160 MB and an eighth of a core.

Change: succession::candidates chooses up to 16 of the largest members and others, another sample each time; questions to many peers use at most 32 threads.

--- a/pomelohitchd/src/fleet/leader/handover.rs
+++ b/pomelohitchd/src/fleet/leader/handover.rs
@@ -10,14 +10,14 @@
 use pomelohitch_sched::Steady;
 use tracing::warn;
 
-use super::core::{Core, Event};
+use super::core::{Core, Event, millis};
 use crate::fleet::shared::spawn;
 use crate::fleet::succession::{self, successor};
 use crate::fleet::wire::{self, Probe, ProbeReply};
 use crate::fleet::{clock, internal, peers};
 
 /// Time without an answer after which the store counts as lost and the other members are probed.
-/// Their answers decide, so that probing early costs at most one call per member.
+/// Their answers decide, so that probing early costs a few calls.
 const STORE_LOST_AFTER: Duration = Duration::from_millis(250);
 /// Maximum outage after which a store that answers a read of this process counts as recovered.
 /// After a longer one appends may still fail, and the leadership is handed over.
@@ -55,7 +55,7 @@
             return;
         }
         self.members_probed_at = now;
-        let others = self.shared.peers();
+        let others = succession::candidates(&self.shared.others(), millis(now));
         let tx = self.tx.clone();
         let shared = self.shared.clone();
         let end = self.shared.view().members_end;
@@ -100,6 +100,7 @@
         if larger.is_empty() {
             return;
         }
+        let larger = succession::probe_sample(larger, millis(now));
         let tx = self.tx.clone();
         let thread = spawn("ask larger members", move || {
             let probe = Probe { with_store: true };
@@ -152,7 +153,8 @@
     /// Ends the leadership for a shutdown, and hands it over to a member that can lead, if any.
     pub(super) fn end_for_shutdown(&mut self) {
         let probe = Probe { with_store: true };
-        let answers = peers::ask_all::<ProbeReply>(&self.shared.peers(), wire::PROBE_PATH, &probe);
+        let others = succession::candidates(&self.shared.others(), millis(clock::steady()));
+        let answers = peers::ask_all::<ProbeReply>(&others, wire::PROBE_PATH, &probe);
         self.stop("shutdown", successor(&answers));
     }
 }
--- a/pomelohitchd/src/fleet/peers.rs
+++ b/pomelohitchd/src/fleet/peers.rs
@@ -1,19 +1,24 @@
 //! Calls to other entry instances.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use pomelohitch_adapter::call::{self, Client, Request};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::{ResultExt, Snafu};
+use tracing::warn;
 
 /// Default timeout. Entry instances answer heartbeats and probes within a few milliseconds.
 const DEFAULT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Connect timeout; a connection that takes longer isn't expected to succeed.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Stack of a thread that makes one call, bytes.
+/// Maximum number of calls that one question to several peers makes at a time.
+pub const MAX_CONCURRENT_CALLS: usize = 32;
+/// Stack of a thread that makes calls, bytes.
 const STACK_SIZE: usize = 256 * 1024;
 
 /// A call to another entry instance that failed.
@@ -70,48 +75,44 @@
     postcard::from_bytes(&body).context(MessageSnafu { path, peer })
 }
 
-/// Asks all of `peers` concurrently; returns the answers that arrive within a default timeout.
-pub fn ask_all<T: DeserializeOwned + Send + 'static>(
+/// Asks all of `peers`; returns the answers that arrive within a default timeout.
+pub fn ask_all<T: DeserializeOwned + Send>(
     peers: &[SocketAddr],
     path: &'static str,
-    message: &(impl Serialize + Clone + Send + 'static),
+    message: &(impl Serialize + Sync),
 ) -> Vec<(SocketAddr, T)> {
     ask_all_within(peers, path, message, DEFAULT_TIMEOUT)
 }
 
-/// Asks all of `peers` concurrently; returns the answers that arrive in time.
-pub fn ask_all_within<T: DeserializeOwned + Send + 'static>(
+/// Asks all of `peers`, up to [`MAX_CONCURRENT_CALLS`] at a time; returns the answers that arrive
+/// within `timeout` of their call.
+pub fn ask_all_within<T: DeserializeOwned + Send>(
     peers: &[SocketAddr],
     path: &'static str,
-    message: &(impl Serialize + Clone + Send + 'static),
+    message: &(impl Serialize + Sync),
     timeout: Duration,
 ) -> Vec<(SocketAddr, T)> {
-    let clients: Vec<_> = peers.iter().map(|&peer| client(peer)).collect();
-    ask_clients(&clients, path, message, timeout)
-}
-
-/// Like [`ask_all_within`], but over the clients' open connections.
-pub fn ask_clients<T: DeserializeOwned + Send + 'static>(
-    clients: &[Client],
-    path: &'static str,
-    message: &(impl Serialize + Clone + Send + 'static),
-    timeout: Duration,
-) -> Vec<(SocketAddr, T)> {
-    let threads: Vec<_> = clients
-        .iter()
-        .map(|client| {
-            let (client, message) = (client.clone(), message.clone());
-            let peer = client.peer();
-            std::thread::Builder::new()
+    let next = AtomicUsize::new(0);
+    let answers = Mutex::new(Vec::new());
+    let ask_next = || {
+        while let Some(&peer) = peers.get(next.fetch_add(1, Ordering::Relaxed)) {
+            if let Ok(answer) = ask::<T>(&client(peer), path, message, timeout) {
+                let answers = answers.lock();
+                let mut answers = answers.unwrap_or_else(PoisonError::into_inner);
+                answers.push((peer, answer));
+            }
+        }
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..peers.len().min(MAX_CONCURRENT_CALLS) {
+            let thread = std::thread::Builder::new()
                 .name("ask".into())
                 .stack_size(STACK_SIZE)
-                .spawn(move || ask::<T>(&client, path, &message, timeout))
-                .map(|thread| (peer, thread))
-        })
-        .collect();
-    let answers = threads.into_iter().flatten().filter_map(|(peer, thread)| {
-        let answer = thread.join().ok()?.ok()?;
-        Some((peer, answer))
+                .spawn_scoped(scope, ask_next);
+            if let Err(error) = thread {
+                warn!(%error, "failed to start a thread that asks peers");
+            }
+        }
     });
-    answers.collect()
+    answers.into_inner().unwrap_or_else(PoisonError::into_inner)
 }
--- a/pomelohitchd/src/fleet/succession.rs
+++ b/pomelohitchd/src/fleet/succession.rs
@@ -17,9 +17,12 @@
 /// one notices the same silence and has claimed by then.
 const LARGER_MEMBER_DELAY: Duration = Duration::from_millis(400);
 
-/// Maximum number of members that are asked whether they hear a silent leader. If half of the other
-/// members hear it, the probability that none of those asked does is less than one in ten million.
+/// Maximum number of members that are asked at a time. If half of the other members hear a silent
+/// leader, the probability that none of those asked does is less than one in ten million.
 const MAX_PROBED: usize = 24;
+/// Maximum number of the largest members among those that are asked whether they can lead. The
+/// others are asked in case all of the largest are lost.
+const MAX_LARGEST_PROBED: usize = 16;
 
 /// Returns the members to ask whether they hear a silent leader: a different sample for each
 /// `seed`.
@@ -27,14 +30,37 @@
 /// Hundreds of members may start, or notice a silent leader, at the same moment. If each asked all
 /// others, this would take tens of thousands of connections and threads.
 #[must_use]
-pub fn probe_sample(mut members: Vec<SocketAddr>, seed: u64) -> Vec<SocketAddr> {
-    if members.len() > MAX_PROBED {
+pub fn probe_sample(members: Vec<SocketAddr>, seed: u64) -> Vec<SocketAddr> {
+    sample(members, MAX_PROBED, seed)
+}
+
+/// Returns the members to ask whether they can lead: a sample of the largest and of the others.
+#[must_use]
+pub fn candidates(members: &[Member], seed: u64) -> Vec<SocketAddr> {
+    let largest_power = members.iter().map(|m| m.power).max().unwrap_or_default();
+    let addrs = |is_largest: bool| {
+        let chosen = members
+            .iter()
+            .filter(|m| (m.power == largest_power) == is_largest);
+        chosen.map(|m| m.addr).collect()
+    };
+    let others: Vec<_> = addrs(false);
+    let max_largest = MAX_LARGEST_PROBED.max(MAX_PROBED.saturating_sub(others.len()));
+    let mut candidates = sample(addrs(true), max_largest, seed);
+    let max_others = MAX_PROBED - candidates.len();
+    candidates.extend(sample(others, max_others, seed));
+    candidates
+}
+
+/// Returns at most `max` of the members, a different sample for each `seed`.
+fn sample(mut members: Vec<SocketAddr>, max: usize, seed: u64) -> Vec<SocketAddr> {
+    if members.len() > max {
         members.sort_by_cached_key(|member| {
             let mut hasher = DefaultHasher::new();
             (seed, member).hash(&mut hasher);
             hasher.finish()
         });
-        members.truncate(MAX_PROBED);
+        members.truncate(max);
     }
     members
 }
--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -14,6 +14,8 @@
 mod leaders;
 #[path = "fleet/outages.rs"]
 mod outages;
+#[path = "fleet/peers.rs"]
+mod peers;
 #[path = "fleet/relays.rs"]
 mod relays;
 #[path = "fleet/site.rs"]
--- a/pomelohitchd/tests/fleet/leaders.rs
+++ b/pomelohitchd/tests/fleet/leaders.rs
@@ -6,7 +6,7 @@
 use pomelohitchd::fleet::clock::{self, FleetTime};
 use pomelohitchd::fleet::shared::Shared;
 use pomelohitchd::fleet::succession::{
-    larger_member_delay, larger_members, probe_sample, successor,
+    candidates, larger_member_delay, larger_members, probe_sample, successor,
 };
 use pomelohitchd::fleet::wire::{Leader, Member, ProbeReply};
 
@@ -36,6 +36,27 @@
     assert_eq!(probe_sample(members[..24].to_vec(), 1), members[..24]);
 }
 
+/// Guards against a question to each of hundreds of members whenever a leader has lost the store or
+/// shuts down, and against asking none of the small ones when all large ones are lost.
+#[test]
+fn few_members_are_asked_whether_they_can_lead() {
+    let member = |n: u16| Member {
+        addr: SocketAddr::from(([10, 0, 0, 1], n)),
+        power: if n <= 72 { 1_000 } else { 120 },
+        began_ms: 1,
+    };
+    for count in [588, 1_176] {
+        let members: Vec<_> = (1..=count).map(member).collect();
+        let asked = candidates(&members, 1);
+        let large = asked.iter().filter(|a| a.port() <= 72).count();
+        assert_eq!((asked.len(), large), (24, 16), "of {count}");
+    }
+    let few: Vec<_> = (70..=80).map(member).collect();
+    assert_eq!(candidates(&few, 1).len(), few.len());
+    let alike: Vec<_> = (100..=200).map(member).collect();
+    assert_eq!(candidates(&alike, 1).len(), 24);
+}
+
 /// In a rolling restart, a leadership handed to a member that is still to be restarted changes
 /// again two seconds later, and each change delays work.
 #[test]
