perf: members that hear the leader read the store every three seconds

Change: a member that heard its leader within 0.6 s waits 3 s between reads; one that doesn't reads at once, so that it has read what there is 0.3 s before it suspects the leader. 196 reads a second at 588 members, 333 at 1,000, of 16,000 that the platform allows.

Risk weighed: a member cut off from all others takes a record that it reads late for a sign of life, and claims later, not earlier.

--- a/pomelohitchd/src/fleet/members.rs
+++ b/pomelohitchd/src/fleet/members.rs
@@ -18,6 +18,14 @@
 const REGISTER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Interval of the reads of a member that hears the leader. The leader writes a liveness record each
+/// second, which would otherwise cause a read by every member.
+const FOLLOWER_READ_INTERVAL: Duration = Duration::from_secs(3);
+/// A member that hasn't heard the leader for this long reads again at once, so that it knows the
+/// newest records before it suspects the leader.
+const HEARD_WITHIN: Duration = Duration::from_millis(600);
+/// Interval at which a member that waits for its next read checks whether it hears the leader.
+const HEARD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Reads the topic of members until the process shuts down.
 pub fn run(shared: &Arc<Shared>) {
@@ -37,6 +45,7 @@
                 is_reachable = true;
                 from = next;
                 register(shared, &store);
+                wait_for_next_read(shared);
             }
             Err(error) => {
                 if is_reachable {
@@ -49,6 +58,20 @@
     }
 }
 
+/// Waits until the next read is due: after [`FOLLOWER_READ_INTERVAL`] while this member follows a
+/// leader that it hears, else at once.
+fn wait_for_next_read(shared: &Shared) {
+    let due = clock::steady() + FOLLOWER_READ_INTERVAL;
+    while !shared.is_leaving() && is_following(shared) && clock::steady() < due {
+        std::thread::sleep(HEARD_CHECK_INTERVAL);
+    }
+}
+
+fn is_following(shared: &Shared) -> bool {
+    let silent_for = clock::steady().saturating_sub(shared.view().leader_heard_at);
+    shared.leadership().is_none() && silent_for < HEARD_WITHIN
+}
+
 type ReadResult = Result<Option<u64>, pomelohitch_adapter::Error>;
 
 /// Reads the newest record of every key.
