fix: chance crashes don't count against tasks at work, and a lasting job that is given up isn't stopped

Causes: (a) each endpoint lost under a task counted, however long the task had been at work, so that a lasting job of 24 tasks in a fleet where 14 of 100 endpoints crash met five losses by chance; (b) giving the job up stopped all of its sound tasks at the same instant.

Change: (a) the loss of a run that had been at work for proven_again_after (2 s) is no evidence; the counts of 3, 4 and 5 for crashes within 2 s of the start stay, and with them the platform's bound. (b) lasting tasks of a job that was given up because of another task go on until they end or the job is cancelled: its caller reads failed with its reason, and more than may_miss at a time can't be stopped, since nothing takes their place. A cancel of such a job takes effect.

Ruled out: clearing the count by an endpoint's neighbours that crash at the same time, which would also clear tasks that crash many endpoints together.

--- a/crates/pomelohitch-sched/src/cell/completions.rs
+++ b/crates/pomelohitch-sched/src/cell/completions.rs
@@ -164,13 +164,16 @@
             .map_or(DEFAULT_ATTEMPTS, |q| q.attempts.max(1))
     }
 
-    /// Sets the final state of a job, if it has none yet, and stops its runs.
+    /// Sets the final state of a job and stops its runs. A job that already has a final state keeps
+    /// it, except for one that was given up and is now cancelled.
     pub(super) fn finish(&mut self, id: JobId, state: JobState) {
         let ended_ms = self.fleet_ms();
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        if job.progress.state.is_final() {
+        let is_given_up = job.progress.state == JobState::Failed && job.progress.is_given_up;
+        let may_change = is_given_up && state == JobState::Cancelled;
+        if job.progress.state.is_final() && !may_change {
             return;
         }
         job.progress.state = state;
@@ -186,12 +189,25 @@
         self.index(id);
     }
 
-    /// Stops every run of a job that has ended.
+    /// Whether a task continues although its job has ended: a lasting one of a job that was given
+    /// up because of another task. Stopping all of them would take down more tasks of their step
+    /// than it allows, and they can't start elsewhere. They end when the job is cancelled.
+    pub(super) fn outlasts_job(&self, task: TaskId) -> bool {
+        let is_given_up = self
+            .jobs
+            .get(&task.job)
+            .is_some_and(|job| job.progress.is_given_up && job.progress.state == JobState::Failed);
+        is_given_up && self.step(task).is_some_and(|step| step.is_lasting)
+    }
+
+    /// Stops the runs of a job that has ended.
     pub(super) fn stop_all_runs(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let runs: Vec<_> = job.progress.runs(id).map(|(t, r)| (t, r.number)).collect();
+        let runs = job.progress.runs(id);
+        let stopped = runs.filter(|(task, _)| !self.outlasts_job(*task));
+        let runs: Vec<_> = stopped.map(|(t, r)| (t, r.number)).collect();
         for (task, run) in runs {
             self.stop(task, run, "its job has ended");
         }
--- a/crates/pomelohitch-sched/src/cell/losses.rs
+++ b/crates/pomelohitch-sched/src/cell/losses.rs
@@ -26,12 +26,14 @@
         let Loss {
             cause, why, born, ..
         } = loss;
-        let suspicion = self.record_loss(task, &loss);
+        let counts = self.record_loss(task, &loss);
+        let suspicion = self.task_mut(task).map(|t| t.suspicion);
+        let suspicion = suspicion.unwrap_or_default();
         warn!(%task, run, endpoint = %endpoint, born, ?cause, why, beside = loss.other_runs,
             is_sole = loss.is_sole, worked_ms = loss.ran_for.as_millis(), lost = suspicion.lost,
             certain = suspicion.certain, alone = suspicion.alone, "run lost");
         *self.loss_counts.entry(cause).or_default() += 1;
-        if cause == LossCause::Silence {
+        if counts && cause == LossCause::Silence {
             self.presume_lost(task, endpoint, born);
         }
         self.give_up(task, suspicion);
@@ -54,20 +56,22 @@
         presumed.1.push(task);
     }
 
-    /// Counts a loss against its task, and has the job's record written again if it counts.
-    fn record_loss(&mut self, task: TaskId, loss: &Loss) -> Suspicion {
+    /// Counts a loss against its task, and has the job's record written again if it counts. Returns
+    /// whether it does.
+    fn record_loss(&mut self, task: TaskId, loss: &Loss) -> bool {
+        let limits = self.settings.policy.crashes;
         let Some(t) = self.task_mut(task) else {
-            return Suspicion::default();
+            return false;
         };
-        let counts = !t.is_done && t.suspicion.record_loss(loss);
-        let suspicion = t.suspicion;
+        let counts = !t.is_done && t.suspicion.record_loss(loss, &limits);
         if counts {
             self.dirty.insert(task.job);
         }
-        suspicion
+        counts
     }
 
-    /// Fails the job if too many endpoints crashed while running the task.
+    /// Fails the job if too many endpoints crashed while running the task. Other lasting tasks of
+    /// the job continue, see [`Cell::outlasts_job`].
     fn give_up(&mut self, task: TaskId, suspicion: Suspicion) {
         let is_over = suspicion.is_conclusive(&self.settings.policy.crashes);
         let Some(job) = self.jobs.get_mut(&task.job) else {
@@ -158,7 +162,7 @@
     pub(super) fn end_cause(&self, id: &EndpointId) -> LossCause {
         let report = self.endpoints.get(id).and_then(|e| e.report.as_ref());
         let is_draining = report.is_some_and(|r| r.is_draining);
-        if is_draining || self.instances.endpoints_under_way().contains(id) {
+        if is_draining || self.instances.is_endpoint_under_way(id) {
             LossCause::Planned
         } else {
             LossCause::Crash
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -257,7 +257,8 @@
         let is_over = self
             .jobs
             .get(&task.job)
-            .is_none_or(|j| j.progress.state.is_final());
+            .is_none_or(|j| j.progress.state.is_final())
+            && !self.outlasts_job(task);
         if self.run(task, number).is_none() && !self.readopt_run(id, task, number) {
             self.stop_stray(id, task, number);
             return;
--- a/crates/pomelohitch-sched/src/suspicion.rs
+++ b/crates/pomelohitch-sched/src/suspicion.rs
@@ -29,7 +29,9 @@
     pub max_lost: u32,
     /// A run that has been running for this long is not blamed for a crash.
     pub proven_after: Duration,
-    /// The same for a task under which an endpoint was lost before.
+    /// The same for a task under which an endpoint was lost before. The loss of a run that has been
+    /// running for this long doesn't count at all: in a large fleet, endpoints crash by themselves
+    /// under lasting tasks time and again.
     pub proven_again_after: Duration,
     /// After a task has been running for this long, its earlier losses are forgotten.
     pub cleared_after: Duration,
@@ -78,8 +80,9 @@
 
 impl Suspicion {
     /// Records the loss of a run of the task; returns whether the loss counts as evidence.
-    pub fn record_loss(&mut self, loss: &Loss) -> bool {
-        if !matches!(loss.cause, LossCause::Crash | LossCause::Silence) {
+    pub fn record_loss(&mut self, loss: &Loss, limits: &CrashLimits) -> bool {
+        let is_unplanned = matches!(loss.cause, LossCause::Crash | LossCause::Silence);
+        if !is_unplanned || loss.ran_for >= limits.proven_again_after {
             return false;
         }
         self.lost += 1;
