--- a/crates/pomelohitch-sched/examples/cost.rs
+++ b/crates/pomelohitch-sched/examples/cost.rs
@@ -1,11 +1,14 @@
 //! Processor time of scheduling decisions in a large fleet.
 //!
-//! Simulates about 350 endpoints in five pools, queues with bursts of about four times their mean
-//! load, lasting tasks, a maintenance wave over half of the instances, and 1,400 idle queues.
-//! Endpoints, log and instances answer immediately, in virtual time. Prints for each second the
-//! starts, the jobs held, and the processor time of the decisions.
+//! Simulates five pools, queues with bursts of about four times their mean load, lasting tasks, a
+//! maintenance wave over half of the instances, and 1,400 idle queues. Endpoints, log and instances
+//! answer immediately, in virtual time. Prints for each second the starts, the jobs held, and the
+//! processor time of the decisions.
 //!
-//! `cargo run --release -p pomelohitch-sched --example cost`
+//! `cargo run --release -p pomelohitch-sched --example cost -- [ENDPOINTS [JOBS]]`
+//!
+//! `ENDPOINTS`, 349 by default, is divided among the pools. `JOBS` is the number of jobs per second
+//! on average, 80 by default.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,15 +29,44 @@
 const STEPS_PER_SECOND: u32 = 100;
 /// Number of queues without jobs.
 const IDLE_QUEUES: usize = 1_400;
+/// Endpoints and jobs per second by default, to which the numbers in [`POOLS`] apply.
+const DEFAULT_ENDPOINTS: u32 = 349;
+const DEFAULT_JOBS: u32 = 80;
 /// Name, instances, jobs per second during a burst, tasks per step, and for each task thousandths
 /// of a core and run time in milliseconds.
-const POOLS: [(&str, u16, u32, u32, u64, u64); 4] = [
+const POOLS: [(&str, u32, u32, u32, u64, u64); 4] = [
     ("pricing", 61, 118, 8, 1_500, 640),
     ("issuing", 69, 24, 8, 3_300, 1_300),
     ("kiosk", 78, 148, 8, 1_500, 640),
     ("partners", 85, 29, 8, 3_300, 1_300),
 ];
-const SPARE: (&str, u16) = ("backoffice", 56);
+const SPARE: (&str, u32) = ("backoffice", 56);
+
+/// Size of the simulated fleet and its load.
+#[derive(Debug, Clone, Copy)]
+struct Size {
+    endpoints: u32,
+    /// Jobs per second on average.
+    jobs: u32,
+}
+
+impl Size {
+    fn from_args() -> Size {
+        let mut numbers = std::env::args().skip(1).map(|arg| {
+            arg.parse()
+                .unwrap_or_else(|error| panic!("expected a number, found {arg:?}: {error}"))
+        });
+        Size {
+            endpoints: numbers.next().unwrap_or(DEFAULT_ENDPOINTS),
+            jobs: numbers.next().unwrap_or(DEFAULT_JOBS),
+        }
+    }
+
+    /// Instances of a pool that has `count` by default.
+    fn instances(self, count: u32) -> u32 {
+        count * self.endpoints / DEFAULT_ENDPOINTS
+    }
+}
 
 fn config() -> FleetConfig {
     let queue = |name: String, service: &str| Queue {
@@ -70,7 +102,7 @@
     }
 }
 
-fn build_fleet() -> Fleet {
+fn build_fleet(size: Size) -> Fleet {
     let mut fleet = Fleet::new(0);
     fleet.capacity = Resources {
         cpu: 16_000,
@@ -80,7 +112,7 @@
     let mut index = 1;
     let pools = POOLS.iter().map(|(name, count, ..)| (*name, *count));
     for (name, count) in pools.chain([SPARE]) {
-        for _ in 0..count {
+        for _ in 0..size.instances(count) {
             fleet.add_to(name, &format!("{name}-{index}"), index);
             index += 1;
         }
@@ -111,11 +143,13 @@
 }
 
 /// Submits the jobs of one step of virtual time.
-fn submit_jobs(fleet: &mut Fleet, second: u32, step: u32, next_id: &mut u64) {
+fn submit_jobs(fleet: &mut Fleet, size: Size, second: u32, step: u32, next_id: &mut u64) {
     for (slot, &(name, _, rate, count, cpu, millis)) in (0..).zip(&POOLS) {
         let is_bursting = second / BURST_SECONDS % 4 == slot;
         let rate = if is_bursting { rate } else { rate / 80 };
-        let due = (step + 1) * rate / STEPS_PER_SECOND - step * rate / STEPS_PER_SECOND;
+        let steps_per_job = STEPS_PER_SECOND * DEFAULT_JOBS;
+        let due_by = |step: u32| step * rate * size.jobs / steps_per_job;
+        let due = due_by(step + 1) - due_by(step);
         for _ in 0..due {
             *next_id += 1;
             let verb = Verb::Submit(Ok(two_step_job(count, cpu, millis)));
@@ -125,7 +159,8 @@
 }
 
 fn main() {
-    let mut fleet = build_fleet();
+    let size = Size::from_args();
+    let mut fleet = build_fleet(size);
     let mut next_id = 0;
     for (name, ..) in POOLS {
         for _ in 0..4 {
@@ -149,7 +184,7 @@
         let moves = fleet.operations.len();
         let (spent, polls) = (fleet.decision_time, fleet.polls_sent);
         for step in 0..STEPS_PER_SECOND {
-            submit_jobs(&mut fleet, second, step, &mut next_id);
+            submit_jobs(&mut fleet, size, second, step, &mut next_id);
             fleet.advance(1);
         }
         println!(
