--- a/crates/pomelohitch-sched/src/acks.rs
+++ b/crates/pomelohitch-sched/src/acks.rs
@@ -25,11 +25,11 @@
 #[derive(Debug, Clone, Copy)]
 struct Contact {
     /// Last acknowledgement of a datagram, or the first heartbeat if there was none yet.
-    acknowledged_at: Steady,
+    acknowledged: Steady,
     /// Last answer by any way.
-    answered_at: Option<Steady>,
+    answered: Option<Steady>,
     /// Last time that a connection was used.
-    called_at: Option<Steady>,
+    called: Option<Steady>,
 }
 
 impl<M> Default for Acks<M> {
@@ -46,9 +46,9 @@
         let mut former = std::mem::take(&mut self.contacts);
         let contacts = members.map(|member| {
             let contact = former.remove(&member).unwrap_or(Contact {
-                acknowledged_at: now,
-                answered_at: None,
-                called_at: None,
+                acknowledged: now,
+                answered: None,
+                called: None,
             });
             (member, contact)
         });
@@ -58,15 +58,15 @@
     /// Records that a member has acknowledged a datagram.
     pub fn acknowledged(&mut self, member: &M, now: Steady) {
         if let Some(contact) = self.contacts.get_mut(member) {
-            contact.acknowledged_at = now;
-            contact.answered_at = Some(now);
+            contact.acknowledged = now;
+            contact.answered = Some(now);
         }
     }
 
     /// Records that a member has answered over a connection.
     pub fn answered(&mut self, member: &M, now: Steady) {
         if let Some(contact) = self.contacts.get_mut(member) {
-            contact.answered_at = Some(now);
+            contact.answered = Some(now);
         }
     }
 
@@ -75,9 +75,9 @@
         let overdue = self
             .contacts
             .iter()
-            .filter(|(_, contact)| now >= contact.acknowledged_at + OVERDUE_AFTER);
+            .filter(|(_, contact)| now >= contact.acknowledged + OVERDUE_AFTER);
         let mut overdue: Vec<_> = overdue
-            .map(|(member, c)| (is_responsive(c), c.called_at, *member))
+            .map(|(member, c)| (is_responsive(c), c.called, *member))
             .collect();
         overdue.sort_by_key(|&(is_responsive, called_at, member)| {
             (Reverse(is_responsive), called_at, member)
@@ -86,7 +86,7 @@
         let members: Vec<M> = overdue.into_iter().map(|(.., member)| member).collect();
         for member in &members {
             if let Some(contact) = self.contacts.get_mut(member) {
-                contact.called_at = Some(now);
+                contact.called = Some(now);
             }
         }
         members
@@ -96,6 +96,6 @@
 /// Whether the member has answered its last call, or hasn't been called yet.
 fn is_responsive(contact: &Contact) -> bool {
     contact
-        .called_at
-        .is_none_or(|called_at| contact.answered_at >= Some(called_at))
+        .called
+        .is_none_or(|called_at| contact.answered >= Some(called_at))
 }
--- a/pomelohitchd/src/fleet/leader/heartbeats.rs
+++ b/pomelohitchd/src/fleet/leader/heartbeats.rs
@@ -55,6 +55,8 @@
     acks: Acks<SocketAddr>,
     calls: SyncSender<SocketAddr>,
     answers: Receiver<HeartbeatAnswer>,
+    /// Dropped with this, so that calls that are still queued aren't made.
+    _alive: Arc<()>,
 }
 
 impl Heartbeats {
@@ -66,10 +68,19 @@
         let (calls, rx) = mpsc::sync_channel(MAX_CALLS);
         let (tx, answers) = mpsc::channel();
         let rx = Arc::new(Mutex::new(rx));
+        let alive = Arc::new(());
         for _ in 0..CALL_THREADS {
             let (rx, tx, leader) = (rx.clone(), tx.clone(), leader.clone());
+            let alive = Arc::downgrade(&alive);
             spawn_with("heartbeat", shared, move |shared| {
-                call_members(shared, &leader, &rx, &tx);
+                while let Some(peer) = next_call(&rx)
+                    && alive.strong_count() > 0
+                {
+                    let epoch = call_member(shared, &leader, peer);
+                    if epoch.is_some_and(|epoch| tx.send((peer, epoch)).is_err()) {
+                        return;
+                    }
+                }
             })?;
         }
         Ok(Heartbeats {
@@ -80,6 +91,7 @@
             acks: Acks::default(),
             calls,
             answers,
+            _alive: alive,
         })
     }
 
@@ -126,27 +138,19 @@
     }
 }
 
-/// Sends heartbeats over connections until the queue is closed.
-fn call_members(
-    shared: &Shared,
-    leader: &Leader,
-    queue: &Mutex<Receiver<SocketAddr>>,
-    answers: &Sender<HeartbeatAnswer>,
-) {
-    loop {
-        let next = queue.lock().unwrap_or_else(PoisonError::into_inner).recv();
-        let Ok(peer) = next else {
-            return;
-        };
-        let message = heartbeat_of(shared, leader);
-        let client = peers::client(peer);
-        let reply = peers::ask::<HeartbeatReply>(&client, wire::HEARTBEAT_PATH, &message, TIMEOUT);
-        if let Ok(reply) = reply
-            && answers.send((peer, reply.epoch)).is_err()
-        {
-            return;
-        }
-    }
+/// The next member to call; `None` once the queue is closed.
+fn next_call(queue: &Mutex<Receiver<SocketAddr>>) -> Option<SocketAddr> {
+    let queue = queue.lock().unwrap_or_else(PoisonError::into_inner);
+    queue.recv().ok()
+}
+
+/// Sends a heartbeat over a connection; returns the highest epoch that the member knows, if it
+/// answers.
+fn call_member(shared: &Shared, leader: &Leader, peer: SocketAddr) -> Option<Epoch> {
+    let message = heartbeat_of(shared, leader);
+    let client = peers::client(peer);
+    let reply = peers::ask::<HeartbeatReply>(&client, wire::HEARTBEAT_PATH, &message, TIMEOUT);
+    reply.ok().map(|reply| reply.epoch)
 }
 
 /// Builds a heartbeat of `leader` with the current time of the fleet.
