fix: a new leader's first polls are relayed, not made by itself

Cause: a new leader polls all endpoints at once. The layout was known 0.25 s after the first call at the earliest, and while a relay's connection was being opened calls to its endpoints were made directly: members that relay grow with the fleet, connections of the leader with endpoints.

Change: the numbers of endpoints and services are handed in before the first poll, and the layout follows at once; polls wait for the connection, 0.25 s at most, and fail with it, so that the next try goes to another member. Orders don't wait, since they are soon void.

Test: connections of 10 and of 20 endpoints; before, the leader made one to each.

--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -205,6 +205,7 @@
         end: None,
     };
     core.update_evacuation_gauge();
+    core.dispatcher.update_targets(core.cell.endpoints());
     let end = core.run_event_loop(&initial.rx);
     shared.set_leadership(None);
     info!(
--- a/pomelohitchd/src/fleet/leader/dispatcher.rs
+++ b/pomelohitchd/src/fleet/leader/dispatcher.rs
@@ -154,7 +154,7 @@
             Command::Order(outgoing) => router.order(outgoing),
             Command::Poll(poll) => router.poll(poll),
             Command::Forget(id) => router.forget(&id),
-            Command::Targets(targets) => router.targets = targets,
+            Command::Targets(targets) => router.set_targets(targets),
         }
     }
 }
@@ -185,6 +185,14 @@
         }
     }
 
+    /// Sets the number of endpoints and services; the next call is made by the layout for them.
+    fn set_targets(&mut self, targets: CallTargets) {
+        if self.targets != targets {
+            self.targets = targets;
+            self.layout_updated_at = None;
+        }
+    }
+
     /// Updates the layout and the connections to members, at most once per [`LAYOUT_INTERVAL`].
     fn update_layout(&mut self) {
         let now = clock::steady();
@@ -228,7 +236,8 @@
         self.assignment.set_members(members);
     }
 
-    /// Returns the open connection to the member that relays the endpoint's calls, if any.
+    /// Returns the connection to the member that relays the endpoint's calls, if any. It may not be
+    /// open yet.
     fn connection(&mut self, target: &Target) -> Option<&RelayConnection> {
         let has_ended = |connection: &RelayConnection| connection.ended_at().is_some();
         let peer = loop {
@@ -239,19 +248,18 @@
             self.assignment.remove(&peer);
         };
         let (epoch, events) = (self.options.epoch, &self.events);
+        self.relays.record(&target.id, peer);
         let connection = self
             .connections
             .entry(peer)
             .or_insert_with(|| RelayConnection::start(peer, epoch, events.clone()));
-        if !connection.is_open() {
-            return None;
-        }
-        self.relays.record(&target.id, peer);
         Some(connection)
     }
 
     fn order(&mut self, outgoing: OutgoingOrder) {
-        let outgoing = match self.connection(&outgoing.target) {
+        // An order is not worth waiting for a connection: it is soon void.
+        let connection = self.connection(&outgoing.target).filter(|c| c.is_open());
+        let outgoing = match connection {
             Some(connection) => connection.order(outgoing),
             None => Some(outgoing),
         };
@@ -267,6 +275,8 @@
     }
 
     fn poll(&mut self, poll: PollOrder) {
+        // A poll waits until the connection is open. A new leader polls all endpoints at once, and
+        // with a connection to each of thousands it would run out of memory.
         let poll = match self.connection(&poll.target) {
             Some(connection) => connection.poll(poll),
             None => Some(poll),
--- a/pomelohitchd/src/fleet/relay/client.rs
+++ b/pomelohitchd/src/fleet/relay/client.rs
@@ -175,11 +175,12 @@
         rx: UnboundedReceiver<Command>,
         state: &ConnectionState,
     ) {
+        let rx = RefCell::new(rx);
         let Some((mut reader, mut writer)) = connect(peer).await else {
             info!(%peer, "connection to relay failed");
+            self.fail_all(&mut rx.borrow_mut());
             return;
         };
-        let rx = RefCell::new(rx);
         if message::send(&mut writer, &Hello { epoch }).await.is_ok() {
             self.last_frame_at.set(clock::steady());
             state.is_open.set(true);
--- a/pomelohitchd/tests/fleet/relays.rs
+++ b/pomelohitchd/tests/fleet/relays.rs
@@ -39,11 +39,15 @@
         members: Some(Box::new(move || members.clone())),
         link_bytes_per_s: Some(SLOW_LINK_BYTES_PER_S),
     };
-    let mut dispatcher = Dispatcher::start(tx, options).expect("a thread can be started");
-    dispatcher.update_targets(&[("e1".into(), endpoint())].into());
+    let dispatcher = Dispatcher::start(tx, options).expect("a thread can be started");
     (dispatcher, rx)
 }
 
+/// Tells the dispatcher of the endpoint, from when on calls may be relayed.
+fn announce_endpoint(dispatcher: &mut Dispatcher) {
+    dispatcher.update_targets(&[("e1".into(), endpoint())].into());
+}
+
 /// The endpoint that is called, as the scheduler knows it.
 fn endpoint() -> Endpoint {
     let report = Report {
@@ -123,7 +127,9 @@
 /// Polls until a poll is relayed, i.e. reaches the endpoint from another connection than the
 /// leader's own.
 fn poll_until_relayed(dispatcher: &mut Dispatcher, rx: &Receiver<Event>, endpoint: &Recorder) {
-    for _ in 0..100 {
+    poll(dispatcher, rx, endpoint.addr).expect("the leader polls the endpoint itself");
+    announce_endpoint(dispatcher);
+    for _ in 0..200 {
         let _ = poll(dispatcher, rx, endpoint.addr);
         if endpoint.connection_count() > 1 {
             return;
@@ -167,12 +173,48 @@
     }
 }
 
+/// Guards against a new leader that connects to thousands of endpoints itself, because it polls them
+/// before the connections to its relays are open.
+#[test]
+fn the_first_polls_of_a_leader_are_relayed() {
+    for count in [10, 20] {
+        let endpoints: Vec<Recorder> = (0..count).map(|_| Recorder::start()).collect();
+        let relay = start_relay();
+        while TcpStream::connect(relay).is_err() {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let (mut dispatcher, rx) = dispatcher(vec![relay]);
+        announce_endpoint(&mut dispatcher);
+        for _ in 0..2 {
+            for (index, recorder) in endpoints.iter().enumerate() {
+                dispatcher.poll(PollOrder {
+                    target: Target {
+                        id: format!("e{index}").into(),
+                        ..target(recorder.addr)
+                    },
+                    epoch: 1,
+                    noted: 0,
+                    lease: None,
+                    wait: Duration::ZERO,
+                });
+            }
+            for _ in &endpoints {
+                let event = rx.recv_timeout(Duration::from_secs(5));
+                assert!(matches!(event, Ok(Event::Polled(_, Ok(_)))), "{event:?}");
+            }
+        }
+        let connections: usize = endpoints.iter().map(Recorder::connection_count).sum();
+        assert_eq!(connections, endpoints.len(), "the leader has made none");
+    }
+}
+
 /// Guards against endpoints that are no longer called once the member that relays their calls is
 /// gone.
 #[test]
 fn calls_are_direct_if_no_member_relays_them() {
     let endpoint = Recorder::start();
-    let (dispatcher, rx) = dispatcher(vec![site::nowhere()]);
+    let (mut dispatcher, rx) = dispatcher(vec![site::nowhere()]);
+    announce_endpoint(&mut dispatcher);
     for index in 0..4 {
         dispatcher.order(target(endpoint.addr), start(index), 1, clock::steady());
         assert_eq!(outcome(&rx), Outcome::Taken);
@@ -294,6 +336,7 @@
 fn polls_succeed_after_one_that_was_answered_late() {
     let endpoint = Recorder::start();
     let (mut dispatcher, rx) = dispatcher(vec![late_relay()]);
+    announce_endpoint(&mut dispatcher);
     while poll(&mut dispatcher, &rx, endpoint.addr).is_ok() {}
     let mut answered = 0;
     for _ in 0..3 {
