--- a/pomelohitchd/tests/fleet/relays.rs
+++ b/pomelohitchd/tests/fleet/relays.rs
@@ -185,7 +185,7 @@
         }
         let (mut dispatcher, rx) = dispatcher(vec![relay]);
         announce_endpoint(&mut dispatcher);
-        for _ in 0..2 {
+        for _ in 0..3 {
             for (index, recorder) in endpoints.iter().enumerate() {
                 dispatcher.poll(PollOrder {
                     target: Target {
