--- a/crates/pomelohitch-sched/src/relaying.rs
+++ b/crates/pomelohitch-sched/src/relaying.rs
@@ -60,7 +60,7 @@
 
 /// Assignment of the shards to members.
 ///
-/// Tens of thousands of calls a second look up their member, and there may be hundreds of members,
+/// Thousands of calls a second look up their member, and there may be hundreds of members,
 /// so the choice for a shard is kept until a change of the layout or of the members affects it.
 #[derive(Debug)]
 pub struct Assignment<M> {
