fix: a reboot at the stand-in begins once the runner has told whether it interrupts a request

Seen: `a_planner_that_resumes_after_its_wave_has_ended_sends_no_orders` and `when_the_planner_dies_in_a_wave_...` count one interrupted request (waves.rs:65, 1 in place of 0) when the machine stands still for seconds.

Cause: the stand-in of the pools asks the runner's control address whether requests run, and counted "no answer within a second" as an interruption. A process that is suspended while it waits resumes after the second has passed. In the test with the paused planner no request is ever sent, so nothing can have been interrupted there.

Change: without an answer the reboot or move isn't begun and the call fails with 503; the product repeats it, as for every failed call. As strict as before: a reboot that begins is counted if requests run, and none begins unseen.

Ruled out for this test: a request that did run (none is sent).

Before: the new test fails on the former stand-in, which begins the reboot of a runner that is gone ("never: the runner is gone"). After: passes.

--- a/crates/pomelohitch-standin/src/instances.rs
+++ b/crates/pomelohitch-standin/src/instances.rs
@@ -1,7 +1,8 @@
 //! Pools of instances, listed with a delay.
 //!
 //! A drain completes when the instance's runner is idle, which its control address tells. A reboot
-//! or a move needs a drained instance and leaves it live, a move in the other pool.
+//! or a move needs a drained instance and leaves it live, a move in the other pool. Neither begins
+//! until the control address has told whether requests run.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -263,13 +264,16 @@
         id: &str,
         action: &str,
         request: &OperationRequest,
-        is_idle: bool,
+        is_idle: Option<bool>,
     ) -> Result<(), Answer> {
         let Some(entry) = self.entries.get_mut(id) else {
             return Err(Answer::text(404, "no such instance"));
         };
         let state = entry.listed.state;
         let interrupts = matches!(action, "reboot" | "move");
+        if interrupts && is_idle.is_none() {
+            return Err(Answer::text(503, "the runner doesn't answer"));
+        }
         let end = |after: Duration| Instant::now() + after;
         match (action, state, &request.pool) {
             ("drain", ListedState::Live | ListedState::Leaving, _) => {
@@ -290,7 +294,7 @@
             _ => return Err(Answer::text(409, &format!("the instance is {state:?}"))),
         }
         self.push_snapshot();
-        self.ledger.cut += u64::from(interrupts && !is_idle);
+        self.ledger.cut += u64::from(interrupts && is_idle == Some(false));
         self.ledger.effects.push(Effect {
             op: request.op,
             instance: id.into(),
@@ -301,7 +305,7 @@
     }
 
     /// Whether the effect `op` is complete; a complete effect stays complete.
-    fn is_done(&mut self, op: Offset, is_idle: bool) -> bool {
+    fn is_done(&mut self, op: Offset, is_idle: Option<bool>) -> bool {
         let found = self
             .ledger
             .effects
@@ -314,7 +318,7 @@
         };
         if !effect.done {
             effect.done = match &*effect.action {
-                "drain" => is_idle || entry.listed.state == ListedState::Drained,
+                "drain" => is_idle == Some(true) || entry.listed.state == ListedState::Drained,
                 "undrain" => true,
                 _ => entry.busy_until.is_none() && entry.listed.state == ListedState::Live,
             };
@@ -352,7 +356,7 @@
     request: &OperationRequest,
 ) -> Answer {
     let control = pools.lock().entries.get(id).and_then(|entry| entry.control);
-    let is_idle = control.is_none_or(is_idle);
+    let is_idle = control.map_or(Some(true), is_idle);
     let mut pools = pools.lock();
     let is_known = pools
         .ledger
@@ -366,8 +370,8 @@
     Answer::json(200, &serde_json::json!({ "done": done }))
 }
 
-/// Whether the runner with this control address runs no request; false if it doesn't answer.
-fn is_idle(control: SocketAddr) -> bool {
+/// Whether the runner with this control address runs no request; `None` if it doesn't answer.
+fn is_idle(control: SocketAddr) -> Option<bool> {
     let agent = ureq::Agent::config_builder()
         .timeout_global(Some(CONTROL_TIMEOUT))
         .build()
@@ -377,5 +381,5 @@
         .ok()
         .and_then(|mut answer| answer.body_mut().read_to_vec().ok())
         .and_then(|body| serde_json::from_slice::<runner::Ledger>(&body).ok());
-    ledger.is_some_and(|ledger| ledger.running == 0)
+    ledger.map(|ledger| ledger.running == 0)
 }
--- a/crates/pomelohitch-standin/tests/standins.rs
+++ b/crates/pomelohitch-standin/tests/standins.rs
@@ -145,6 +145,43 @@
     assert!(ask(3, Action::Reboot).is_err_and(|e| e.is_status(409)));
 }
 
+/// Guards against counting a reboot as an interruption because the runner couldn't be asked, and
+/// against not counting one that interrupts a request.
+#[test]
+fn a_reboot_begins_once_it_is_known_whether_it_interrupts_a_request() {
+    let runner = Runner::start(&runner::Options::default());
+    let instances = Instances::start(&instances::Options {
+        instances: vec![instance(&runner)],
+        ..instances::Options::default()
+    });
+    let client = platform::Instances::http(&instances.url(), TIMEOUT);
+    let ask = |op, action| {
+        (client.apply)(&Effect {
+            instance: "i".into(),
+            op,
+            action,
+        })
+    };
+    assert_eq!(ask(1, Action::Drain).ok(), Some(Progress::Done));
+    std::thread::scope(|scope| {
+        scope.spawn(|| send(&runner, "1", Duration::from_millis(300)));
+        wait_until("it runs", || runner.ledger().running == 1);
+        let progress = ask(2, Action::Reboot).expect("it is drained");
+        assert_eq!(progress, Progress::Pending);
+    });
+    assert_eq!(instances.ledger().cut, 1);
+    wait_until("rebooted", || {
+        ask(2, Action::Reboot).ok() == Some(Progress::Done)
+    });
+    assert_eq!(ask(3, Action::Drain).ok(), Some(Progress::Done));
+    drop(runner);
+    wait_until("the runner is gone", || {
+        ask(4, Action::Reboot).is_err_and(|e| e.is_status(503))
+    });
+    assert_eq!(instances.ledger().cut, 1);
+    assert_eq!(instances.ledger().effects.len(), 3);
+}
+
 const NEED: Resources = Resources {
     cpu_milli: 1000,
     memory_mib: 100,
