fix: no instance is drained while a removed member may still send work to it

Cause: before the planner asks the platform for a drain, every member must have applied the decision, or 5 s must have passed. Only current members counted. One that is suspended for longer than its lease is removed, resumes with its old state, and may send by that state until it is 4 s old (`freshness::BOUND`); meanwhile the drain was asked for after 0.5 s and the instance rebooted.

Change: for `freshness::BOUND` after a change of members that may have ended one, no decision counts as applied by all, so that its drain waits for the propagation timeout. A member that read the log after its removal knows of it, and an older state isn't fresh after that time.

--- a/pomelohitchd/src/planner.rs
+++ b/pomelohitchd/src/planner.rs
@@ -51,16 +51,19 @@
     let started = Instant::now();
     let mut planning: Option<Planning> = None;
     let mut interval = MIN_INTERVAL;
+    let mut membership = Membership::new(started);
     loop {
         std::thread::sleep(interval);
         let state = node.state.load_full();
+        membership.update(&state, Instant::now());
         if !is_planner(node, &state) {
             planning = None;
             continue;
         }
         let weighting = node.settings.weighting.into();
         let planning = planning.get_or_insert_with(|| Planning::new(weighting));
-        let took = planning.pass(node, &state, started.elapsed());
+        let has_settled = membership.has_settled(&state, Instant::now());
+        let took = planning.pass(node, &state, has_settled, started.elapsed());
         interval = (took * INTERVAL_PER_PASS).clamp(MIN_INTERVAL, MAX_INTERVAL);
     }
 }
@@ -69,6 +72,41 @@
     node.is_ready() && state.members.planner.as_ref() == Some(&node.settings.member)
 }
 
+/// Tells whether members that ended may still send work.
+///
+/// A member that was paused and removed meanwhile resumes with its old state, and goes on with it
+/// until that state is no longer fresh. It isn't among those whose progress is known.
+#[derive(Debug, Clone, Copy)]
+pub struct Membership {
+    epoch: Option<Offset>,
+    changed_at: Instant,
+}
+
+impl Membership {
+    /// Starts at `now`; any member may have ended just before.
+    #[must_use]
+    pub fn new(now: Instant) -> Membership {
+        Membership {
+            epoch: None,
+            changed_at: now,
+        }
+    }
+
+    /// Notes whether the set of members has changed.
+    pub fn update(&mut self, state: &State, now: Instant) {
+        if self.epoch != Some(state.members.epoch) {
+            self.epoch = Some(state.members.epoch);
+            self.changed_at = now;
+        }
+    }
+
+    /// Whether every member that has ended has stopped to send work.
+    #[must_use]
+    pub fn has_settled(&self, state: &State, now: Instant) -> bool {
+        !state.members.has_ended || now.saturating_duration_since(self.changed_at) > BOUND
+    }
+}
+
 /// State kept between planning passes of one term.
 #[derive(Debug)]
 struct Planning {
@@ -96,8 +134,11 @@
     }
 
     /// Runs one planning pass; returns how long deciding took.
-    fn pass(&mut self, node: &Node, state: &State, now: Duration) -> Duration {
+    fn pass(&mut self, node: &Node, state: &State, has_settled: bool, now: Duration) -> Duration {
         let mut observation = observe(node, state, now);
+        if !has_settled {
+            observation.applied_by_all = 0;
+        }
         observation.needs = self.needs(state, &node.permits.demand(), now);
         let started = Instant::now();
         let plan = self.planner.plan(state, &observation);
--- a/pomelohitchd/tests/planner.rs
+++ b/pomelohitchd/tests/planner.rs
@@ -7,7 +7,7 @@
 use clap::Parser;
 use pomelohitch_core::config::{FleetFile, Pool, Service};
 use pomelohitch_core::record::{
-    Body, FileChange, Join, MaintainOrder, Publish, TakeTerm, WaveLimits, WithdrawKey,
+    Body, FileChange, Join, Leave, MaintainOrder, Publish, TakeTerm, WaveLimits, WithdrawKey,
 };
 use pomelohitch_core::state::Phase;
 use pomelohitch_core::{Verdict, key};
@@ -15,7 +15,7 @@
 use pomelohitch_standin::{CallFaults, Instances, Log, instances, log};
 use pomelohitchd::node::Node;
 use pomelohitchd::settings::Settings;
-use pomelohitchd::{planner, reader};
+use pomelohitchd::{freshness, planner, reader};
 
 /// Upper limit of every wait in these tests.
 const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
@@ -186,6 +186,36 @@
     assert_eq!(setup.count("reboot"), [1; INSTANCES]);
 }
 
+/// Guards against a reboot under the requests of an entry instance that was removed while it was
+/// paused: it goes on with its old state until that isn't fresh any more.
+#[test]
+fn no_instance_is_drained_while_a_removed_member_may_still_send() {
+    let setup = setup();
+    wait_until("every instance is adopted", || setup.active() == 4);
+    let incarnation = propose(
+        &setup.node,
+        Body::Join(Join {
+            member: "entry-2".into(),
+            zone: "zone-a".into(),
+            peer_addr: ([127, 0, 0, 1], 9).into(),
+        }),
+    );
+    let removed_at = Instant::now();
+    propose(
+        &setup.node,
+        Body::Leave(Leave {
+            member: "entry-2".into(),
+            incarnation,
+        }),
+    );
+    setup.start_wave();
+    wait_until("an instance is drained", || {
+        setup.count("drain").contains(&1)
+    });
+    let waited = removed_at.elapsed();
+    assert!(waited >= freshness::BOUND, "{waited:?}");
+}
+
 #[test]
 fn lost_answers_of_the_platform_double_nothing() {
     // The platform executes requests whose answers are lost, and the planner repeats them. A second
