--- a/crates/pomelohitch-peer/schema/link.capnp
+++ b/crates/pomelohitch-peer/schema/link.capnp
@@ -79,10 +79,13 @@
   incarnation @1 :UInt64;
   epoch @2 :UInt64;
   key @3 :Text;
-  request @4 :Text;
+  attempt @4 :Text;
+  # Names this attempt to claim the key; not used again after a release.
   step @5 :ClaimStep;
   asksAll @6 :Bool;
   # The sender also asks everyone else who was the home within the window.
+  since @7 :UInt64;
+  # The earliest incarnation of the receiver that was the home within the window.
 }
 
 enum ClaimStep {
@@ -90,6 +93,10 @@
   # May the request run?
   release @1;
   # It certainly didn't run; another request with the key may.
+  use @2;
+  # It is being sent; no other request with the key may run.
+  check @3;
+  # May it run as far as is known? Nothing is granted.
 }
 
 enum Verdict {
@@ -99,6 +106,9 @@
   # One was.
   unknown @2;
   # The receiver can't say: it isn't the home or became it within the window.
+  pending @3;
+  # The answer may soon be another: a request with this key was granted and hasn't been sent, or the
+  # receiver has another set of members.
 }
 
 interface Link {
--- a/crates/pomelohitch-peer/src/link_capnp.rs
+++ b/crates/pomelohitch-peer/src/link_capnp.rs
@@ -2393,11 +2393,11 @@
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_request(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_attempt(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_request(&self) -> bool {
+        pub fn has_attempt(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
@@ -2408,11 +2408,15 @@
         pub fn get_asks_all(self) -> bool {
             self.reader.get_bool_field(144)
         }
+        #[inline]
+        pub fn get_since(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2511,19 +2515,19 @@
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_request(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_attempt(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_request(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+        pub fn set_attempt(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
         }
         #[inline]
-        pub fn init_request(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_attempt(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(2).init_text(size)
         }
         #[inline]
-        pub fn has_request(&self) -> bool {
+        pub fn has_attempt(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
@@ -2542,6 +2546,14 @@
         pub fn set_asks_all(&mut self, value: bool)  {
             self.builder.set_bool_field(144, value);
         }
+        #[inline]
+        pub fn get_since(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_since(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2553,73 +2565,80 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 123] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 138] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(99, 130, 118, 62, 41, 135, 108, 224),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(29, 163, 182, 172, 56, 159, 229, 191),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 67, 108, 97, 105, 109),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 144, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2653,7 +2672,7 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+            ::capnp::word(97, 116, 116, 101, 109, 112, 116, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2677,6 +2696,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 105, 110, 99, 101, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2687,6 +2714,7 @@
                 4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 5 => <crate::link_capnp::ClaimStep as ::capnp::introspect::Introspect>::introspect(),
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2700,9 +2728,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,2,1,3,0,4,5];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,4,2,1,3,0,7,5];
         pub(crate) const TYPE_ID: u64 = 0xe06c_8729_3e76_8263;
     }
 }
@@ -2712,6 +2740,8 @@
 pub enum ClaimStep {
     Begin = 0,
     Release = 1,
+    Use = 2,
+    Check = 3,
 }
 
 impl ::capnp::introspect::Introspect for ClaimStep {
@@ -2726,6 +2756,8 @@
         match value {
             0 => ::core::result::Result::Ok(Self::Begin),
             1 => ::core::result::Result::Ok(Self::Release),
+            2 => ::core::result::Result::Ok(Self::Use),
+            3 => ::core::result::Result::Ok(Self::Check),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -2738,7 +2770,7 @@
     const TYPE_ID: u64 = 0x8a06_c22e_a532_3196u64;
 }
 mod claim_step {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 25] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(150, 49, 50, 165, 46, 194, 6, 138),
     ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
@@ -2748,22 +2780,30 @@
     ::capnp::word(21, 0, 0, 0, 170, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 55, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 103, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
     ::capnp::word(110, 112, 58, 67, 108, 97, 105, 109),
     ::capnp::word(83, 116, 101, 112, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(8, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(17, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(9, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 34, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(17, 0, 0, 0, 50, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(98, 101, 103, 105, 110, 0, 0, 0),
     ::capnp::word(114, 101, 108, 101, 97, 115, 101, 0),
+    ::capnp::word(117, 115, 101, 0, 0, 0, 0, 0),
+    ::capnp::word(99, 104, 101, 99, 107, 0, 0, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -2777,6 +2817,7 @@
     Granted = 0,
     Taken = 1,
     Unknown = 2,
+    Pending = 3,
 }
 
 impl ::capnp::introspect::Introspect for Verdict {
@@ -2792,6 +2833,7 @@
             0 => ::core::result::Result::Ok(Self::Granted),
             1 => ::core::result::Result::Ok(Self::Taken),
             2 => ::core::result::Result::Ok(Self::Unknown),
+            3 => ::core::result::Result::Ok(Self::Pending),
             n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
         }
     }
@@ -2804,7 +2846,7 @@
     const TYPE_ID: u64 = 0xd3dd_8ae3_6eb6_5b2du64;
 }
 mod verdict {
-pub(crate) static ENCODED_NODE: [::capnp::Word; 29] = [
+pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
     ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
     ::capnp::word(45, 91, 182, 110, 227, 138, 221, 211),
     ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
@@ -2814,26 +2856,30 @@
     ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
     ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(25, 0, 0, 0, 79, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 103, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
     ::capnp::word(110, 112, 58, 86, 101, 114, 100, 105),
     ::capnp::word(99, 116, 0, 0, 0, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-    ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+    ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(29, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(21, 0, 0, 0, 50, 0, 0, 0),
+    ::capnp::word(33, 0, 0, 0, 50, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
-    ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(25, 0, 0, 0, 66, 0, 0, 0),
+    ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+    ::capnp::word(17, 0, 0, 0, 66, 0, 0, 0),
     ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
     ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
     ::capnp::word(116, 97, 107, 101, 110, 0, 0, 0),
     ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
+    ::capnp::word(112, 101, 110, 100, 105, 110, 103, 0),
 ];
 pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
     ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
--- a/crates/pomelohitch-peer/src/permits.rs
+++ b/crates/pomelohitch-peer/src/permits.rs
@@ -36,11 +36,15 @@
 /// The operation of a claim on an idempotency key.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum ClaimStep {
-    /// Asks whether the request may run.
+    /// Asks for the key, so that the request may run.
     #[default]
     Begin,
     /// Reports that the request certainly didn't run, so that another one with the key may.
     Release,
+    /// Reports that the request is being sent, so that no other one with the key may run.
+    Use,
+    /// Asks whether the request might run, without a grant.
+    Check,
 }
 
 /// A claim on an idempotency key, sent to the home of the key.
@@ -56,12 +60,15 @@
     pub epoch: Offset,
     /// Service, team and idempotency key, combined into one string.
     pub key: Box<str>,
-    /// Id of the request that carries the key.
-    pub request: Box<str>,
+    /// Id of this attempt to claim the key; it isn't used again after a release.
+    pub attempt: Box<str>,
     /// The operation.
     pub step: ClaimStep,
     /// Whether the sender also asks all other members that were the home within the window.
     pub asks_all: bool,
+    /// The earliest incarnation of the receiver that was the home within the window. A process that
+    /// started later doesn't know all keys that were granted.
+    pub since: Incarnation,
 }
 
 /// Answer of the home of a key to a claim; see [`Claim`] for the window.
@@ -69,10 +76,13 @@
 pub enum Verdict {
     /// No request with this key was granted within the window.
     Granted,
-    /// A request with this key was granted within the window.
+    /// Another request with this key was sent within the window.
     Taken,
     /// The receiver can't decide: it isn't the home, or became the home within the window.
     Unknown,
+    /// The answer may change soon: a request with this key was granted but not sent yet, or the
+    /// receiver has another set of members.
+    Pending,
 }
 
 impl Batch {
@@ -178,11 +188,14 @@
             incarnation: reader.get_incarnation(),
             epoch: reader.get_epoch(),
             key: reader.get_key()?.to_str()?.into(),
-            request: reader.get_request()?.to_str()?.into(),
+            attempt: reader.get_attempt()?.to_str()?.into(),
             asks_all: reader.get_asks_all(),
+            since: reader.get_since(),
             step: match reader.get_step()? {
                 link_capnp::ClaimStep::Begin => ClaimStep::Begin,
                 link_capnp::ClaimStep::Release => ClaimStep::Release,
+                link_capnp::ClaimStep::Use => ClaimStep::Use,
+                link_capnp::ClaimStep::Check => ClaimStep::Check,
             },
         })
     }
@@ -192,11 +205,14 @@
         builder.set_incarnation(self.incarnation);
         builder.set_epoch(self.epoch);
         builder.set_key(&*self.key);
-        builder.set_request(&*self.request);
+        builder.set_attempt(&*self.attempt);
         builder.set_asks_all(self.asks_all);
+        builder.set_since(self.since);
         builder.set_step(match self.step {
             ClaimStep::Begin => link_capnp::ClaimStep::Begin,
             ClaimStep::Release => link_capnp::ClaimStep::Release,
+            ClaimStep::Use => link_capnp::ClaimStep::Use,
+            ClaimStep::Check => link_capnp::ClaimStep::Check,
         });
     }
 }
@@ -207,6 +223,7 @@
             link_capnp::Verdict::Granted => Verdict::Granted,
             link_capnp::Verdict::Taken => Verdict::Taken,
             link_capnp::Verdict::Unknown => Verdict::Unknown,
+            link_capnp::Verdict::Pending => Verdict::Pending,
         }
     }
 
@@ -215,6 +232,7 @@
             Verdict::Granted => link_capnp::Verdict::Granted,
             Verdict::Taken => link_capnp::Verdict::Taken,
             Verdict::Unknown => link_capnp::Verdict::Unknown,
+            Verdict::Pending => link_capnp::Verdict::Pending,
         }
     }
 }
--- a/crates/pomelohitch-route/src/once.rs
+++ b/crates/pomelohitch-route/src/once.rs
@@ -1,8 +1,14 @@
 //! Idempotency keys granted by their home (the member that is responsible for a key).
+//!
+//! A key is granted to one attempt of a request to claim it. The grant is *pending* until the member
+//! that has the request reports that it sends it, and the key is *used* from then on. A pending
+//! grant can be released, because the request certainly hasn't run.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+use pomelohitch_core::id::MemberId;
+
 use crate::queue::Monotonic;
 
 /// Time for which a key is remembered after a request with it was granted.
@@ -12,12 +18,17 @@
 pub const MAX_KEYS: usize = 100_000;
 
 /// A home's answer about a key.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
     /// The request may run: no other with this key was granted within the window.
     Granted,
-    /// Another request with this key was granted within the window.
+    /// The key is granted to a request of this member that hasn't been sent as far as is known. It
+    /// may still be released.
+    Pending(MemberId),
+    /// Another request with this key was sent within the window.
     Taken,
+    /// The attempt has released the key before.
+    Released,
     /// The maximum number of keys is reached.
     Full,
 }
@@ -25,59 +36,99 @@
 /// Granted keys for which this process is the home.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Keys {
-    by_key: BTreeMap<Box<str>, Granted>,
+    by_key: BTreeMap<Box<str>, Grant>,
     by_time: BTreeSet<(Monotonic, Box<str>)>,
+    /// Attempts that released their key. A claim that arrives after its release, over another
+    /// connection, would be granted and never released.
+    released: BTreeSet<Box<str>>,
+    released_by_time: BTreeSet<(Monotonic, Box<str>)>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
-struct Granted {
-    request: Box<str>,
+struct Grant {
+    attempt: Box<str>,
+    member: MemberId,
+    is_used: bool,
     at: Monotonic,
 }
 
 impl Keys {
-    /// Decides whether `request` may run under `key`. Within the window, the request that was
+    /// Grants `key` to `attempt` of `member` if it is free. Within the window, the attempt that was
     /// granted is granted again when the call is repeated.
-    pub fn grant(&mut self, key: &str, request: &str, now: Monotonic) -> Answer {
-        self.expire(now);
-        if let Some(granted) = self.by_key.get(key) {
-            return if *granted.request == *request {
-                Answer::Granted
-            } else {
-                Answer::Taken
+    pub fn grant(&mut self, key: &str, attempt: &str, member: &MemberId, now: Monotonic) -> Answer {
+        if self.released.contains(attempt) {
+            return Answer::Released;
+        }
+        let answer = self.check(key, attempt, now);
+        if answer == Answer::Granted && !self.by_key.contains_key(key) {
+            let grant = Grant {
+                attempt: attempt.into(),
+                member: member.clone(),
+                is_used: false,
+                at: now,
             };
+            self.by_key.insert(key.into(), grant);
+            self.by_time.insert((now, key.into()));
         }
-        if self.by_key.len() >= MAX_KEYS {
-            return Answer::Full;
+        answer
+    }
+
+    /// The answer that [`Keys::grant`] would give, without a grant.
+    pub fn check(&mut self, key: &str, attempt: &str, now: Monotonic) -> Answer {
+        self.expire(now);
+        match self.by_key.get(key) {
+            Some(grant) if *grant.attempt == *attempt => Answer::Granted,
+            Some(grant) if grant.is_used => Answer::Taken,
+            Some(grant) => Answer::Pending(grant.member.clone()),
+            None if self.by_key.len() >= MAX_KEYS => Answer::Full,
+            None => Answer::Granted,
+        }
+    }
+
+    /// Records that the request of `attempt` is being sent, so that no other one with `key` may run
+    /// within the window.
+    pub fn record_use(&mut self, key: &str, attempt: &str) {
+        if let Some(grant) = self.by_key.get_mut(key)
+            && *grant.attempt == *attempt
+        {
+            grant.is_used = true;
         }
-        let granted = Granted {
-            request: request.into(),
-            at: now,
-        };
-        self.by_key.insert(key.into(), granted);
-        self.by_time.insert((now, key.into()));
-        Answer::Granted
     }
 
-    /// Releases `key` because `request` certainly did not and will not run, so that another request
-    /// with the key may.
-    pub fn release(&mut self, key: &str, request: &str) {
-        if let Some(granted) = self.by_key.get(key)
-            && *granted.request == *request
+    /// Releases `key` because the request of `attempt` didn't run and won't under this attempt, so
+    /// that another one with the key may.
+    pub fn release(&mut self, key: &str, attempt: &str, now: Monotonic) {
+        self.expire(now);
+        if self.released.len() < MAX_KEYS && self.released.insert(attempt.into()) {
+            self.released_by_time.insert((now, attempt.into()));
+        }
+        if let Some(grant) = self.by_key.get(key)
+            && *grant.attempt == *attempt
         {
-            let at = granted.at;
+            let at = grant.at;
             self.by_key.remove(key);
             self.by_time.remove(&(at, key.into()));
         }
     }
 
     fn expire(&mut self, now: Monotonic) {
-        while let Some((at, key)) = self.by_time.first() {
-            if *at + WINDOW > now {
-                return;
-            }
-            self.by_key.remove(key);
-            self.by_time.pop_first();
+        while let Some((_, key)) = pop_expired(&mut self.by_time, now) {
+            self.by_key.remove(&key);
         }
+        while let Some((_, attempt)) = pop_expired(&mut self.released_by_time, now) {
+            self.released.remove(&attempt);
+        }
+    }
+}
+
+/// Removes and returns the first entry that is older than the window.
+fn pop_expired(
+    entries: &mut BTreeSet<(Monotonic, Box<str>)>,
+    now: Monotonic,
+) -> Option<(Monotonic, Box<str>)> {
+    let (at, _) = entries.first()?;
+    if *at + WINDOW > now {
+        return None;
     }
+    entries.pop_first()
 }
--- a/crates/pomelohitch-route/src/send.rs
+++ b/crates/pomelohitch-route/src/send.rs
@@ -13,6 +13,8 @@
 
 mod transport;
 
+use transport::Progress;
+
 /// A request as sent to a runner.
 #[derive(Debug, Clone, Default)]
 pub struct Outgoing {
@@ -46,6 +48,9 @@
         /// Error message of the HTTP client.
         reason: Box<str>,
     },
+    /// The gate refused the request right before its first byte, so it certainly did not run.
+    #[snafu(display("withheld: the request may not be sent any more"))]
+    Withheld,
     /// The runner reported that it did not start the request.
     #[snafu(display("the runner didn't start the request"))]
     NotStarted,
@@ -64,13 +69,23 @@
     /// Whether the request certainly did not run.
     #[must_use]
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Error::Unsent { .. } | Error::NotStarted)
+        matches!(
+            self,
+            Error::Unsent { .. } | Error::Withheld | Error::NotStarted
+        )
     }
 }
 
 /// The result of this module.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+/// Called right before the first byte of a request is handed to a connection; the request is
+/// withheld if it returns false.
+///
+/// Connecting takes time, and the process may be suspended meanwhile, so that what allowed the
+/// request before may not hold any more.
+pub type Gate = Box<dyn FnOnce() -> bool>;
+
 /// Which connections an attempt may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Connection {
@@ -130,7 +145,8 @@
         }
     }
 
-    /// Sends `req` to the runner at `addr` and waits up to `timeout` for the complete answer.
+    /// Sends `req` to the runner at `addr` if `gate` allows it, and waits up to `timeout` for the
+    /// complete answer.
     ///
     /// # Errors
     /// If no complete answer arrives; [`Error::is_not_run`] says whether the request may have run.
@@ -140,6 +156,7 @@
         req: &Outgoing,
         connection: Connection,
         timeout: Duration,
+        gate: Gate,
     ) -> Result<Answer> {
         let agent = match connection {
             Connection::New => &self.unpooled,
@@ -149,7 +166,7 @@
             let reason = "the request can't be passed on".into();
             return UnsentSnafu::<Box<str>> { reason }.fail();
         };
-        transport::begin_call();
+        transport::begin_call(gate);
         let configured = agent
             .configure_request(built)
             .timeout_global(Some(timeout))
@@ -237,11 +254,10 @@
 /// runner started the request.
 fn classify_error(error: &ureq::Error) -> Error {
     let reason = error.to_string().into();
-    if !transport::has_started_writing() {
-        return Error::Unsent { reason };
-    }
-    match error {
-        ureq::Error::Timeout(_) => Error::Late,
-        _ => Error::Lost { reason },
+    match (transport::progress(), error) {
+        (Progress::Unsent, _) => Error::Unsent { reason },
+        (Progress::Withheld, _) => Error::Withheld,
+        (Progress::Started, ureq::Error::Timeout(_)) => Error::Late,
+        (Progress::Started, _) => Error::Lost { reason },
     }
 }
--- a/crates/pomelohitch-route/src/send/transport.rs
+++ b/crates/pomelohitch-route/src/send/transport.rs
@@ -10,7 +10,7 @@
 //! error, and a caller would wait until its own timeout. So the kernel probes connections that wait
 //! for data (TCP keepalive), and closes those on which nothing is acknowledged.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::time::Duration;
@@ -23,11 +23,32 @@
 };
 use ureq::{Agent, Error};
 
+use super::Gate;
+
 thread_local! {
-    /// Whether a byte of the current call was handed to a connection. Thread-local, since a call
-    /// runs on the thread that starts it, one at a time, even on a connection that another thread
-    /// made.
-    static HAS_STARTED_WRITING: Cell<bool> = const { Cell::new(false) };
+    /// The current call. Thread-local, since a call runs on the thread that starts it, one at a
+    /// time, even on a connection that another thread made.
+    static CALL: RefCell<Call> = RefCell::default();
+}
+
+/// State of a call.
+#[derive(Default)]
+struct Call {
+    /// Run before the first byte; `None` once it has been.
+    gate: Option<Gate>,
+    progress: Progress,
+}
+
+/// How far a call has come.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// No byte of it was handed to a connection.
+    #[default]
+    Unsent,
+    /// The gate refused it, so that no byte was handed to a connection.
+    Withheld,
+    /// A byte of it was handed to a connection.
+    Started,
 }
 
 /// A connection is closed when sent data stays unacknowledged for this long.
@@ -37,14 +58,32 @@
 /// Number of unanswered probes after which a connection is closed.
 const PROBE_COUNT: u32 = 2;
 
-/// Starts a call: no byte of it has been handed to a connection.
-pub(super) fn begin_call() {
-    HAS_STARTED_WRITING.set(false);
+/// Starts a call.
+pub(super) fn begin_call(gate: Gate) {
+    CALL.set(Call {
+        gate: Some(gate),
+        progress: Progress::Unsent,
+    });
+}
+
+/// How far the current call has come.
+pub(super) fn progress() -> Progress {
+    CALL.with_borrow(|call| call.progress)
 }
 
-/// Whether a byte of the current call was handed to a connection.
-pub(super) fn has_started_writing() -> bool {
-    HAS_STARTED_WRITING.get()
+/// Passes the gate if this is the first byte of the call; `false` if the call may not be sent.
+fn may_write() -> bool {
+    let Some(gate) = CALL.with_borrow_mut(|call| call.gate.take()) else {
+        return progress() != Progress::Withheld;
+    };
+    let may_write = gate();
+    let progress = if may_write {
+        Progress::Started
+    } else {
+        Progress::Withheld
+    };
+    CALL.with_borrow_mut(|call| call.progress = progress);
+    may_write
 }
 
 /// Creates an agent over plain TCP that uses this transport.
@@ -113,7 +152,9 @@
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
         let limit = timeout.not_zero().map(|limit| *limit);
         self.stream.set_write_timeout(limit)?;
-        HAS_STARTED_WRITING.set(true);
+        if !may_write() {
+            return Err(Error::Io(ErrorKind::PermissionDenied.into()));
+        }
         let output = &self.buffers.output()[..amount];
         let written = (&self.stream).write_all(output);
         written.map_err(|error| map_timeout(error, timeout))
--- a/crates/pomelohitch-route/tests/route/main.rs
+++ b/crates/pomelohitch-route/tests/route/main.rs
@@ -1,4 +1,4 @@
-//! Tests of the request path's decisions, without sockets or clocks.
+//! Tests of the request path: decisions without sockets or clocks, and one attempt at a runner.
 
 #![allow(clippy::unwrap_used, reason = "a panic is how a test fails")]
 
@@ -7,3 +7,4 @@
 mod once;
 mod pick;
 mod queue;
+mod send;
--- a/pomelohitchd/src/front/exchange.rs
+++ b/pomelohitchd/src/front/exchange.rs
@@ -9,11 +9,10 @@
 use pomelohitch_core::id::KeyHash;
 use pomelohitch_core::state::Phase;
 use pomelohitch_core::{State, key};
-use pomelohitch_peer::permits::Verdict;
 use pomelohitch_route::dispatch::{Completion, Sent};
 use pomelohitch_route::headers::Headers;
 use pomelohitch_route::problem::Kind;
-use pomelohitch_route::send::{self, Answer, Connection, Outgoing, Sender};
+use pomelohitch_route::send::{self, Answer, Connection, Gate, Outgoing, Sender};
 use pomelohitch_route::{Head, Problem, Ran, Terms};
 use rouille::{Request, Response, ResponseBody};
 
@@ -32,6 +31,9 @@
 const STALE_RETRY_AFTER: Duration = Duration::from_secs(2);
 /// `Retry-After` if an idempotency key can't be checked.
 const KEY_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Delays between two attempts to claim an idempotency key.
+const MIN_KEY_BACKOFF: Duration = Duration::from_millis(5);
+const MAX_KEY_BACKOFF: Duration = Duration::from_millis(100);
 
 /// Answers requests of callers.
 #[derive(Debug)]
@@ -43,7 +45,6 @@
 /// An authenticated request.
 #[derive(Debug)]
 struct Call {
-    id: Box<str>,
     key: KeyHash,
     team: Team,
     service: Service,
@@ -87,7 +88,7 @@
         arrived: Instant,
     ) -> Result<Response> {
         let key = bearer_key(&head.headers)?;
-        let (state, team) = self.check_key(&key)?;
+        let (state, team) = check_key(&self.node, &key)?;
         if is_jobs_path(&head.target) {
             return Ok(jobs_api::answer(
                 &self.node,
@@ -99,7 +100,7 @@
             let detail = "paths begin with /s/SERVICE/ or /v1/jobs";
             return Err(Problem::not_run(Kind::NotFound, detail));
         };
-        let call = read_call(&state, key, team, &head, target, body, arrived)?;
+        let call = Arc::new(read_call(&state, key, team, &head, target, body, arrived)?);
         let runners = check_runners(&state, &call.service);
         let answered = runners.and_then(|()| self.call(&call));
         self.node
@@ -108,34 +109,9 @@
         answered.map(endpoint_response)
     }
 
-    /// Returns the current state and the team that `key` belongs to.
-    ///
-    /// The state is loaded after the freshness check, not before. Otherwise a process that resumes
-    /// after a pause could pass the check while it holds the state from before the pause, and
-    /// accept a key that was withdrawn meanwhile.
-    fn check_key(&self, key: &KeyHash) -> Result<(Arc<State>, Team)> {
-        if !freshness::is_fresh(&self.node) {
-            let detail = "neither the log nor the peers were heard lately";
-            let problem = Problem::not_run(Kind::StaleKnowledge, detail);
-            return Err(problem.retry_after(STALE_RETRY_AFTER));
-        }
-        let state = self.node.state.load_full();
-        let is_withdrawn = self
-            .node
-            .known_withdrawals
-            .load()
-            .withdrawn_keys
-            .contains(key);
-        let team = state.team_of_key(key).filter(|_| !is_withdrawn).cloned();
-        match team {
-            Some(team) => Ok((state, team)),
-            None => Err(Problem::not_run(Kind::UnknownKey, "the key isn't in force")),
-        }
-    }
-
-    fn call(&self, call: &Call) -> Result<Answer> {
-        let granted = self.claim_key(call)?;
-        let answered = self.acquire_and_send(call);
+    fn call(&self, call: &Arc<Call>) -> Result<Answer> {
+        let (sent, granted) = self.acquire(call)?;
+        let answered = self.send(call, sent, granted.as_ref());
         // The key stays taken unless the request certainly didn't run, in which case the caller may
         // send it again.
         if let (Some(granted), Err(problem)) = (granted, &answered)
@@ -146,37 +122,49 @@
         answered
     }
 
-    /// Claims the idempotency key. Idempotent requests may run any number of times and need no
-    /// claim.
-    fn claim_key(&self, call: &Call) -> Result<Option<Granted>> {
-        let Some(key) = call.terms.key.as_ref().filter(|_| !call.terms.idempotent) else {
-            return Ok(None);
+    /// Waits until the request has a runner, its permits and its idempotency key.
+    ///
+    /// The key is claimed last: a request that waits for a runner doesn't keep it from another
+    /// entry instance that has one.
+    fn acquire(&self, call: &Call) -> Result<(Sent, Option<Granted>)> {
+        let Some(key) = idempotency_key(call) else {
+            return Ok((self.acquire_permits(call, false)?, None));
         };
-        let key = format!("{}/{}/{key}", call.service.id, call.team.id);
-        match keys::claim(&self.node, &key, &call.id) {
-            Ok(granted) => Ok(Some(granted)),
-            // This request didn't run, but another one with its key may have. With `ran: no` the
-            // caller would send it again under another key.
-            Err(Verdict::Taken) => Err(Problem::unknown(
-                Kind::DuplicateKey,
-                "a request with this idempotency key was sent to the endpoint before",
-            )),
-            Err(_) => Err(Problem::not_run(
-                Kind::KeyUnchecked,
-                "who remembers this idempotency key can't be asked now",
-            )
-            .retry_after(KEY_RETRY_AFTER)),
+        match keys::check(&self.node, &key, call.deadline) {
+            Err(error) if !error.is_transient() => return Err(key_problem(&error)),
+            Ok(()) | Err(_) => {}
+        }
+        let mut backoff = MIN_KEY_BACKOFF;
+        let mut is_repeated = false;
+        loop {
+            let sent = self.acquire_permits(call, is_repeated)?;
+            let error = match keys::claim(&self.node, &key, call.deadline) {
+                Ok(granted) => return Ok((sent, Some(granted))),
+                Err(error) => error,
+            };
+            permits::complete(&self.node, &sent, Completion::Refused);
+            if !error.is_transient() || Instant::now() + backoff >= call.deadline {
+                return Err(key_problem(&error));
+            }
+            std::thread::sleep(backoff);
+            backoff = MAX_KEY_BACKOFF.min(backoff * 2);
+            is_repeated = true;
         }
     }
 
-    fn acquire_and_send(&self, call: &Call) -> Result<Answer> {
+    fn acquire_permits(&self, call: &Call, is_repeated: bool) -> Result<Sent> {
         let request = AcquireRequest {
             service: &call.service.id,
             team: &call.team.id,
             priority: call.terms.priority,
             deadline: call.deadline,
+            is_repeated,
         };
-        let mut sent = permits::acquire(&self.node, &request).map_err(acquire_problem)?;
+        permits::acquire(&self.node, &request).map_err(acquire_problem)
+    }
+
+    /// Sends a request that has a runner and permits, and retries it if that is allowed.
+    fn send(&self, call: &Arc<Call>, mut sent: Sent, granted: Option<&Granted>) -> Result<Answer> {
         let mut may_have_run = false;
         let mut connection = if call.terms.idempotent {
             Connection::Reused
@@ -184,12 +172,12 @@
             Connection::New
         };
         loop {
-            if let Err(problem) = self.recheck(call, &sent) {
+            if let Err(problem) = recheck(&self.node, call, &sent) {
                 permits::complete(&self.node, &sent, Completion::Refused);
                 let ran = if may_have_run { Ran::Unknown } else { Ran::No };
                 return Err(Problem { ran, ..problem });
             }
-            let error = match self.attempt(call, &sent, connection) {
+            let error = match self.attempt(call, &sent, granted, connection) {
                 Ok(answer) => return Ok(answer),
                 Err(error) => error,
             };
@@ -204,30 +192,14 @@
         }
     }
 
-    /// Repeats the checks right before sending. While the process was paused, its incarnation may
-    /// have been ended and its permits granted to others, and the key may have been withdrawn while
-    /// the request waited in the queue.
-    fn recheck(&self, call: &Call, sent: &Sent) -> Result<()> {
-        let (_, team) = self.check_key(&call.key)?;
-        if !permits::may_send(&self.node, sent) {
-            let detail = "this entry instance was held for dead meanwhile";
-            let problem = Problem::not_run(Kind::StaleKnowledge, detail);
-            return Err(problem.retry_after(STALE_RETRY_AFTER));
-        }
-        if team.id == call.team.id {
-            return Ok(());
-        }
-        Err(Problem::not_run(
-            Kind::UnknownKey,
-            "the key is another team's now",
-        ))
-    }
-
-    fn attempt(&self, call: &Call, sent: &Sent, connection: Connection) -> send::Result<Answer> {
-        // The runner was chosen by an earlier state, which is outdated if the process was paused.
-        let state = self.node.state.load();
-        let runner = state.fleet.instances.get(&sent.runner);
-        if runner.is_none_or(|runner| runner.phase != Phase::Active) {
+    fn attempt(
+        &self,
+        call: &Arc<Call>,
+        sent: &Sent,
+        granted: Option<&Granted>,
+        connection: Connection,
+    ) -> send::Result<Answer> {
+        if !is_runner_active(&self.node, sent) {
             permits::complete(&self.node, sent, Completion::Refused);
             return Err(send::Error::Unsent {
                 reason: "the runner takes no new work".into(),
@@ -238,7 +210,8 @@
         let mut out = call.out.clone();
         out.headers
             .add("Request-Timeout-Ms", &left.as_millis().to_string());
-        let answered = self.sender.send(sent.addr, &out, connection, limit);
+        let gate = gate(&self.node, call, sent, granted);
+        let answered = self.sender.send(sent.addr, &out, connection, limit, gate);
         permits::complete(&self.node, sent, completion_of(&answered));
         answered
     }
@@ -256,7 +229,7 @@
     /// The next attempt, if there is one. A request that isn't idempotent is retried only if none
     /// of its bytes were sent.
     fn next_attempt(&self, call: &Call, sent: &Sent, error: &send::Error) -> Option<Sent> {
-        let is_unsent = matches!(error, send::Error::Unsent { .. });
+        let is_unsent = matches!(error, send::Error::Unsent { .. } | send::Error::Withheld);
         let has_time = Instant::now() < call.deadline;
         let may_retry = has_time && (call.terms.idempotent || is_unsent);
         let next = may_retry
@@ -269,6 +242,95 @@
     }
 }
 
+/// Returns the current state and the team that `key` belongs to.
+///
+/// The state is loaded after the freshness check, not before. Otherwise a process that resumes after
+/// a pause could pass the check while it holds the state from before the pause, and accept a key
+/// that was withdrawn meanwhile.
+fn check_key(node: &Node, key: &KeyHash) -> Result<(Arc<State>, Team)> {
+    if !freshness::is_fresh(node) {
+        let detail = "neither the log nor the peers were heard lately";
+        let problem = Problem::not_run(Kind::StaleKnowledge, detail);
+        return Err(problem.retry_after(STALE_RETRY_AFTER));
+    }
+    let state = node.state.load_full();
+    let is_withdrawn = node.known_withdrawals.load().withdrawn_keys.contains(key);
+    let team = state.team_of_key(key).filter(|_| !is_withdrawn).cloned();
+    match team {
+        Some(team) => Ok((state, team)),
+        None => Err(Problem::not_run(Kind::UnknownKey, "the key isn't in force")),
+    }
+}
+
+/// Repeats the checks right before sending. While the process was paused, the deadline may have
+/// passed, its incarnation may have been ended and its permits granted to others; the key may have
+/// been withdrawn while the request waited in the queue.
+fn recheck(node: &Node, call: &Call, sent: &Sent) -> Result<()> {
+    if Instant::now() >= call.deadline {
+        let retry_after = permits::expected_wait(node, &call.service.id, &call.team.id);
+        return Err(acquire_problem(AcquireError::Expired { retry_after }));
+    }
+    let (_, team) = check_key(node, &call.key)?;
+    if !permits::may_send(node, sent) {
+        let detail = "this entry instance was held for dead meanwhile";
+        let problem = Problem::not_run(Kind::StaleKnowledge, detail);
+        return Err(problem.retry_after(STALE_RETRY_AFTER));
+    }
+    if team.id == call.team.id {
+        return Ok(());
+    }
+    Err(Problem::not_run(
+        Kind::UnknownKey,
+        "the key is another team's now",
+    ))
+}
+
+/// Whether the runner accepts work. It was chosen by an earlier state, which is outdated if the
+/// process was paused.
+fn is_runner_active(node: &Node, sent: &Sent) -> bool {
+    let state = node.state.load();
+    let runner = state.fleet.instances.get(&sent.runner);
+    runner.is_some_and(|runner| runner.phase == Phase::Active)
+}
+
+/// Repeats all checks right before the first byte, and reports the use of the idempotency key.
+fn gate(node: &Arc<Node>, call: &Arc<Call>, sent: &Sent, granted: Option<&Granted>) -> Gate {
+    let (node, call, sent) = (node.clone(), call.clone(), sent.clone());
+    let granted = granted.cloned();
+    Box::new(move || {
+        let may_send = granted.as_ref().is_none_or(Granted::is_current)
+            && recheck(&node, &call, &sent).is_ok()
+            && is_runner_active(&node, &sent);
+        if !may_send {
+            metrics::counter!("requests_withheld").increment(1);
+        } else if let Some(granted) = &granted {
+            keys::report_use(&node, granted);
+        }
+        may_send
+    })
+}
+
+/// The idempotency key of a request that must not run twice. Idempotent requests may run any number
+/// of times and need no key.
+fn idempotency_key(call: &Call) -> Option<Box<str>> {
+    let key = call.terms.key.as_ref().filter(|_| !call.terms.idempotent)?;
+    Some(format!("{}/{}/{key}", call.service.id, call.team.id).into())
+}
+
+fn key_problem(error: &keys::Error) -> Problem {
+    let detail = error.to_string();
+    let problem = match error {
+        // This request didn't run, but another one with its key may have. With `ran: no` the caller
+        // would send it again under another key.
+        keys::Error::Taken { .. } => return Problem::unknown(Kind::DuplicateKey, detail),
+        _ => Problem::not_run(Kind::KeyUnchecked, detail).retry_after(KEY_RETRY_AFTER),
+    };
+    match error.peer() {
+        Some(peer) => problem.at(peer.clone()),
+        None => problem,
+    }
+}
+
 fn bearer_key(headers: &Headers) -> Result<KeyHash> {
     let header = headers.get("Authorization");
     let header = header.and_then(|value| value.strip_prefix("Bearer "));
@@ -290,7 +352,7 @@
     match answered {
         Ok(_) => Completion::Answered,
         Err(send::Error::Unsent { .. }) => Completion::Unsent,
-        Err(send::Error::NotStarted) => Completion::Refused,
+        Err(send::Error::NotStarted | send::Error::Withheld) => Completion::Refused,
         Err(send::Error::Late | send::Error::Lost { .. }) => Completion::Unknown,
     }
 }
@@ -345,7 +407,6 @@
     headers.add("Request-Team", &team.id);
     headers.add("Request-Service", &service.id);
     Ok(Call {
-        id,
         key,
         team,
         service: service.clone(),
@@ -382,6 +443,9 @@
         send::Error::Unsent { .. } | send::Error::NotStarted => {
             Problem::not_run(Kind::RunnerRefused, detail).retry_after(NO_RUNNER_RETRY_AFTER)
         }
+        send::Error::Withheld => {
+            Problem::not_run(Kind::StaleKnowledge, detail).retry_after(STALE_RETRY_AFTER)
+        }
         send::Error::Late => Problem::unknown(Kind::AnswerLate, detail),
         send::Error::Lost { .. } => Problem::unknown(Kind::AnswerLost, detail),
     };
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -172,6 +172,18 @@
         "calls",
         "Failed calls to other entry instances; the links are made anew.",
     ),
+    Metric {
+        name: "key_claims",
+        kind: Kind::Counter,
+        unit: "claims",
+        labels: "verdict",
+        about: "Claims of idempotency keys, by what became of them.",
+    },
+    counter(
+        "key_notices_resent",
+        "messages",
+        "Uses and releases of idempotency keys that were sent again, since a home didn't acknowledge them.",
+    ),
     counter(
         "permit_messages",
         "messages",
@@ -267,6 +279,11 @@
         "requests",
         "Further tries of idempotent requests.",
     ),
+    counter(
+        "requests_withheld",
+        "requests",
+        "Requests that were stopped right before their first byte, since a check no longer passed.",
+    ),
     counter("requests", "requests", "Requests that arrived whole."),
     counter(
         "requests_unreadable",
--- a/pomelohitchd/src/permits.rs
+++ b/pomelohitchd/src/permits.rs
@@ -32,6 +32,7 @@
 
 pub use exchange::{on_batch, run, step};
 use keys::KeyHome;
+use keys::notices::Unacknowledged;
 use limit_split::LimitSplits;
 
 /// Permits are exchanged at every tick for this long after the last request, batch or change.
@@ -56,6 +57,7 @@
     dispatcher: Dispatcher<GrantSender>,
     homes: Homes,
     keys: KeyHome,
+    unacknowledged: Unacknowledged,
     limit_splits: LimitSplits,
     limits: view::Limits,
     view_inputs: ViewInputs,
@@ -95,6 +97,7 @@
                 dispatcher: Dispatcher::new(rand::random()),
                 homes: Homes::default(),
                 keys: KeyHome::default(),
+                unacknowledged: Unacknowledged::default(),
                 limit_splits: LimitSplits::default(),
                 limits: view::Limits::default(),
                 view_inputs: ViewInputs::default(),
@@ -162,6 +165,8 @@
     pub priority: Priority,
     /// The request expires at this time.
     pub deadline: Instant,
+    /// Whether it had a runner and permits before and gave them back unused.
+    pub is_repeated: bool,
 }
 
 /// Waits until a request has a runner and its permits.
@@ -182,7 +187,9 @@
             deadline: now + request.deadline.saturating_duration_since(Instant::now()),
             token: tx,
         };
-        inner.dispatcher.record_first_attempt(request.service);
+        if !request.is_repeated {
+            inner.dispatcher.record_first_attempt(request.service);
+        }
         let offered = inner.dispatcher.offer(request.service, req, now);
         offered.map_err(AcquireError::Refused)?;
         inner.dispatch_ready(node, now);
@@ -297,7 +304,9 @@
         now: Monotonic,
     ) {
         let epoch = view::epoch(state);
-        self.keys.enter(&epoch, now);
+        let incarnation = node.incarnation.load(Ordering::Acquire);
+        let own = &node.settings.member;
+        self.keys.enter(own, incarnation, &epoch, now);
         self.homes.enter(epoch);
         for resource in self.limits.update(state) {
             self.dispatcher.require_confirmation(&resource);
--- a/pomelohitchd/src/permits/exchange.rs
+++ b/pomelohitchd/src/permits/exchange.rs
@@ -13,7 +13,7 @@
 use pomelohitch_permits::{Ask, Monotonic, Resource};
 use pomelohitch_route::dispatch::AskScope;
 
-use super::{Inner, view};
+use super::{Inner, keys, view};
 use crate::node::Node;
 
 /// Interval between two exchange steps.
@@ -60,6 +60,7 @@
     for (member, batch) in batches {
         send(node, member, batch);
     }
+    keys::notices::resend(node);
 }
 
 fn send(node: &Arc<Node>, member: MemberId, batch: Batch) {
--- a/pomelohitchd/src/permits/keys.rs
+++ b/pomelohitchd/src/permits/keys.rs
@@ -2,131 +2,139 @@
 //!
 //! A caller that got no answer sends the same request with the same key again, perhaps to
 //! another entry instance. If both ran, the customer would pay twice. So before a request with a
-//! key runs, the key's home has to grant it, and it grants each key to one request only.
+//! key runs, the key's home has to grant it, and it grants each key to one request only. The member
+//! that has the request claims the key once it has a runner and permits, reports the use right before
+//! the first byte is sent, or releases the key. Until then, other requests with the key wait: only
+//! after the use they are refused as repeats.
 //!
 //! When the set of members changes, keys get new homes that don't know what the old ones granted.
 //! Every member that was the key's home within the window is asked. If one of them is gone or
 //! doesn't answer, the key can't be checked and the request is refused.
+//!
+//! * [`home`]: the keys that this process grants.
+//! * [`notices`]: uses and releases, sent until the home acknowledges them.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
 use pomelohitch_core::id::MemberId;
 use pomelohitch_peer::Call;
 use pomelohitch_peer::permits::{Claim, ClaimStep, Verdict};
-use pomelohitch_permits::Monotonic;
-use pomelohitch_permits::home::Epoch;
-use pomelohitch_permits::resource::home_of;
-use pomelohitch_route::once::{Answer, Keys, WINDOW};
+use pomelohitch_route::once::WINDOW;
+use snafu::Snafu;
 
-use crate::freshness;
 use crate::node::Node;
 
-/// Timeout for the answers of a key's homes.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// The keys granted by this process as a home, and the recent sets of members.
-#[derive(Debug, Default)]
-pub(super) struct KeyHome {
-    keys: Keys,
-    /// Sets of members, each with the time when it became current; the newest last.
-    epochs: VecDeque<(Monotonic, Epoch)>,
-    /// Whether `epochs` has all sets since the window began.
-    has_all: bool,
-    started: Monotonic,
-}
+pub mod home;
+pub mod notices;
 
-/// A key that was granted to a request.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Granted {
-    key: Box<str>,
-    request: Box<str>,
-    homes: BTreeSet<MemberId>,
+pub use home::KeyHome;
+use home::{Gone, HomesOfKey};
+
+/// Timeout for the answer of a home. The request's runner and permits are held meanwhile.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+/// A granted key isn't used later than this, so that its home still remembers it for some time
+/// after the use.
+const MAX_GRANT_AGE: Duration = WINDOW.checked_div(2).expect("the divisor isn't 0");
+
+/// Why a key isn't granted to a request.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum Error {
+    /// Another request with the key was sent within the window.
+    #[snafu(display("a request with this idempotency key was sent to the endpoint before"))]
+    Taken {
+        /// The home that knows of it.
+        peer: MemberId,
+    },
+    /// Another request has the key and isn't sent, or the home has another set of members.
+    #[snafu(display("another request with this idempotency key may be sent"))]
+    Pending {
+        /// The home that answered so.
+        peer: MemberId,
+    },
+    /// A home didn't answer.
+    #[snafu(display("no answer from the home of this idempotency key"))]
+    Silent {
+        /// The home.
+        peer: MemberId,
+    },
+    /// A home has ended, and its records may be lost.
+    #[snafu(display("the home of this idempotency key has left"))]
+    HomeGone {
+        /// The home.
+        peer: MemberId,
+        /// Whether it may join again soon.
+        may_rejoin: bool,
+    },
+    /// A home doesn't know all requests of the window, or can't remember more keys.
+    #[snafu(display("the home of this idempotency key can't rule out a repeat"))]
+    Unsure {
+        /// The home.
+        peer: MemberId,
+    },
+    /// This entry instance knows no members yet.
+    #[snafu(display("no member is known"))]
+    NoMembers,
 }
 
-impl KeyHome {
-    pub(super) fn enter(&mut self, epoch: &Epoch, now: Monotonic) {
-        if self.epochs.back().is_some_and(|(_, last)| last == epoch) {
-            return;
-        }
-        if self.epochs.is_empty() {
-            self.started = now;
-            self.has_all = !epoch.has_ended;
-            if self.has_all {
-                self.add_join_epochs(epoch, now);
-            }
-        }
-        self.epochs.push_back((now, epoch.clone()));
-    }
+/// Result of a claim.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
 
-    /// Adds the earlier sets of members. While no member has ever ended, these follow from the
-    /// order of the joins.
-    fn add_join_epochs(&mut self, epoch: &Epoch, now: Monotonic) {
-        let mut joins: Vec<_> = epoch.members.iter().collect();
-        joins.sort_by_key(|(_, incarnation)| **incarnation);
-        let mut members = BTreeMap::new();
-        for (id, incarnation) in joins {
-            members.insert(id.clone(), *incarnation);
-            let epoch = Epoch {
-                offset: *incarnation,
-                members: members.clone(),
-                has_ended: false,
-            };
-            self.epochs.push_back((now, epoch));
+impl Error {
+    /// The member at which the claim failed.
+    #[must_use]
+    pub fn peer(&self) -> Option<&MemberId> {
+        match self {
+            Error::Taken { peer }
+            | Error::Pending { peer }
+            | Error::Silent { peer }
+            | Error::HomeGone { peer, .. }
+            | Error::Unsure { peer } => Some(peer),
+            Error::NoMembers => None,
         }
     }
 
-    /// Drops sets of members that no member can have used within the window.
-    fn evict_old_epochs(&mut self, now: Monotonic) {
-        let window = WINDOW + freshness::BOUND;
-        while let Some((replaced_at, _)) = self.epochs.get(1) {
-            if *replaced_at + window > now {
-                break;
-            }
-            self.epochs.pop_front();
+    /// Whether another attempt may succeed within seconds.
+    #[must_use]
+    pub fn is_transient(&self) -> bool {
+        match self {
+            Error::Pending { .. } | Error::Silent { .. } => true,
+            Error::HomeGone { may_rejoin, .. } => *may_rejoin,
+            Error::Taken { .. } | Error::Unsure { .. } | Error::NoMembers => false,
         }
-        self.has_all |= now >= self.started + window;
     }
 
-    /// All members that were the home of `key` within the window; `None` if one of them is gone.
-    fn homes(&mut self, key: &str, now: Monotonic) -> Option<BTreeSet<MemberId>> {
-        self.evict_old_epochs(now);
-        let (_, current) = self.epochs.back()?;
-        let mut homes = BTreeSet::new();
-        for (_, epoch) in &self.epochs {
-            let home = home_of(&key, epoch.members.keys())?;
-            if current.members.get(home) != epoch.members.get(home) {
-                return None;
-            }
-            homes.insert(home.clone());
+    /// Value of the label `verdict` of the metric `key_claims`.
+    fn label(&self) -> &'static str {
+        match self {
+            Error::Taken { .. } => "taken",
+            Error::Pending { .. } => "pending",
+            Error::Silent { .. } => "silent",
+            Error::HomeGone { .. } => "home-gone",
+            Error::Unsure { .. } => "unsure",
+            Error::NoMembers => "no-members",
         }
-        Some(homes)
     }
+}
 
-    /// Whether this process was the only home of `key` during the whole window.
-    fn knows_all(&mut self, own: &MemberId, key: &str, now: Monotonic) -> bool {
-        self.evict_old_epochs(now);
-        let is_home =
-            |(_, epoch): &(Monotonic, Epoch)| home_of(&key, epoch.members.keys()) == Some(own);
-        self.has_all && self.epochs.iter().all(is_home)
-    }
+/// A key that was granted to an attempt to claim it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Granted {
+    key: Box<str>,
+    attempt: Box<str>,
+    /// The members that were asked for it; each may have granted it.
+    homes: BTreeSet<MemberId>,
+    /// Time at which the claim began.
+    claimed_at: Instant,
+}
 
-    fn on_claim(&mut self, own: &MemberId, claim: &Claim, now: Monotonic) -> Verdict {
-        match claim.step {
-            ClaimStep::Release => {
-                self.keys.release(&claim.key, &claim.request);
-                Verdict::Granted
-            }
-            ClaimStep::Begin if claim.asks_all || self.knows_all(own, &claim.key, now) => {
-                match self.keys.grant(&claim.key, &claim.request, now) {
-                    Answer::Granted => Verdict::Granted,
-                    Answer::Taken => Verdict::Taken,
-                    Answer::Full => Verdict::Unknown,
-                }
-            }
-            ClaimStep::Begin => Verdict::Unknown,
-        }
+impl Granted {
+    /// Whether the key may still be used. The homes forget it some time later.
+    #[must_use]
+    pub fn is_current(&self) -> bool {
+        self.claimed_at.elapsed() < MAX_GRANT_AGE
     }
 }
 
@@ -138,117 +146,129 @@
     let now = permits.now();
     inner.refresh(node, now);
     // A member with another set of members may ask the wrong homes.
-    if inner.homes.epoch().offset != claim.epoch {
-        return Verdict::Unknown;
+    let needs_grant = matches!(claim.step, ClaimStep::Begin | ClaimStep::Check);
+    if needs_grant && inner.homes.epoch().offset != claim.epoch {
+        return Verdict::Pending;
     }
     inner.keys.on_claim(&node.settings.member, claim, now)
 }
 
-/// Asks all members that were the home of `key` within the window whether `request` may run.
+/// Claims `key` at all members that were its home within the window.
 ///
 /// # Errors
-/// With `Taken` or `Unknown` if it may not.
-pub fn claim(node: &Node, key: &str, request: &str) -> Result<Granted, Verdict> {
-    let granted = ask_homes(node, key, request)?;
-    match granted {
-        (homes, Verdict::Granted) => Ok(Granted {
-            key: key.into(),
-            request: request.into(),
-            homes,
-        }),
-        (homes, verdict) => {
-            let granted = Granted {
-                key: key.into(),
-                request: request.into(),
-                homes,
-            };
+/// If one of them doesn't grant it; those that have, or may have, are told to release it.
+pub fn claim(node: &Arc<Node>, key: &str, deadline: Instant) -> Result<Granted> {
+    let mut granted = attempt(key);
+    let claimed = ask_homes(node, &mut granted, ClaimStep::Begin, deadline);
+    let label = claimed.as_ref().err().map_or("granted", Error::label);
+    metrics::counter!("key_claims", "verdict" => label).increment(1);
+    match claimed {
+        Ok(()) => Ok(granted),
+        Err(error) => {
             release(node, &granted);
-            Err(verdict)
+            Err(error)
         }
     }
 }
 
-fn ask_homes(
-    node: &Node,
-    key: &str,
-    request: &str,
-) -> Result<(BTreeSet<MemberId>, Verdict), Verdict> {
-    let permits = &node.permits;
-    let (claim, homes) = {
-        let mut inner = permits.lock();
-        let now = permits.now();
-        inner.refresh(node, now);
-        let homes = inner.keys.homes(key, now).ok_or(Verdict::Unknown)?;
-        let claim = Claim {
-            member: node.settings.member.clone(),
-            incarnation: inner.view_inputs.incarnation,
-            epoch: inner.homes.epoch().offset,
-            key: key.into(),
-            request: request.into(),
-            step: ClaimStep::Begin,
-            asks_all: inner.keys.has_all,
-        };
-        (claim, homes)
-    };
-    let verdict = ask_each(node, &claim, &homes);
-    Ok((homes, verdict))
+/// Asks the homes of `key` whether it might be granted now, so that a repeat is refused before it
+/// waits for a runner.
+///
+/// # Errors
+/// If it wouldn't be granted.
+pub fn check(node: &Arc<Node>, key: &str, deadline: Instant) -> Result<()> {
+    ask_homes(node, &mut attempt(key), ClaimStep::Check, deadline)
 }
 
-/// Asks each home and returns the worst verdict.
-fn ask_each(node: &Node, claim: &Claim, homes: &BTreeSet<MemberId>) -> Verdict {
-    let (tx, rx) = mpsc::channel();
-    for home in homes {
-        let tx = tx.clone();
-        let on_answer = move |verdict: Option<Verdict>| {
-            // The receiver is gone if the asking thread timed out.
-            let _ = tx.send(verdict.unwrap_or(Verdict::Unknown));
-        };
-        if *home == node.settings.member {
-            on_answer(Some(on_claim(node, claim)));
-        } else {
-            let call = Call::Claim(claim.clone(), Box::new(on_answer));
-            node.permits.call(home.clone(), call);
-        }
+fn attempt(key: &str) -> Granted {
+    Granted {
+        key: key.into(),
+        attempt: uuid::Uuid::new_v4().to_string().into(),
+        homes: BTreeSet::new(),
+        claimed_at: Instant::now(),
     }
-    drop(tx);
-    let deadline = Instant::now() + ANSWER_TIMEOUT;
-    let verdicts = homes.iter().map(|_| {
-        let left = deadline.saturating_duration_since(Instant::now());
-        rx.recv_timeout(left).unwrap_or(Verdict::Unknown)
-    });
-    // Waits for every answer: a home that granted the key has to be notified if the request
-    // doesn't run.
-    verdicts.fold(Verdict::Granted, worse_verdict)
 }
 
-fn worse_verdict(one: Verdict, other: Verdict) -> Verdict {
-    match (one, other) {
-        (Verdict::Taken, _) | (_, Verdict::Taken) => Verdict::Taken,
-        (Verdict::Unknown, _) | (_, Verdict::Unknown) => Verdict::Unknown,
-        (Verdict::Granted, Verdict::Granted) => Verdict::Granted,
+/// Asks the homes one after the other, in the same order for all requests: two requests that each
+/// hold the key at one of two homes would both wait for the other.
+fn ask_homes(node: &Node, granted: &mut Granted, step: ClaimStep, deadline: Instant) -> Result<()> {
+    let (claim, homes) = address(node, granted, step)?;
+    for (home, since) in homes {
+        granted.homes.insert(home.clone());
+        let claim = Claim {
+            since,
+            ..claim.clone()
+        };
+        match ask(node, &home, claim, deadline) {
+            Some(Verdict::Granted) => {}
+            Some(Verdict::Taken) => return TakenSnafu { peer: home }.fail(),
+            Some(Verdict::Unknown) => return UnsureSnafu { peer: home }.fail(),
+            Some(Verdict::Pending) => return PendingSnafu { peer: home }.fail(),
+            None => return SilentSnafu { peer: home }.fail(),
+        }
     }
+    Ok(())
 }
 
-/// Releases a key whose request certainly didn't run, so that another request with it may run.
-pub fn release(node: &Node, granted: &Granted) {
-    let epoch = node.permits.lock().homes.epoch().offset;
+/// The claim, and the members to send it to.
+fn address(node: &Node, granted: &Granted, step: ClaimStep) -> Result<(Claim, HomesOfKey)> {
+    let permits = &node.permits;
+    let mut inner = permits.lock();
+    let now = permits.now();
+    inner.refresh(node, now);
+    let homes = inner.keys.homes(&granted.key, now).map_err(|gone| {
+        gone.map_or(Error::NoMembers, |Gone { home, may_rejoin }| {
+            let peer = home;
+            Error::HomeGone { peer, may_rejoin }
+        })
+    })?;
     let claim = Claim {
+        incarnation: inner.view_inputs.incarnation,
+        epoch: inner.homes.epoch().offset,
+        asks_all: inner.keys.has_all,
+        ..claim_of(node, granted, step)
+    };
+    Ok((claim, homes))
+}
+
+fn claim_of(node: &Node, granted: &Granted, step: ClaimStep) -> Claim {
+    Claim {
         member: node.settings.member.clone(),
-        incarnation: 0,
-        epoch,
         key: granted.key.clone(),
-        request: granted.request.clone(),
-        step: ClaimStep::Release,
-        asks_all: false,
+        attempt: granted.attempt.clone(),
+        step,
+        ..Claim::default()
+    }
+}
+
+/// A home's verdict; `None` if it doesn't answer in time.
+fn ask(node: &Node, home: &MemberId, claim: Claim, deadline: Instant) -> Option<Verdict> {
+    if *home == node.settings.member {
+        return Some(on_claim(node, &claim));
+    }
+    let (tx, rx) = mpsc::channel();
+    let on_answer = move |verdict: Option<Verdict>| {
+        // The receiver is gone if the asking thread timed out.
+        let _ = tx.send(verdict);
     };
+    let call = Call::Claim(claim, Box::new(on_answer));
+    node.permits.call(home.clone(), call);
+    let left = deadline.saturating_duration_since(Instant::now());
+    rx.recv_timeout(left.min(ANSWER_TIMEOUT)).ok().flatten()
+}
+
+/// Releases a key whose request certainly didn't run, so that another request with it may run.
+pub fn release(node: &Arc<Node>, granted: &Granted) {
+    notify(node, granted, ClaimStep::Release);
+}
+
+/// Reports that the key's request is being sent. Called right before its first byte is.
+pub fn report_use(node: &Arc<Node>, granted: &Granted) {
+    notify(node, granted, ClaimStep::Use);
+}
+
+fn notify(node: &Arc<Node>, granted: &Granted, step: ClaimStep) {
     for home in &granted.homes {
-        if *home == node.settings.member {
-            let _ = on_claim(node, &claim);
-        } else {
-            // If the message is lost, the key stays taken for the window: further requests with it
-            // are refused, none runs twice.
-            let call = Call::Claim(claim.clone(), Box::new(|_| {}));
-            node.permits.call(home.clone(), call);
-        }
+        notices::send(node, home.clone(), claim_of(node, granted, step));
     }
 }
--- a/pomelohitchd/tests/front/fleet.rs
+++ b/pomelohitchd/tests/front/fleet.rs
@@ -1,11 +1,15 @@
 //! Two entry instances behind one balancer.
 
+use std::time::Instant;
+
 use pomelohitch_core::record::{Body, Leave};
+use pomelohitch_peer::Command;
 use pomelohitch_permits::Resource;
 use pomelohitchd::front::Limits;
-use pomelohitchd::{freshness, permits};
+use pomelohitchd::permits::keys;
+use pomelohitchd::{freshness, peers, permits};
 
-use crate::entry::{Entry, problem, status, wait_until};
+use crate::entry::{Entry, WAIT_TIMEOUT, problem, status, wait_until};
 use crate::runner::Runner;
 
 /// Whether all of them have heard from their peers and hold permits.
@@ -36,6 +40,60 @@
     drop((one_links, two_links));
 }
 
+/// Guards against refusing a request as a repeat while the request that was granted the key isn't
+/// sent, and against losing the key with it.
+#[test]
+fn a_key_that_is_granted_but_not_used_refuses_nobody_as_a_repeat() {
+    let runner = Runner::answering("booked");
+    let [(one, one_links), (two, two_links)] = Entry::pair(&[runner.addr]);
+    let entries = [one, two];
+    wait_until("permits arrive", || are_ready(&entries));
+    for booking in 0..4 {
+        let key = format!("passes/valley/booking-{booking}");
+        let granted = keys::claim(&entries[0].node, &key, Instant::now() + WAIT_TIMEOUT);
+        let granted = granted.expect("nobody has the key");
+        let header = format!("Idempotency-Key: booking-{booking}");
+        let call = |timeout: &str| entries[1].call("POST", "/s/passes/", &[&header, timeout]);
+        let waited = call("Request-Timeout-Ms: 200");
+        assert_eq!(status(&waited), 503, "{waited}");
+        assert_eq!(problem(&waited)["ran"], "no");
+        keys::release(&entries[0].node, &granted);
+        let served = call("Request-Timeout-Ms: 5000");
+        assert!(served.ends_with("booked"), "{served}");
+    }
+    assert_eq!(runner.count(), 4);
+    drop((one_links, two_links));
+}
+
+/// Guards against a key that stays taken because its release was sent while the home couldn't be
+/// reached.
+#[test]
+fn a_release_reaches_a_home_that_was_away() {
+    let runner = Runner::answering("booked");
+    let [(one, one_links), (two, two_links)] = Entry::pair(&[runner.addr]);
+    let entries = [one, two];
+    wait_until("permits arrive", || are_ready(&entries));
+    let deadline = || Instant::now() + WAIT_TIMEOUT;
+    let granted: Vec<_> = (0..8)
+        .map(|booking| keys::claim(&entries[0].node, &format!("booking-{booking}"), deadline()))
+        .map(|granted| granted.expect("nobody has the key"))
+        .collect();
+    let commands = &one_links.commands;
+    let disconnected = commands.send(Command::Peers(Vec::new()));
+    disconnected.expect("the links run");
+    for granted in &granted {
+        keys::release(&entries[0].node, granted);
+    }
+    let _ = peers::follow_members(&entries[0].node, &one_links, None);
+    wait_until("every key is free again", || {
+        (0..8).all(|booking| {
+            let key = format!("booking-{booking}");
+            keys::check(&entries[1].node, &key, deadline()).is_ok()
+        })
+    });
+    drop((one_links, two_links));
+}
+
 /// The other entry instance has left, and its record of granted keys is lost. Whether its keys have
 /// run is unknown, so they are refused; keys of the remaining entry instance are served.
 #[test]
--- a/pomelohitchd/tests/processes/main.rs
+++ b/pomelohitchd/tests/processes/main.rs
@@ -8,6 +8,7 @@
 mod jobs;
 mod limit_split;
 mod log;
+mod pauses;
 mod planner;
 mod publish;
 mod runners;
