fix: a runner and permits that are granted at the end of a wait aren't lost

Seen on reading, after the lost grants of idempotency keys: `acquire` stops waiting at the request's deadline and then drops its channel. A grant that was put into the channel between the two was neither used nor given back: its permits and its slot at the runner were gone until the process ended. The gap is short, but a process that is suspended over the deadline wakes up in it.

Change: the channel is looked into once more and dropped under the lock under which grants are sent. A grant found there is used; the checks before sending refuse the request, and give the grant back, if its deadline has passed.

No test: the gap can't be hit on purpose. The same pattern was looked for in `forwarding` (its condition is read under the lock after a timeout), `group_commit` and `node::propose` (answers of records, which hold nothing), permits between members (each ask restates what is held, and a late reply is ignored): none is lost there.

--- a/pomelohitchd/src/permits.rs
+++ b/pomelohitchd/src/permits.rs
@@ -196,11 +196,21 @@
     }
     let left = request.deadline.saturating_duration_since(Instant::now());
     let grant = rx.recv_timeout(left + EXPIRY_MARGIN).ok().flatten();
+    let grant = grant.or_else(|| take_late_grant(permits, rx));
     grant.ok_or_else(|| AcquireError::Expired {
         retry_after: expected_wait(node, request.service, request.team),
     })
 }
 
+/// The grant that was sent after the wait had ended, if any. Under the lock no further one can be
+/// sent before `rx` is dropped, so that none is lost with its permits.
+fn take_late_grant(permits: &Permits, rx: mpsc::Receiver<Option<Sent>>) -> Option<Sent> {
+    let _inner = permits.lock();
+    let late = rx.try_recv().ok().flatten();
+    drop(rx);
+    late
+}
+
 /// Whether this process may use its permits now: the state is fresh and shows this incarnation as a
 /// member.
 ///
