fix: requests aren't given up long before their deadline after a stall

What callers saw (`sigterm_under_load_...`, `a_runner_that_drains_...`): after the machine stood still for seconds, up to 70 of 659 requests ended unknown, most with 504 `answer-late`, some with 503.

Causes: - A try over a kept connection is given up after a second (or eight mean runs), so that another one can be made. Whether another one is possible was known only afterwards: with the retry budget used up, no permit, or no other runner, the request ended there with 504, although its deadline was seconds away. After a stall all tries that were under way pass that second at once, and the budget of ten is used up by the first of them. With one runner every request slower than a second over a kept connection ended so, without any stall. - The timeouts of a suspended process pass while it is suspended. What a runner answered meanwhile, or was about to answer, when both resumed, was given up: traced 504s at 2.03 and 2.02 s of 2.00 s, most of which the process had been stopped.

Change: a slow try is given up only once the next one has its runner, permits and token; otherwise it waits until the deadline. Time during which the process was suspended, told by gaps of more than 150 ms between ticks, doesn't count as time that a runner took. The callers' port does without the HTTP client's own timeouts, which know neither.

Not avoidable: a runner that itself stands still for longer than a request's timeout. With only the test's process stopped (its runners, stand-ins and callers; half of its time, up to 2.5 s) both tests fail on the old and may fail on the new code; the requests have timeouts of 2 s, and the members that go on can't know of the stall.

Ruled out: a lack of processor time (64 busy loops, before); answers that are in the socket when a stopped process resumes (the new test `an_answer_that_arrives_during_a_pause_is_delivered` passes on the old code too: a stopped read is interrupted and begun again); connections closed by leaving members.

Before: `a_slow_answer_is_awaited_if_no_other_attempt_is_possible` 504 after 1 s.

--- a/crates/pomelohitch-route/src/lib.rs
+++ b/crates/pomelohitch-route/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`once`]: idempotency keys granted by their home.
 //! * [`dispatch`]: combines these, with permits, for one entry instance.
 //! * [`send`]: sends one attempt of a request to one runner.
+//! * [`suspension`]: for how long this process was suspended.
 
 pub mod budget;
 pub mod dispatch;
@@ -22,6 +23,7 @@
 pub mod problem;
 pub mod queue;
 pub mod send;
+pub mod suspension;
 pub mod terms;
 
 pub use dispatch::Dispatcher;
--- a/crates/pomelohitch-route/src/send.rs
+++ b/crates/pomelohitch-route/src/send.rs
@@ -4,15 +4,19 @@
 //! a connection. The transport records this; nothing is inferred from the kind of an error.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use snafu::Snafu;
 use ureq::http::{Method, Request};
 
 use crate::headers::Headers;
+use crate::suspension::Monitor;
 
+pub mod patience;
 mod transport;
 
+use patience::{Patience, Wait};
 use transport::Progress;
 
 /// A request as sent to a runner.
@@ -54,7 +58,7 @@
     /// The runner reported that it did not start the request.
     #[snafu(display("the runner didn't start the request"))]
     NotStarted,
-    /// No complete answer arrived within the timeout.
+    /// No complete answer arrived within the timeout, or before the attempt was abandoned.
     #[snafu(display("no whole answer in time"))]
     Late,
     /// The answer was lost, truncated or unreadable.
@@ -129,23 +133,25 @@
     pooled: ureq::Agent,
     unpooled: ureq::Agent,
     options: Options,
+    suspensions: Arc<Monitor>,
 }
 
 /// The header by which a runner says that it didn't start a request.
 const RAN_HEADER: &str = "Request-Ran";
 
 impl Sender {
-    /// Creates a sender with `options`.
+    /// Creates a sender with `options`. `suspensions` counts those of this process.
     #[must_use]
-    pub fn new(options: Options) -> Sender {
+    pub fn new(options: Options, suspensions: Arc<Monitor>) -> Sender {
         Sender {
             pooled: agent(&options, options.max_idle_per_runner),
             unpooled: agent(&options, 0),
             options,
+            suspensions,
         }
     }
 
-    /// Sends `req` to the runner at `addr` if `gate` allows it, and waits up to `timeout` for the
+    /// Sends `req` to the runner at `addr` if `gate` allows it, and waits with `patience` for the
     /// complete answer.
     ///
     /// # Errors
@@ -155,7 +161,7 @@
         addr: SocketAddr,
         req: &Outgoing,
         connection: Connection,
-        timeout: Duration,
+        patience: Patience,
         gate: Gate,
     ) -> Result<Answer> {
         let agent = match connection {
@@ -166,10 +172,12 @@
             let reason = "the request can't be passed on".into();
             return UnsentSnafu::<Box<str>> { reason }.fail();
         };
-        transport::begin_call(gate);
+        let connect_timeout = self.options.connect_timeout.min(patience.timeout);
+        let wait = Wait::new(patience, self.suspensions.clone(), Instant::now());
+        transport::begin_call(wait, gate);
         let configured = agent
             .configure_request(built)
-            .timeout_global(Some(timeout))
+            .timeout_connect(Some(connect_timeout))
             .build();
         let mut answer = agent
             .run(configured)
@@ -206,7 +214,6 @@
         .max_redirects(0)
         .max_redirects_will_error(false)
         .allow_non_standard_methods(true)
-        .timeout_connect(Some(options.connect_timeout))
         .max_idle_connections(if max_idle == 0 { 0 } else { 1000 })
         .max_idle_connections_per_host(max_idle)
         .max_idle_age(options.max_idle_age)
--- a/crates/pomelohitch-route/src/send/transport.rs
+++ b/crates/pomelohitch-route/src/send/transport.rs
@@ -13,7 +13,7 @@
 use std::cell::RefCell;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use ureq::config::Config;
@@ -21,9 +21,10 @@
 use ureq::unversioned::transport::{
     Buffers, ConnectionDetails, Connector, LazyBuffers, NextTimeout, Transport,
 };
-use ureq::{Agent, Error};
+use ureq::{Agent, Error, Timeout};
 
 use super::Gate;
+use super::patience::Wait;
 
 thread_local! {
     /// The current call. Thread-local, since a call runs on the thread that starts it, one at a
@@ -34,6 +35,7 @@
 /// State of a call.
 #[derive(Default)]
 struct Call {
+    wait: Option<Wait>,
     /// Run before the first byte; `None` once it has been.
     gate: Option<Gate>,
     progress: Progress,
@@ -59,8 +61,9 @@
 const PROBE_COUNT: u32 = 2;
 
 /// Starts a call.
-pub(super) fn begin_call(gate: Gate) {
+pub(super) fn begin_call(wait: Wait, gate: Gate) {
     CALL.set(Call {
+        wait: Some(wait),
         gate: Some(gate),
         progress: Progress::Unsent,
     });
@@ -86,6 +89,11 @@
     may_write
 }
 
+/// How long the current call may wait now; `None` if it has timed out or is abandoned.
+fn time_left() -> Option<Duration> {
+    CALL.with_borrow_mut(|call| call.wait.as_mut()?.time_left(Instant::now()))
+}
+
 /// Creates an agent over plain TCP that uses this transport.
 pub(super) fn agent(config: Config) -> Agent {
     Agent::with_parts(config, TcpConnector, DefaultResolver::default())
@@ -149,25 +157,26 @@
         &mut self.buffers
     }
 
-    fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
-        let limit = timeout.not_zero().map(|limit| *limit);
-        self.stream.set_write_timeout(limit)?;
+    fn transmit_output(&mut self, amount: usize, _: NextTimeout) -> Result<(), Error> {
+        let limit = time_left().ok_or(Error::Timeout(Timeout::Global))?;
         if !may_write() {
             return Err(Error::Io(ErrorKind::PermissionDenied.into()));
         }
+        self.stream.set_write_timeout(Some(limit))?;
         let output = &self.buffers.output()[..amount];
-        let written = (&self.stream).write_all(output);
-        written.map_err(|error| map_timeout(error, timeout))
+        (&self.stream).write_all(output).map_err(map_timeout)
     }
 
-    fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
-        let limit = timeout.not_zero().map(|limit| *limit);
-        self.stream.set_read_timeout(limit)?;
-        let input = self.buffers.input_append_buf();
+    fn await_input(&mut self, _: NextTimeout) -> Result<bool, Error> {
         let amount = loop {
+            let limit = time_left().ok_or(Error::Timeout(Timeout::Global))?;
+            self.stream.set_read_timeout(Some(limit))?;
+            let input = self.buffers.input_append_buf();
             match (&self.stream).read(input) {
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                read => break read.map_err(|error| map_timeout(error, timeout))?,
+                // The call may have to wait on.
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                read => break read?,
             }
         };
         self.buffers.input_appended(amount);
@@ -186,10 +195,10 @@
     }
 }
 
-/// Converts an I/O error. A read or write that reaches its timeout reports `WouldBlock`.
-fn map_timeout(error: std::io::Error, timeout: NextTimeout) -> Error {
+/// Converts an I/O error of a write. One that reaches its timeout reports `WouldBlock`.
+fn map_timeout(error: std::io::Error) -> Error {
     match error.kind() {
-        ErrorKind::WouldBlock => Error::Timeout(timeout.reason),
+        ErrorKind::WouldBlock => Error::Timeout(Timeout::Global),
         _ => Error::Io(error),
     }
 }
--- a/pomelohitchd/src/front/exchange.rs
+++ b/pomelohitchd/src/front/exchange.rs
@@ -1,4 +1,6 @@
 //! Handles one request: checks its key, dispatches it and builds the answer.
+//!
+//! * `sending`: sends a request that has a runner and permits.
 
 use std::borrow::Cow;
 use std::net::SocketAddr;
@@ -7,12 +9,11 @@
 
 use pomelohitch_core::config::{Service, Team};
 use pomelohitch_core::id::KeyHash;
-use pomelohitch_core::state::Phase;
 use pomelohitch_core::{State, key};
 use pomelohitch_route::dispatch::{Completion, Sent};
 use pomelohitch_route::headers::Headers;
 use pomelohitch_route::problem::Kind;
-use pomelohitch_route::send::{self, Answer, Connection, Gate, Outgoing, Sender};
+use pomelohitch_route::send::{self, Answer, Outgoing, Sender};
 use pomelohitch_route::{Head, Problem, Ran, Terms};
 use rouille::{Request, Response, ResponseBody};
 
@@ -22,6 +23,8 @@
 use crate::permits::keys::{self, Granted};
 use crate::permits::{self, AcquireError, AcquireRequest};
 
+mod sending;
+
 /// A result whose error becomes a problem document.
 pub type Result<T, E = Problem> = std::result::Result<T, E>;
 
@@ -57,10 +60,8 @@
     /// Creates an exchange that serves requests by the current state of `node`.
     #[must_use]
     pub fn new(node: Arc<Node>) -> Exchange {
-        Exchange {
-            node,
-            sender: Sender::new(send::Options::default()),
-        }
+        let sender = Sender::new(send::Options::default(), node.suspensions.clone());
+        Exchange { node, sender }
     }
 
     /// Answers a complete request; `arrived` is the time at which its head was complete.
@@ -162,84 +163,6 @@
         };
         permits::acquire(&self.node, &request).map_err(acquire_problem)
     }
-
-    /// Sends a request that has a runner and permits, and retries it if that is allowed.
-    fn send(&self, call: &Arc<Call>, mut sent: Sent, granted: Option<&Granted>) -> Result<Answer> {
-        let mut may_have_run = false;
-        let mut connection = if call.terms.idempotent {
-            Connection::Reused
-        } else {
-            Connection::New
-        };
-        loop {
-            if let Err(problem) = recheck(&self.node, call, &sent) {
-                permits::complete(&self.node, &sent, Completion::Refused);
-                let ran = if may_have_run { Ran::Unknown } else { Ran::No };
-                return Err(Problem { ran, ..problem });
-            }
-            let error = match self.attempt(call, &sent, granted, connection) {
-                Ok(answer) => return Ok(answer),
-                Err(error) => error,
-            };
-            may_have_run |= !error.is_not_run();
-            if let Some(next) = self.next_attempt(call, &sent, &error) {
-                // After a failure, a reused connection isn't trusted any more.
-                connection = Connection::New;
-                sent = next;
-                continue;
-            }
-            return Err(problem_of(&error, may_have_run).at(sent.runner));
-        }
-    }
-
-    fn attempt(
-        &self,
-        call: &Arc<Call>,
-        sent: &Sent,
-        granted: Option<&Granted>,
-        connection: Connection,
-    ) -> send::Result<Answer> {
-        if !is_runner_active(&self.node, sent) {
-            permits::complete(&self.node, sent, Completion::Refused);
-            return Err(send::Error::Unsent {
-                reason: "the runner takes no new work".into(),
-            });
-        }
-        let left = call.deadline.saturating_duration_since(Instant::now());
-        let limit = self.attempt_limit(call, connection, left);
-        let mut out = call.out.clone();
-        out.headers
-            .add("Request-Timeout-Ms", &left.as_millis().to_string());
-        let gate = gate(&self.node, call, sent, granted);
-        let answered = self.sender.send(sent.addr, &out, connection, limit, gate);
-        permits::complete(&self.node, sent, completion_of(&answered));
-        answered
-    }
-
-    /// Timeout of one attempt. A reused connection may be dead, so an idempotent request doesn't
-    /// spend its whole remaining time on it.
-    fn attempt_limit(&self, call: &Call, connection: Connection, left: Duration) -> Duration {
-        match connection {
-            Connection::New => left,
-            Connection::Reused => permits::attempt_timeout(&self.node, &call.service.id)
-                .map_or(left, |timeout| left.min(timeout)),
-        }
-    }
-
-    /// The next attempt, if there is one. A request that isn't idempotent is retried only if none
-    /// of its bytes were sent.
-    fn next_attempt(&self, call: &Call, sent: &Sent, error: &send::Error) -> Option<Sent> {
-        let is_unsent = matches!(error, send::Error::Unsent { .. } | send::Error::Withheld);
-        let has_time = Instant::now() < call.deadline;
-        let may_retry = has_time && (call.terms.idempotent || is_unsent);
-        let next = may_retry
-            .then(|| permits::retry(&self.node, sent))
-            .flatten();
-        if next.is_some() {
-            metrics::counter!("request_retries").increment(1);
-        }
-        next
-    }
 }
 
 /// Returns the current state and the team that `key` belongs to.
@@ -262,54 +185,6 @@
     }
 }
 
-/// Repeats the checks right before sending. While the process was paused, the deadline may have
-/// passed, its incarnation may have been ended and its permits granted to others; the key may have
-/// been withdrawn while the request waited in the queue.
-fn recheck(node: &Node, call: &Call, sent: &Sent) -> Result<()> {
-    if Instant::now() >= call.deadline {
-        let retry_after = permits::expected_wait(node, &call.service.id, &call.team.id);
-        return Err(acquire_problem(AcquireError::Expired { retry_after }));
-    }
-    let (_, team) = check_key(node, &call.key)?;
-    if !permits::may_send(node, sent) {
-        let detail = "this entry instance was held for dead meanwhile";
-        let problem = Problem::not_run(Kind::StaleKnowledge, detail);
-        return Err(problem.retry_after(STALE_RETRY_AFTER));
-    }
-    if team.id == call.team.id {
-        return Ok(());
-    }
-    Err(Problem::not_run(
-        Kind::UnknownKey,
-        "the key is another team's now",
-    ))
-}
-
-/// Whether the runner accepts work. It was chosen by an earlier state, which is outdated if the
-/// process was paused.
-fn is_runner_active(node: &Node, sent: &Sent) -> bool {
-    let state = node.state.load();
-    let runner = state.fleet.instances.get(&sent.runner);
-    runner.is_some_and(|runner| runner.phase == Phase::Active)
-}
-
-/// Repeats all checks right before the first byte, and reports the use of the idempotency key.
-fn gate(node: &Arc<Node>, call: &Arc<Call>, sent: &Sent, granted: Option<&Granted>) -> Gate {
-    let (node, call, sent) = (node.clone(), call.clone(), sent.clone());
-    let granted = granted.cloned();
-    Box::new(move || {
-        let may_send = granted.as_ref().is_none_or(Granted::is_current)
-            && recheck(&node, &call, &sent).is_ok()
-            && is_runner_active(&node, &sent);
-        if !may_send {
-            metrics::counter!("requests_withheld").increment(1);
-        } else if let Some(granted) = &granted {
-            keys::report_use(&node, granted);
-        }
-        may_send
-    })
-}
-
 /// The idempotency key of a request that must not run twice. Idempotent requests may run any number
 /// of times and need no key.
 fn idempotency_key(call: &Call) -> Option<Box<str>> {
@@ -348,15 +223,6 @@
     Err(Problem::not_run(Kind::NoRunner, detail).retry_after(NO_RUNNER_RETRY_AFTER))
 }
 
-fn completion_of(answered: &send::Result<Answer>) -> Completion {
-    match answered {
-        Ok(_) => Completion::Answered,
-        Err(send::Error::Unsent { .. }) => Completion::Unsent,
-        Err(send::Error::NotStarted | send::Error::Withheld) => Completion::Refused,
-        Err(send::Error::Late | send::Error::Lost { .. }) => Completion::Unknown,
-    }
-}
-
 fn acquire_problem(reason: AcquireError) -> Problem {
     match reason {
         AcquireError::Refused(refusal) => Problem::not_run(
@@ -433,29 +299,6 @@
     (name, path)
 }
 
-/// The problem document for failed attempts.
-///
-/// `error` is that of the last attempt; an earlier attempt may have run even if the last one
-/// certainly didn't.
-fn problem_of(error: &send::Error, may_have_run: bool) -> Problem {
-    let detail = error.to_string();
-    let problem = match error {
-        send::Error::Unsent { .. } | send::Error::NotStarted => {
-            Problem::not_run(Kind::RunnerRefused, detail).retry_after(NO_RUNNER_RETRY_AFTER)
-        }
-        send::Error::Withheld => {
-            Problem::not_run(Kind::StaleKnowledge, detail).retry_after(STALE_RETRY_AFTER)
-        }
-        send::Error::Late => Problem::unknown(Kind::AnswerLate, detail),
-        send::Error::Lost { .. } => Problem::unknown(Kind::AnswerLost, detail),
-    };
-    if may_have_run {
-        Problem::unknown(problem.kind, problem.detail)
-    } else {
-        problem
-    }
-}
-
 fn endpoint_response(answer: Answer) -> Response {
     let headers = answer.headers.iter();
     Response {
--- a/pomelohitchd/src/node.rs
+++ b/pomelohitchd/src/node.rs
@@ -14,6 +14,7 @@
 use pomelohitch_core::{Body, Record, State, Verdict};
 use pomelohitch_platform::follower::Applied;
 use pomelohitch_platform::{Effect, Instances, Log, Workers};
+use pomelohitch_route::suspension::Monitor;
 use snafu::{ResultExt, Snafu};
 
 use crate::burn::Burn;
@@ -115,6 +116,8 @@
     pub burn: Burn,
     /// Permits, queues and runners for requests.
     pub permits: Permits,
+    /// Counts the suspensions of this process.
+    pub suspensions: Arc<Monitor>,
     sightings: Mutex<Sightings>,
     log_read: Mutex<Option<Instant>>,
     peers: Mutex<BTreeMap<MemberId, PeerSeen>>,
@@ -143,6 +146,7 @@
             known_withdrawals: ArcSwap::default(),
             burn: Burn::default(),
             permits: Permits::default(),
+            suspensions: Arc::new(Monitor::new(Instant::now())),
             sightings: Mutex::default(),
             log_read: Mutex::default(),
             peers: Mutex::default(),
--- a/pomelohitchd/src/permits/exchange.rs
+++ b/pomelohitchd/src/permits/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pomelohitch_core::State;
 use pomelohitch_core::id::MemberId;
@@ -29,6 +29,7 @@
 /// Exchanges permits with the homes forever.
 pub fn run(node: &Arc<Node>) {
     for tick in 0u32.. {
+        node.suspensions.tick(Instant::now());
         step(node, tick);
         std::thread::sleep(TICK);
     }
--- a/pomelohitchd/tests/front/retries.rs
+++ b/pomelohitchd/tests/front/retries.rs
@@ -110,6 +110,24 @@
     );
 }
 
+/// Guards against giving up a slow request over a kept connection long before its timeout, although
+/// there is no other runner for another attempt.
+#[test]
+fn a_slow_answer_is_awaited_if_no_other_attempt_is_possible() {
+    let runner = Runner::start(|seen| {
+        if seen.lines[0].contains("/slow") {
+            std::thread::sleep(std::time::Duration::from_millis(1500));
+        }
+        Some(ok("whole"))
+    });
+    let entry = Entry::start(&[runner.addr], Limits::default());
+    for path in ["/s/passes/quick", "/s/passes/slow"] {
+        let answer = entry.call("GET", path, &["Request-Timeout-Ms: 15000"]);
+        assert!(answer.ends_with("whole"), "{answer}");
+    }
+    assert_eq!(runner.count(), 2);
+}
+
 /// A caller repeats a request with the same idempotency key because the first answer was lost.
 #[test]
 fn the_same_idempotency_key_runs_once() {
--- a/pomelohitchd/tests/processes/pauses.rs
+++ b/pomelohitchd/tests/processes/pauses.rs
@@ -5,7 +5,35 @@
 use pomelohitch_standin::caller::{self, Call, Outcome};
 use rustix::process::Signal;
 
-use crate::support::{Fleet, call};
+use crate::support::{Fleet, call, wait_until};
+
+/// Guards against dropping an answer that arrived while the entry instance was paused over the
+/// request's deadline.
+#[test]
+fn an_answer_that_arrives_during_a_pause_is_delivered() {
+    let fleet = Fleet::start(1, 1);
+    for idempotent in [false, true] {
+        let call = Call {
+            idempotent,
+            run: Duration::from_millis(500),
+            timeout: Duration::from_secs(1),
+            min_answer_len: 20_000,
+            ..call("paused")
+        };
+        let entry = &fleet.entries[0];
+        let runner = &fleet.runners[0];
+        let outcome = std::thread::scope(|scope| {
+            let sent = scope.spawn(|| caller::send(&caller::agent(), entry.callers, &call));
+            wait_until("it runs", || runner.ledger().running == 1);
+            entry.signal(Signal::STOP);
+            wait_until("it ends", || runner.ledger().running == 0);
+            std::thread::sleep(call.timeout);
+            entry.signal(Signal::CONT);
+            sent.join().expect("no thread panics")
+        });
+        assert_eq!(outcome, Outcome::Complete, "idempotent: {idempotent}");
+    }
+}
 
 /// Guards against refusing requests because the home of their idempotency keys answers late.
 #[test]
