fix: a member that joins again accounts for what it still runs, and has permits at once

Cause: an incarnation that was ended may still run requests, so homes keep its permits back for the freshness bound, a margin and the longest run. A suspended process that joins again knows what it runs, but threw that away with its permits, and nobody could tell homes that the ended incarnation is accounted for. Worse, each further change of members began the wait anew, and a member that was ended before it had been granted anything left nothing to hand out.

Change: a process that joins again keeps the permits in use, and its asks name its first incarnation. A home knows which incarnations ended since it first knew the members, and waits only for those that no member of the present epoch accounts for. A home that has just started, and one of whose known incarnations a new process took the place, waits as before.

So that a process never takes the incarnation of an earlier one for its own, it has none, instead of 0, until it has joined.

--- a/crates/pomelohitch-peer/schema/link.capnp
+++ b/crates/pomelohitch-peer/schema/link.capnp
@@ -66,6 +66,8 @@
   # Hints: the receiver holds more than its part of these while another member lacks.
   loads @5 :List(Load);
   # Everything that the sender has; replaces what it said before.
+  since @6 :UInt64;
+  # The first incarnation of the sender's process.
 }
 
 struct Replies {
--- a/crates/pomelohitch-peer/src/link_capnp.rs
+++ b/crates/pomelohitch-peer/src/link_capnp.rs
@@ -1773,11 +1773,15 @@
         pub fn has_loads(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_since(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1907,6 +1911,14 @@
         pub fn has_loads(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_since(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_since(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1918,66 +1930,73 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 120] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 135] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(11, 23, 27, 177, 241, 201, 182, 129),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(29, 163, 182, 172, 56, 159, 229, 191),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 105, 110, 107, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 66, 97, 116, 99, 104),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2039,6 +2058,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 105, 110, 99, 101, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2048,6 +2075,7 @@
                 3 => <::capnp::struct_list::Owned<crate::link_capnp::ask::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::link_capnp::resource::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::link_capnp::load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2061,9 +2089,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,1,5,0,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,1,5,0,4,6];
         pub(crate) const TYPE_ID: u64 = 0x81b6_c9f1_b11b_170b;
     }
 }
--- a/crates/pomelohitch-peer/src/permits.rs
+++ b/crates/pomelohitch-peer/src/permits.rs
@@ -15,13 +15,15 @@
     pub incarnation: Incarnation,
     /// Epoch of the membership from which the sender determined the home.
     pub epoch: Offset,
-    /// Permit requests; all have the member, incarnation and epoch of the batch.
+    /// Permit requests; all have the member, incarnations and epoch of the batch.
     pub asks: Vec<Ask>,
     /// Resources of which the receiver holds more than its part while another member needs permits.
     /// These are hints.
     pub recalls: Vec<Resource>,
     /// The sender's complete load; replaces its earlier reports.
     pub loads: Vec<Load>,
+    /// The first incarnation of the sender's process.
+    pub since: Incarnation,
 }
 
 /// A home's answer to a [`Batch`].
@@ -91,6 +93,7 @@
             member: reader.get_member()?.to_str()?.into(),
             incarnation: reader.get_incarnation(),
             epoch: reader.get_epoch(),
+            since: reader.get_since(),
             ..Batch::default()
         };
         for ask in reader.get_asks()? {
@@ -99,6 +102,7 @@
                 epoch: batch.epoch,
                 member: batch.member.clone(),
                 incarnation: batch.incarnation,
+                since: batch.since,
                 sequence: ask.get_sequence(),
                 held: ask.get_held(),
                 want: ask.get_want(),
@@ -125,6 +129,7 @@
         builder.set_member(&*self.member);
         builder.set_incarnation(self.incarnation);
         builder.set_epoch(self.epoch);
+        builder.set_since(self.since);
         let mut asks = builder.reborrow().init_asks(len(&self.asks));
         for (i, ask) in (0..).zip(&self.asks) {
             let mut builder = asks.reborrow().get(i);
--- a/crates/pomelohitch-permits/src/holder.rs
+++ b/crates/pomelohitch-permits/src/holder.rs
@@ -13,6 +13,8 @@
     pub member: MemberId,
     /// Its incarnation.
     pub incarnation: Incarnation,
+    /// The first incarnation of its process.
+    pub since: Incarnation,
     /// The epoch of the set of members from which the home was determined.
     pub epoch: Offset,
     /// Whether the member is shutting down.
@@ -40,6 +42,18 @@
 }
 
 impl Holder {
+    /// Starts a new incarnation of the same process: keeps the permits in use and gives up the
+    /// others, which may have been granted to other members.
+    pub fn resume(&mut self) {
+        let ended = std::mem::take(self);
+        *self = Holder {
+            held: ended.used,
+            used: ended.used,
+            release_times: ended.release_times,
+            ..Holder::default()
+        };
+    }
+
     /// Number of permits held, whether in use or not.
     #[must_use]
     pub fn held(&self) -> u32 {
@@ -136,6 +150,7 @@
             epoch: asker.epoch,
             member: asker.member.clone(),
             incarnation: asker.incarnation,
+            since: asker.since,
             sequence: self.sequence,
             held: self.held,
             want,
--- a/crates/pomelohitch-permits/src/home.rs
+++ b/crates/pomelohitch-permits/src/home.rs
@@ -50,6 +50,17 @@
     all_reported_at: Option<Monotonic>,
     accounts: BTreeMap<Resource, Account>,
     recalls: BTreeSet<(MemberId, Resource)>,
+    ended: Ended,
+    /// The first incarnation of each member's process, from the members' asks in this epoch.
+    first_incarnations: BTreeMap<MemberId, Incarnation>,
+}
+
+/// Incarnations that have ended and may still have something running.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+struct Ended {
+    known: BTreeSet<(MemberId, Incarnation)>,
+    /// Whether others may have ended before this process knew the members.
+    has_unknown: bool,
 }
 
 /// Permits of a resource held and wanted by all members together.
@@ -80,12 +91,29 @@
         if epoch == self.epoch {
             return;
         }
+        let ended = self.ended_before(&epoch);
         *self = Homes {
             epoch,
+            ended,
             ..Homes::default()
         };
     }
 
+    /// The incarnations that have ended by `next`. One that joined and ended in between isn't
+    /// known, but has started nothing: no home granted it permits, since this process didn't
+    /// report.
+    fn ended_before(&mut self, next: &Epoch) -> Ended {
+        let mut ended = std::mem::take(&mut self.ended);
+        if self.epoch == Epoch::default() {
+            ended.has_unknown = next.has_ended;
+        }
+        let members = self.epoch.members.iter();
+        let gone = members.filter(|(id, incarnation)| next.members.get(*id) != Some(*incarnation));
+        let gone = gone.map(|(id, incarnation)| (id.clone(), *incarnation));
+        ended.known.extend(gone);
+        ended
+    }
+
     /// The current epoch.
     #[must_use]
     pub fn epoch(&self) -> &Epoch {
@@ -101,8 +129,11 @@
         if ask.epoch != self.epoch.offset || !is_member {
             return None;
         }
-        self.record_report(&ask.member, now);
+        self.record_report(ask, now);
         let ended_have_stopped = self.ended_have_stopped(bounds, now);
+        if ended_have_stopped {
+            self.ended = Ended::default();
+        }
         let members = self.epoch.members.len();
         let account = self.accounts.entry(ask.resource.clone());
         let account = account.or_insert_with(|| Account {
@@ -176,23 +207,30 @@
         })
     }
 
-    fn record_report(&mut self, member: &MemberId, now: Monotonic) {
+    fn record_report(&mut self, ask: &Ask, now: Monotonic) {
         if self.all_reported_at.is_some() {
             return;
         }
+        let member = &ask.member;
+        self.first_incarnations.insert(member.clone(), ask.since);
         self.reported.insert(member.clone());
         if self.reported.len() == self.epoch.members.len() {
             self.all_reported_at = Some(now);
         }
     }
 
-    /// Whether incarnations that ended have certainly stopped.
+    /// Whether incarnations that ended have certainly stopped, or are accounted for by a later one
+    /// of their process.
     ///
     /// An incarnation that does not know that it was ended goes on while members that do not know
     /// it either renew its lease. Once every member knows, its lease runs out, and after that its
     /// last requests end.
     fn ended_have_stopped(&self, bounds: &Bounds, now: Monotonic) -> bool {
-        if !self.epoch.has_ended {
+        let is_accounted_for = |(member, incarnation): &(MemberId, Incarnation)| {
+            let since = self.first_incarnations.get(member);
+            since.is_some_and(|since| since <= incarnation)
+        };
+        if !self.ended.has_unknown && self.ended.known.iter().all(is_accounted_for) {
             return true;
         }
         self.all_reported_at
--- a/crates/pomelohitch-permits/src/message.rs
+++ b/crates/pomelohitch-permits/src/message.rs
@@ -18,6 +18,9 @@
     pub member: MemberId,
     /// Its incarnation.
     pub incarnation: Incarnation,
+    /// The first incarnation of its process. What the earlier ones of the process run is included
+    /// in what it holds.
+    pub since: Incarnation,
     /// Greater than the number of every earlier ask of this holder.
     pub sequence: Sequence,
     /// Number of permits that it holds, whether in use or not.
--- a/crates/pomelohitch-permits/tests/permits/model.rs
+++ b/crates/pomelohitch-permits/tests/permits/model.rs
@@ -28,6 +28,8 @@
 pub struct Scope {
     pub members: usize,
     pub limit: u32,
+    /// The team whose permits are used, which decides which member is their home.
+    pub team: &'static str,
     pub last_tick: Tick,
     pub last_offset: usize,
     pub last_sequence: u64,
@@ -56,6 +58,10 @@
     ReleasesRunningPermit,
     /// A holder takes permits without a valid lease.
     IgnoresLease,
+    /// A process that joins again forgets its runs.
+    ForgetsRunsOnResume,
+    /// A new process accounts for the runs of the one that it replaces.
+    AccountsForOtherProcess,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -67,6 +73,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Process {
     pub incarnation: Incarnation,
+    /// Its first incarnation.
+    pub since: Incarnation,
     /// Number of log records that it has read.
     pub read: usize,
     /// The last tick that its lease covers; `None` if the lease has expired.
@@ -96,9 +104,8 @@
     format!("entry-{index}").into()
 }
 
-pub fn resource() -> Resource {
-    // For this resource the first member gets the remainder of a division.
-    Resource::Team("hotel".into())
+fn resource(scope: &Scope) -> Resource {
+    Resource::Team(scope.team.into())
 }
 
 fn time(tick: Tick) -> Monotonic {
@@ -119,12 +126,21 @@
     epoch
 }
 
+impl Process {
+    /// Whether it is a member as far as it has read.
+    fn is_member(&self, index: MemberIndex) -> bool {
+        let members = &self.homes.epoch().members;
+        members.get(&member(index)) == Some(&self.incarnation)
+    }
+}
+
 impl World {
     /// The initial state: all members have joined, and the first holds what its home granted.
     pub fn start(scope: &Scope) -> World {
         let log: Vec<_> = (0..scope.members).map(Record::Join).collect();
         let process = |index| Process {
             incarnation: index as Offset,
+            since: index as Offset,
             read: log.len(),
             covered: Some(LEASE - 1),
             holder: Holder::default(),
@@ -235,14 +251,20 @@
         let mut joined = self.clone();
         joined.log.push(Record::Join(index));
         if at_most_half_ended(scope, &joined.log) {
+            let incarnation = self.log.len() as Offset;
             let mut process = Process {
-                incarnation: self.log.len() as Offset,
+                incarnation,
+                since: incarnation,
                 read: joined.log.len(),
                 covered: Some(self.now + LEASE - 1),
                 holder: Holder::default(),
                 homes: Homes::default(),
             };
+            if scope.fault == Fault::AccountsForOtherProcess {
+                process.since = 0;
+            }
             process.homes.enter(epoch_of(&joined.log));
+            worlds.extend(self.resume(scope, index, &joined.log, &process));
             joined.processes[index] = Some(process);
             worlds.push(joined);
         }
@@ -258,15 +280,50 @@
         if process.read == self.log.len() {
             process.covered = Some(self.now + LEASE - 1);
         }
-        // A process that reads that it was ended stops; it comes back as a new incarnation.
-        world.processes[index] = is_member.then_some(process);
+        // A process that reads that it was ended starts nothing until it has joined again.
+        if !is_member {
+            process.covered = None;
+            process.holder.resume();
+        }
+        world.processes[index] = Some(process);
         world
     }
 
+    /// A process that has read that it was ended joins again, with the runs that it started.
+    fn resume(
+        &self,
+        scope: &Scope,
+        index: MemberIndex,
+        log: &[Record],
+        restarted: &Process,
+    ) -> Option<World> {
+        let ended = self.processes[index].as_ref()?;
+        if ended.is_member(index) {
+            return None;
+        }
+        let mut resumed = Process {
+            since: ended.since,
+            holder: ended.holder.clone(),
+            homes: ended.homes.clone(),
+            ..restarted.clone()
+        };
+        if scope.fault == Fault::ForgetsRunsOnResume {
+            resumed.holder = Holder::default();
+        }
+        resumed.homes.enter(epoch_of(log));
+        let mut world = self.clone();
+        world.log = log.to_vec();
+        world.processes[index] = Some(resumed);
+        Some(world)
+    }
+
     /// While the log is unavailable, a lease is renewed if more than half of the members answer.
     /// Members that know a later set of members do not count.
     fn renew_lease(&self, index: MemberIndex, process: &Process) -> Option<World> {
         let epoch = process.homes.epoch();
+        if !process.is_member(index) {
+            return None;
+        }
         let reachable = epoch.members.iter().filter(|(id, _)| {
             let peer = (0..self.processes.len()).find(|&p| member(p) == **id);
             let peer = peer.and_then(|p| self.processes[p].as_ref());
@@ -288,17 +345,21 @@
         want: u32,
     ) -> Option<World> {
         let epoch = process.homes.epoch();
-        let home = home_of(&resource(), epoch.members.keys())?;
+        if !process.is_member(index) {
+            return None;
+        }
+        let home = home_of(&resource(scope), epoch.members.keys())?;
         let home = (0..scope.members).find(|&p| member(p) == *home)?;
         let asker = Asker {
             member: member(index),
             incarnation: process.incarnation,
+            since: process.since,
             epoch: epoch.offset,
             leaving: false,
         };
         let mut world = self.clone();
         let holder = &mut world.processes[index].as_mut()?.holder;
-        let mut ask = holder.ask(&resource(), &asker, want);
+        let mut ask = holder.ask(&resource(scope), &asker, want);
         if scope.fault == Fault::ReportsBeforeReleasing && holder.held() > holder.used() {
             ask.held -= 1;
         }
@@ -324,10 +385,11 @@
                     let asker = Asker {
                         member: member(*to),
                         incarnation: *incarnation,
+                        since: *incarnation,
                         epoch: reply.epoch,
                         leaving: false,
                     };
-                    let ask = latest.ask(&resource(), &asker, 0);
+                    let ask = latest.ask(&resource(scope), &asker, 0);
                     latest.on_reply(&Reply {
                         sequence: ask.sequence,
                         ..reply.clone()
--- a/crates/pomelohitch-permits/tests/permits/model_check.rs
+++ b/crates/pomelohitch-permits/tests/permits/model_check.rs
@@ -5,11 +5,17 @@
 
 use crate::model::{Fault, Scope, World};
 
+/// Teams of which the first member gets the remainder of a division; their homes are the first and
+/// the second of two members.
+const HOMED_AT_FIRST: &str = "hotel";
+const HOMED_AT_SECOND: &str = "villa";
+
 /// No change of members; covers loss, duplication and reordering of messages.
 fn messages(fault: Fault) -> Scope {
     Scope {
         members: 2,
         limit: 1,
+        team: HOMED_AT_FIRST,
         last_tick: 1,
         last_offset: 2,
         last_sequence: 4,
@@ -23,6 +29,7 @@
     Scope {
         members: 2,
         limit: 1,
+        team: HOMED_AT_FIRST,
         last_tick: 3,
         last_offset: 3,
         last_sequence: 3,
@@ -123,3 +130,43 @@
 fn ignoring_the_lease_is_detected() {
     assert_detected(&changes(Fault::IgnoresLease));
 }
+
+/// A member is ended and joins again, as the same process or as another one.
+fn resumption(fault: Fault) -> Scope {
+    Scope {
+        members: 2,
+        limit: 1,
+        team: HOMED_AT_FIRST,
+        last_tick: 2,
+        last_offset: 4,
+        last_sequence: 2,
+        has_old_packets: false,
+        fault,
+    }
+}
+
+/// A process that was ended joins again and accounts for what it still runs. In no reachable state
+/// does a team exceed its limit.
+#[test]
+fn the_limit_holds_when_a_process_joins_again() {
+    for team in [HOMED_AT_FIRST, HOMED_AT_SECOND] {
+        let scope = Scope {
+            team,
+            ..resumption(Fault::None)
+        };
+        assert_limit_holds(&scope, 10_000);
+    }
+}
+
+#[test]
+fn forgetting_runs_on_resume_is_detected() {
+    assert_detected(&resumption(Fault::ForgetsRunsOnResume));
+}
+
+#[test]
+fn accounting_for_another_process_is_detected() {
+    assert_detected(&Scope {
+        team: HOMED_AT_SECOND,
+        ..resumption(Fault::AccountsForOtherProcess)
+    });
+}
--- a/crates/pomelohitch-permits/tests/permits/spread.rs
+++ b/crates/pomelohitch-permits/tests/permits/spread.rs
@@ -52,6 +52,7 @@
             let asker = Asker {
                 member: (*id).into(),
                 incarnation: epoch.members[*id],
+                since: epoch.members[*id],
                 epoch: epoch.offset,
                 leaving: false,
             };
--- a/crates/pomelohitch-route/examples/overload/fleet.rs
+++ b/crates/pomelohitch-route/examples/overload/fleet.rs
@@ -463,6 +463,7 @@
         let asker = Asker {
             member: member(own),
             incarnation: own as u64,
+            since: own as u64,
             epoch: 100,
             leaving: false,
         };
--- a/crates/pomelohitch-route/src/dispatch.rs
+++ b/crates/pomelohitch-route/src/dispatch.rs
@@ -78,8 +78,8 @@
     generation: Generation,
 }
 
-/// Counts the incarnations of this process. Permits taken by an earlier incarnation are not
-/// returned to a later one.
+/// Counts the incarnations of this process. A later one sends nothing with the permits that an
+/// earlier one took.
 pub type Generation = u64;
 
 /// How a request that was sent ended.
@@ -183,13 +183,11 @@
         self.update_shares();
     }
 
-    /// Starts a new incarnation: the process no longer holds the permits of the previous one.
-    ///
-    /// Requests of the previous incarnation that still run are accounted for by the homes, which
-    /// wait until those have certainly stopped before they grant their permits again.
+    /// Starts a new incarnation: the process holds no permits of the previous one but those of
+    /// requests that still run.
     pub fn start_incarnation(&mut self) {
         for holder in self.holders.values_mut() {
-            *holder = Holder::default();
+            holder.resume();
         }
         self.permits_changed = true;
         self.generation += 1;
@@ -422,9 +420,7 @@
         }
         let longest_run = terms.map_or(DEFAULT_LONGEST_RUN, |terms| terms.longest_run);
         let until = (end == Completion::Unknown).then(|| sent.at + longest_run);
-        if sent.generation == self.generation {
-            self.return_permits(sent, until.filter(|until| *until > now));
-        }
+        self.return_permits(sent, until.filter(|until| *until > now));
         if end == Completion::Answered
             && let Some(queue) = self.queues.get_mut(&sent.service)
         {
--- a/crates/pomelohitch-route/tests/route/dispatch.rs
+++ b/crates/pomelohitch-route/tests/route/dispatch.rs
@@ -75,6 +75,7 @@
         let asker = Asker {
             member: member(entry),
             incarnation: 1,
+            since: 1,
             epoch: 7,
             leaving: false,
         };
--- a/crates/pomelohitch-route/tests/route/send.rs
+++ b/crates/pomelohitch-route/tests/route/send.rs
@@ -57,7 +57,7 @@
     let mut wait = Wait::new(patience(2 * SECOND), monitor.clone(), start);
     monitor.tick(start + MAX_GAP);
     let resumed = start + 3 * SECOND;
-    let left = 2 * SECOND - MAX_GAP;
+    let left = (2 * SECOND).saturating_sub(MAX_GAP);
     assert_eq!(wait.time_left(resumed), Some(left));
     monitor.tick(resumed);
     assert_eq!(wait.time_left(resumed), Some(left));
--- a/pomelohitchd/examples/capacity/permits.rs
+++ b/pomelohitchd/examples/capacity/permits.rs
@@ -51,6 +51,7 @@
     let asker = Asker {
         member: OWN.into(),
         incarnation: 1,
+        since: 1,
         epoch: 1,
         leaving: false,
     };
--- a/pomelohitchd/src/admin/view.rs
+++ b/pomelohitchd/src/admin/view.rs
@@ -23,7 +23,7 @@
         entry: EntryStatus {
             member: node.settings.member.clone(),
             zone: node.settings.zone.clone(),
-            incarnation: node.incarnation.load(Ordering::Acquire),
+            incarnation: node.joined_incarnation(),
             ready: node.is_ready(),
             leaving: node.is_leaving(),
             next: state.next,
--- a/pomelohitchd/src/burn.rs
+++ b/pomelohitchd/src/burn.rs
@@ -3,7 +3,6 @@
 
 use std::collections::VecDeque;
 use std::ops::Range;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -93,7 +92,7 @@
     fn close(&self, node: &Node, minute: Minute, last: bool) {
         let rows = lock(&self.counts).take(minute);
         let mut queue = lock(&self.queue);
-        let joined = node.incarnation.load(Ordering::Acquire);
+        let joined = node.joined_incarnation();
         // A process that joins again keeps its first incarnation, because its sequence numbers
         // continue.
         let incarnation = *queue.incarnation.get_or_insert(joined);
--- a/pomelohitchd/src/front/exchange/sending.rs
+++ b/pomelohitchd/src/front/exchange/sending.rs
@@ -44,6 +44,7 @@
                 Err(failure) => failure,
             };
             may_have_run |= !error.is_not_run();
+            let next = next.map(|next| *next);
             if let Some(next) = next.or_else(|| self.next_attempt(call, &sent, &error)) {
                 metrics::counter!("request_retries").increment(1);
                 // After a failure, a reused connection isn't trusted any more.
@@ -83,7 +84,7 @@
         permits::complete(&self.node, sent, completion_of(&answered));
         answered.map_err(|error| Failure {
             error,
-            next: next.take(),
+            next: next.take().map(Box::new),
         })
     }
 
@@ -126,7 +127,7 @@
 /// Why an attempt gave no answer, and the next one if it was abandoned for that.
 struct Failure {
     error: send::Error,
-    next: Option<Sent>,
+    next: Option<Box<Sent>>,
 }
 
 impl From<send::Error> for Failure {
--- a/pomelohitchd/src/node.rs
+++ b/pomelohitchd/src/node.rs
@@ -108,7 +108,7 @@
     pub log_is_down: AtomicBool,
     /// Lifecycle of the process.
     pub lifecycle: Lifecycle,
-    /// Incarnation of this member; 0 before its join takes effect.
+    /// Incarnation of this member; [`NOT_JOINED`] before its join takes effect.
     pub incarnation: AtomicU64,
     /// Withdrawals known here, whether or not the log has them.
     pub known_withdrawals: ArcSwap<KnownWithdrawals>,
@@ -125,6 +125,9 @@
     jobs: GroupCommit,
 }
 
+/// The incarnation of a process before its join takes effect: an offset that no record has, unlike
+/// 0, which may be that of an earlier process with the same member id.
+pub const NOT_JOINED: Incarnation = Incarnation::MAX;
 /// Delay before an append whose outcome is unknown is repeated.
 const APPEND_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -142,7 +145,7 @@
             first_kept: AtomicU64::new(0),
             log_is_down: AtomicBool::new(false),
             lifecycle: Lifecycle::default(),
-            incarnation: AtomicU64::new(0),
+            incarnation: AtomicU64::new(NOT_JOINED),
             known_withdrawals: ArcSwap::default(),
             burn: Burn::default(),
             permits: Permits::default(),
@@ -300,6 +303,15 @@
         lock(&self.sightings).by(&self.settings.member)
     }
 
+    /// The incarnation for records and reports; 0 before the join takes effect.
+    #[must_use]
+    pub fn joined_incarnation(&self) -> Incarnation {
+        match self.incarnation.load(Ordering::Acquire) {
+            NOT_JOINED => 0,
+            incarnation => incarnation,
+        }
+    }
+
     /// Whether callers are served: this member has joined and caught up, and isn't shutting down.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/pomelohitchd/src/permits/exchange.rs
+++ b/pomelohitchd/src/permits/exchange.rs
@@ -145,9 +145,11 @@
         asks_all: bool,
     ) -> BTreeMap<MemberId, Batch> {
         let own = node.settings.member.clone();
+        let incarnation = self.view_inputs.incarnation;
         let asker = Asker {
             member: own.clone(),
-            incarnation: self.view_inputs.incarnation,
+            incarnation,
+            since: self.keys.first_incarnation().unwrap_or(incarnation),
             epoch: self.homes.epoch().offset,
             leaving: node.is_leaving(),
         };
@@ -171,6 +173,7 @@
         let blank = || Batch {
             member: own.clone(),
             incarnation: asker.incarnation,
+            since: asker.since,
             epoch: asker.epoch,
             loads: loads.clone(),
             ..Batch::default()
--- a/pomelohitchd/src/permits/keys/home.rs
+++ b/pomelohitchd/src/permits/keys/home.rs
@@ -67,6 +67,12 @@
         self.epochs.push_back((now, epoch.clone()));
     }
 
+    /// The first incarnation of this process; `None` before it has joined.
+    #[must_use]
+    pub fn first_incarnation(&self) -> Option<Incarnation> {
+        self.first_incarnation
+    }
+
     /// Adds the earlier sets of members. While no member has ever ended, these follow from the
     /// order of the joins.
     fn add_join_epochs(&mut self, epoch: &Epoch, now: Monotonic) {
--- a/pomelohitchd/tests/processes/pauses.rs
+++ b/pomelohitchd/tests/processes/pauses.rs
@@ -64,3 +64,31 @@
     let is_served = |outcome: &Outcome| *outcome == Outcome::Complete;
     assert!(outcomes.iter().all(is_served), "{outcomes:?}");
 }
+
+/// Guards against refusing all requests for as long as a run may take, because every entry instance
+/// was removed while it was paused and joined again without permits.
+#[test]
+fn entry_instances_that_joined_again_have_permits_at_once() {
+    let fleet = Fleet::start(2, 2);
+    for paused in &fleet.entries {
+        let before = fleet.state().members.by_id[&paused.member].incarnation;
+        paused.signal(Signal::STOP);
+        let others = fleet.entries.iter().find(|e| e.member != paused.member);
+        let other = others.expect("there are two");
+        wait_until("it is removed", || {
+            let state = other.state();
+            state.is_some_and(|state| !state.members.by_id.contains_key(&paused.member))
+        });
+        paused.signal(Signal::CONT);
+        wait_until("it has joined again", || {
+            let has_joined = other.state().is_some_and(|state| {
+                let member = state.members.by_id.get(&paused.member);
+                member.is_some_and(|member| member.incarnation > before)
+            });
+            has_joined && paused.is_ready()
+        });
+    }
+    for entry in 0..2 {
+        assert_eq!(fleet.probe(entry), Outcome::Complete);
+    }
+}
