fix: a slow attempt isn't abandoned once the request's deadline has passed

After a suspension the unsuspended second may end when the deadline has passed by the clock. The next attempt would be refused at its first check, and the answer to the abandoned one thrown away.

--- a/pomelohitchd/src/front/exchange/sending.rs
+++ b/pomelohitchd/src/front/exchange/sending.rs
@@ -103,8 +103,11 @@
         }
         let after = permits::attempt_timeout(&self.node, &call.service.id)?;
         let (node, sent, next) = (self.node.clone(), sent.clone(), next.clone());
+        let deadline = call.deadline;
         let may_abandon = move || {
-            let retry = permits::retry(&node, &sent);
+            // After a suspension, only an answer to this attempt may still be of use.
+            let has_time = Instant::now() < deadline;
+            let retry = has_time.then(|| permits::retry(&node, &sent)).flatten();
             let is_possible = retry.is_some();
             next.set(retry);
             is_possible
