feat: a line in the log for each proposed split of a team's limit

Whether the border between a team's requests and jobs had moved, and when, could be seen in a counter only; it is what tells the two hypotheses about `jobs_get_the_unused_limit_...` under stalls apart (the test missed the moment, or the border stays where a suspended member left it).

--- a/pomelohitchd/src/permits/limit_split.rs
+++ b/pomelohitchd/src/permits/limit_split.rs
@@ -13,6 +13,7 @@
 use pomelohitch_core::{Body, State, Verdict};
 use pomelohitch_permits::resource::home_of;
 use pomelohitch_permits::{Monotonic, Resource};
+use tracing::info;
 
 use super::Inner;
 use crate::node::{Node, ProposeError};
@@ -250,7 +251,7 @@
 }
 
 fn propose(node: &Node, divide: DivideLimit) {
-    let team = divide.team.clone();
+    let (team, jobs) = (divide.team.clone(), divide.jobs);
     let outcome = match node.propose(Body::DivideLimit(divide), PROPOSE_TIMEOUT) {
         Ok(decided) if decided.verdict == Verdict::Accepted => Outcome::Accepted,
         Ok(_) | Err(ProposeError::NotAppended { .. }) => Outcome::Refused,
@@ -262,5 +263,6 @@
         Outcome::Unknown => "unknown",
     };
     metrics::counter!("limit_borders_moved", "verdict" => label).increment(1);
+    info!(%team, jobs, verdict = label, "proposed another split of a team's limit");
     node.permits.lock().limit_splits.on_outcome(&team, outcome);
 }
