feat: logs tell apart why a submission was refused after a lost leader

The record of the incident couldn't say which of four hypotheses holds: `call to leader failed` named no request, an attempt that ended by 421 or 504 and an answer that a member passed on had no line at all, and a leader didn't say that it refused a job that it holds.

Now: `call to leader failed` has path, method, epoch and effect; `request not answered by the leader` has the status of whoever answered; `request refused by a leader` has the refusal's status and epoch and the epoch that may have executed an earlier attempt; `held job refused` is the leader's line for a refusal of an id that it holds, whatever the reason. No decision is changed.

--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -71,6 +71,7 @@
     /// Handles an API request. Its answer follows as an [`Action::Reply`].
     pub fn call(&mut self, call: &Call) {
         if let Some(answer) = self.answer(call) {
+            self.log_refused_repeat(call, &answer);
             self.outbox.push(Action::Reply {
                 call: call.id,
                 answer,
@@ -78,6 +79,19 @@
         }
     }
 
+    /// Logs the refusal of a job that is held, which an earlier attempt has submitted.
+    fn log_refused_repeat(&self, call: &Call, answer: &Answer) {
+        let is_submission = matches!(call.verb, Verb::Submit(_) | Verb::Confirm);
+        let (_, name) = call.path.rsplit_once('/').unwrap_or_default();
+        if let Ok(job) = id::parse_job(name)
+            && is_submission
+            && let Some(held) = self.jobs.get(&job)
+        {
+            info!(job = %id::job_text(job), state = ?held.progress.state, ?answer,
+                "held job refused");
+        }
+    }
+
     /// The answer to a request; `None` if the answer has to wait for a record to be durable.
     fn answer(&mut self, call: &Call) -> Option<Answer> {
         let Some(cfg) = self.cfg.clone() else {
--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -121,6 +121,9 @@
                 epoch, response, ..
             }) => {
                 let status = response.status_code;
+                if has_effect && status >= 400 {
+                    log_refusal(incoming, status, epoch, maybe_executed_by);
+                }
                 if is_conclusive(status) || maybe_executed_by.is_none_or(|earlier| earlier < epoch)
                 {
                     return response;
@@ -144,6 +147,17 @@
     }
 }
 
+/// Logs a leader's refusal of a request that has an effect, with the leadership that may have
+/// executed an earlier attempt.
+fn log_refusal(incoming: &Incoming, status: u16, epoch: Epoch, maybe_executed_by: Option<Epoch>) {
+    let waited_ms = incoming.arrived.elapsed().as_millis();
+    info!(path = %incoming.head.target, method = %incoming.head.method, status, epoch,
+        ?maybe_executed_by, waited_ms, "request refused by a leader");
+    if maybe_executed_by.is_some_and(|earlier| earlier < epoch) {
+        metrics::counter!("refusals_after_unknown_attempt").increment(1);
+    }
+}
+
 /// Status if the leader can't serve the request now; a retry may succeed.
 const UNAVAILABLE: u16 = 503;
 /// Status if the leader has no such job; also the answer to a repeated cancel.
--- a/pomelohitchd/src/fleet/forwarding.rs
+++ b/pomelohitchd/src/fleet/forwarding.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use pomelohitch_adapter::call::{self, Effect, Request};
+use pomelohitch_route::Head;
 use pomelohitch_sched::forwarding::Window;
 use pomelohitch_sched::{Epoch, Steady};
 use tracing::info;
@@ -215,10 +216,12 @@
         },
     );
     match answer {
-        Ok(answer) => interpret(answer, epoch),
+        Ok(answer) => interpret(answer, epoch, head),
         Err(error) => {
-            info!(%error, "call to leader failed");
-            match error.effect() {
+            let effect = error.effect();
+            info!(path = %head.target, method = %head.method, epoch, ?effect, %error,
+                "call to leader failed");
+            match effect {
                 Effect::None => Attempt::NotExecuted,
                 Effect::Unknown => Attempt::Unknown(epoch),
             }
@@ -227,8 +230,10 @@
 }
 
 /// Interprets the answer of a process that was expected to be the leader with `epoch`.
-fn interpret(answer: call::Answer, epoch: Epoch) -> Attempt {
+fn interpret(answer: call::Answer, epoch: Epoch, head: &Head) -> Attempt {
     let Some(answered_by) = answer.header(wire::LEADER_EPOCH_HEADER) else {
+        info!(path = %head.target, method = %head.method, epoch, status = answer.status,
+            "request not answered by the leader");
         return if answer.status == 504 {
             Attempt::Unknown(epoch)
         } else {
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -224,6 +224,11 @@
         "requests",
         "Requests of callers for which no leader answered in time.",
     ),
+    counter(
+        "refusals_after_unknown_attempt",
+        "answers",
+        "Refusals by a leader after an attempt that an earlier leader may have executed.",
+    ),
     Metric {
         name: "planner_look_seconds",
         kind: Kind::Histogram,
