fix: a refusal by a later leader is passed on only if it holds no effect of the request

Callers saw: a job ran although the only attempt to submit it had been answered 401 (a withdrawn key) or 404 (a removed queue).

Cause: after an attempt without an answer, a member returned any answer of a later epoch, since a later leader has read all that earlier ones wrote. It has, but it looked at the configuration, the queue and the key before it looked whether it holds the job, so that its refusal said nothing about the earlier attempt. A cancel was affected in the same way, and a leader without a configuration promised with a 503 that a restored job never runs.

Fix: a leader's reply says whether it holds the effect of the request, looked up by the id alone, and members get it in a header. sched::attempts decides, without network: after an attempt of unknown outcome a refusal is returned only with a later epoch and the word that no effect is held; otherwise the caller is told 504, at once unless it is a 503. A reply that doesn't say (a member of an older version) proves nothing. A leader that holds the job and has no configuration says 504 in place of 503.

The test a_later_leaders_answer_is_conclusive_after_an_unanswered_attempt asserted the fault (401 and 503 passed on whoever holds the job). Two tests replace it, as strict: with proof each refusal is returned as before, for cancels too; without it none is.

--- a/crates/pomelohitch-emulator/src/fleet/orders.rs
+++ b/crates/pomelohitch-emulator/src/fleet/orders.rs
@@ -22,8 +22,15 @@
                 } => {
                     self.send_order(&target, &order, epoch);
                 }
-                Action::Reply { call, answer } => {
+                Action::Reply {
+                    call,
+                    answer,
+                    has_taken_effect,
+                } => {
                     self.replies.insert(call, answer);
+                    if has_taken_effect {
+                        self.effective_calls.insert(call);
+                    }
                 }
                 Action::WaveStatus { wave, is_completed } => {
                     self.statuses.push((wave, is_completed));
--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -70,31 +70,37 @@
 impl Cell {
     /// Handles an API request. Its answer follows as an [`Action::Reply`].
     pub fn call(&mut self, call: &Call) {
-        if let Some(answer) = self.answer(call) {
-            self.log_refused_repeat(call, &answer);
-            self.outbox.push(Action::Reply {
-                call: call.id,
-                answer,
-            });
+        let has_taken_effect = self.has_taken_effect(call);
+        let Some(answer) = self.answer(call, has_taken_effect) else {
+            return;
+        };
+        if has_taken_effect {
+            info!(path = %call.path, ?answer, "request refused whose effect is held");
         }
+        self.outbox.push(Action::Reply {
+            call: call.id,
+            answer,
+            has_taken_effect,
+        });
     }
 
-    /// Logs the refusal of a job that is held, which an earlier attempt has submitted.
-    fn log_refused_repeat(&self, call: &Call, answer: &Answer) {
-        let is_submission = matches!(call.verb, Verb::Submit(_) | Verb::Confirm);
-        let (_, name) = call.path.rsplit_once('/').unwrap_or_default();
-        if let Ok(job) = id::parse_job(name)
-            && is_submission
-            && let Some(held) = self.jobs.get(&job)
-        {
-            info!(job = %id::job_text(job), state = ?held.progress.state, ?answer,
-                "held job refused");
-        }
+    /// Whether the effect of a request is held already. Needs no configuration: the queue of the
+    /// job may have been removed, and the key of its workspace withdrawn.
+    fn has_taken_effect(&self, call: &Call) -> bool {
+        let held = id::job_at_end(&call.path).and_then(|id| self.jobs.get(&id));
+        held.is_some_and(|job| match call.verb {
+            Verb::Submit(_) | Verb::Confirm => true,
+            Verb::Cancel => job.progress.state == JobState::Cancelled,
+            Verb::Read => false,
+        })
     }
 
     /// The answer to a request; `None` if the answer has to wait for a record to be durable.
-    fn answer(&mut self, call: &Call) -> Option<Answer> {
+    fn answer(&mut self, call: &Call, has_taken_effect: bool) -> Option<Answer> {
         let Some(cfg) = self.cfg.clone() else {
+            if has_taken_effect {
+                return Some(Answer::Unverified);
+            }
             return Some(Answer::Refused {
                 retry_after: NO_CONFIG_RETRY_AFTER,
                 is_for_queue: false,
@@ -265,6 +271,7 @@
         self.after_commit.push(Action::Reply {
             call,
             answer: Answer::Cancelled,
+            has_taken_effect: true,
         });
         None
     }
@@ -279,6 +286,7 @@
     Action::Reply {
         call,
         answer: Answer::Accepted,
+        has_taken_effect: true,
     }
 }
 
--- a/crates/pomelohitch-sched/src/id.rs
+++ b/crates/pomelohitch-sched/src/id.rs
@@ -56,6 +56,13 @@
         .context(Snafu { what: "job", text })
 }
 
+/// The job whose id a path ends with.
+#[must_use]
+pub fn job_at_end(path: &str) -> Option<JobId> {
+    let start = path.len().checked_sub(JOB_DIGITS)?;
+    parse_job(path.get(start..)?).ok()
+}
+
 /// Formats a job id as 16 hexadecimal digits.
 #[must_use]
 pub fn job_text(id: JobId) -> String {
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`policy`]: policy switches and parameters.
 //! * [`progress`]: progress of jobs, and the durable records of it.
 //! * [`acks`]: acknowledgements of the leader's heartbeats.
+//! * [`attempts`]: what a caller may be told after several attempts at its request.
 //! * [`avoidance`]: limit on the endpoints avoided because runs stall there.
 //! * [`demand`]: forecast of the processors that each service needs.
 //! * [`endpoint`]: state of an endpoint, its clock and its lease.
@@ -31,6 +32,7 @@
 #![forbid(unsafe_code)]
 
 pub mod acks;
+pub mod attempts;
 pub mod avoidance;
 pub mod cell;
 pub mod config;
--- a/crates/pomelohitch-sched/src/order.rs
+++ b/crates/pomelohitch-sched/src/order.rs
@@ -149,6 +149,8 @@
     NoKey,
     /// The request is not a valid job.
     Malformed(Box<str>),
+    /// The effect of an earlier attempt is held, and the caller's key can't be checked yet.
+    Unverified,
     /// Refused for now, without any effect.
     Refused {
         /// When to retry.
@@ -193,6 +195,9 @@
         call: CallId,
         /// Answer to send.
         answer: Answer,
+        /// Whether the leader holds the effect of the request, from this or an earlier attempt:
+        /// for a submission the job, for a cancellation the cancelled job.
+        has_taken_effect: bool,
     },
     /// Reports the status of a maintenance wave.
     WaveStatus {
--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pomelohitch_sched::Settings;
 use pomelohitch_sched::cell::calls::{Draft, Verb};
 use pomelohitch_sched::config::Service;
 use pomelohitch_sched::job::Repeat;
 use pomelohitch_sched::order::Answer;
 use pomelohitch_sched::progress::JobState;
+use pomelohitch_sched::{Cell, Settings};
 
 use super::fleet::{Fleet, job, step};
 
@@ -74,6 +74,53 @@
     fleet.assert_invariants();
 }
 
+/// Guards against a refusal by a new leader from which members conclude that a job isn't stored.
+#[test]
+fn a_new_leader_says_that_it_holds_a_job_that_it_refuses() {
+    let path = &format!("/q/{ID}");
+    let mut fleet = Fleet::new(1);
+    fleet.submit(ID, job(vec![step(1, 1000, 100)]));
+    fleet.advance(2);
+    fleet.change_leader();
+    let mut without_queue = super::fleet::config(2);
+    without_queue.queues.clear();
+    fleet.cell.configure(Arc::new(without_queue));
+    let submit = || Verb::Submit(Ok(job(vec![step(1, 1000, 100)])));
+    let no_queue = fleet.call(path, submit());
+    fleet.cell.configure(Arc::new(super::fleet::config(3)));
+    let no_key = fleet.call_with(path, Some("withdrawn"), submit());
+    let no_key_to_cancel = fleet.call_with(path, Some("withdrawn"), Verb::Cancel);
+    let unknown = fleet.call_with("/q/00000000000000ff", Some("withdrawn"), submit());
+    fleet.call(path, Verb::Cancel);
+    let no_key_to_cancel_again = fleet.call_with(path, Some("withdrawn"), Verb::Cancel);
+    fleet.advance(2);
+    let calls = [
+        no_queue,
+        no_key,
+        no_key_to_cancel,
+        unknown,
+        no_key_to_cancel_again,
+    ];
+    let replies = calls.map(|call| (&fleet.replies[&call], fleet.effective_calls.contains(&call)));
+    insta::assert_debug_snapshot!(replies);
+}
+
+/// Guards against a promise that a stored job never runs while its caller's key can't be checked.
+#[test]
+fn a_new_leader_without_a_configuration_refuses_only_jobs_that_it_does_not_hold() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(ID, job(vec![step(1, 1000, 100)]));
+    fleet.advance(2);
+    let records: Vec<_> = fleet.log.clone().into_iter().collect();
+    let (cell, _) = Cell::restore(fleet.settings.clone(), 9, fleet.now, &records);
+    fleet.cell = cell;
+    let held = fleet.submit(ID, job(vec![step(1, 1000, 100)]));
+    let unknown = fleet.submit("00000000000000ff", job(vec![step(1, 1000, 100)]));
+    fleet.advance(2);
+    assert_eq!(fleet.replies[&held], Answer::Unverified);
+    assert!(matches!(fleet.replies[&unknown], Answer::Refused { .. }));
+}
+
 /// All members lose power during a burst of demand. Guards against a new leader that waits seconds
 /// before it switches on instances that have long been off, as if they had just been switched off.
 #[test]
--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -7,12 +7,13 @@
 use pomelohitch_adapter::callers as caller_api;
 use pomelohitch_route::Head;
 use pomelohitch_sched::Epoch;
+use pomelohitch_sched::attempts::{self, Attempts, Verdict};
 use pomelohitch_sched::cell::calls::Verb;
 use pomelohitch_sched::order::Answer;
 use rouille::Response;
 use tracing::{info, warn};
 
-use super::leader::core::{Event, Incoming as LeaderCall};
+use super::leader::core::{self, Event, Incoming as LeaderCall};
 use super::shared::{Leadership, Shared};
 use super::{forwarding, wire};
 use crate::front::{Incoming, Limits, Service};
@@ -100,48 +101,51 @@
     pub(super) epoch: Epoch,
     /// Response for the caller.
     pub(super) response: Response,
+    /// Whether the leader holds the effect of the request, if it says so.
+    pub(super) has_taken_effect: Option<bool>,
     /// How long the leader refuses all new jobs of the queue, if it does.
     pub(super) queue_refused_for: Option<Duration>,
 }
 
+impl Reply {
+    fn summary(&self) -> attempts::Reply {
+        attempts::Reply {
+            epoch: self.epoch,
+            status: self.response.status_code,
+            has_taken_effect: self.has_taken_effect,
+        }
+    }
+}
+
 /// Answers a caller with the leader's answer, or with an error when the timeout has passed.
 ///
-/// Once an attempt may have been executed, a later refusal by the same leadership isn't returned,
-/// whatever its reason: an API key may be withdrawn between the two attempts, and the caller would
-/// take a job for refused while it runs. A later leader has read all that earlier ones have
-/// written, and they can't write any more, so that its answers are conclusive. Reads have no
-/// effect: every answer to them is returned.
+/// Once an attempt may have been executed, [`Attempts`] decides which refusals are returned. Reads
+/// have no effect: every answer to them is returned.
 pub fn answer(shared: &Shared, incoming: &Incoming) -> Response {
     let timeout = request_timeout(&incoming.head);
     let has_effect = has_effect(&incoming.head.method);
-    let mut maybe_executed_by: Option<Epoch> = None;
+    let mut attempts = Attempts::default();
     loop {
         match attempt(shared, incoming, timeout) {
-            Attempt::Answered(Reply {
-                epoch, response, ..
-            }) => {
-                let status = response.status_code;
-                if has_effect && status >= 400 {
-                    log_refusal(incoming, status, epoch, maybe_executed_by);
-                }
-                if is_conclusive(status) || maybe_executed_by.is_none_or(|earlier| earlier < epoch)
-                {
-                    return response;
+            Attempt::Answered(reply) => {
+                let verdict = attempts.verdict(&reply.summary());
+                if has_effect && reply.response.status_code >= 400 {
+                    log_refusal(incoming, &reply, &attempts, verdict);
                 }
-                if status != UNAVAILABLE {
-                    return give_up(incoming, true);
+                match verdict {
+                    Verdict::Return => return reply.response,
+                    Verdict::Retry => {}
+                    Verdict::GiveUp => return give_up(incoming, true),
                 }
             }
-            Attempt::Overloaded(retry_after) if maybe_executed_by.is_none() => {
+            Attempt::Overloaded(retry_after) if attempts.maybe_executed_by().is_none() => {
                 return refuse(incoming, retry_after);
             }
-            Attempt::Unknown(epoch) if has_effect => {
-                maybe_executed_by = maybe_executed_by.max(Some(epoch));
-            }
+            Attempt::Unknown(epoch) if has_effect => attempts.record_unknown(epoch),
             Attempt::NotExecuted | Attempt::Overloaded(_) | Attempt::Unknown(_) => {}
         }
         if incoming.arrived.elapsed() + RETRY_INTERVAL >= timeout {
-            return give_up(incoming, maybe_executed_by.is_some());
+            return give_up(incoming, attempts.maybe_executed_by().is_some());
         }
         shared.wait(RETRY_INTERVAL);
     }
@@ -149,29 +153,22 @@
 
 /// Logs a leader's refusal of a request that has an effect, with the leadership that may have
 /// executed an earlier attempt.
-fn log_refusal(incoming: &Incoming, status: u16, epoch: Epoch, maybe_executed_by: Option<Epoch>) {
+fn log_refusal(incoming: &Incoming, reply: &Reply, attempts: &Attempts, verdict: Verdict) {
     let waited_ms = incoming.arrived.elapsed().as_millis();
-    info!(path = %incoming.head.target, method = %incoming.head.method, status, epoch,
-        ?maybe_executed_by, waited_ms, "request refused by a leader");
-    if maybe_executed_by.is_some_and(|earlier| earlier < epoch) {
+    let maybe_executed_by = attempts.maybe_executed_by();
+    info!(path = %incoming.head.target, method = %incoming.head.method,
+        status = reply.response.status_code, epoch = reply.epoch, ?maybe_executed_by,
+        has_taken_effect = ?reply.has_taken_effect, ?verdict, waited_ms,
+        "request refused by a leader");
+    if maybe_executed_by.is_some_and(|earlier| earlier < reply.epoch) {
         metrics::counter!("refusals_after_unknown_attempt").increment(1);
     }
 }
 
-/// Status if the leader can't serve the request now; a retry may succeed.
-const UNAVAILABLE: u16 = 503;
-/// Status if the leader has no such job; also the answer to a repeated cancel.
-pub(super) const GONE: u16 = 410;
-
 fn has_effect(method: &str) -> bool {
     !matches!(method, "GET" | "HEAD")
 }
 
-/// Whether an answer holds even if an earlier attempt was executed.
-fn is_conclusive(status: u16) -> bool {
-    (200..300).contains(&status) || status == GONE
-}
-
 fn request_timeout(head: &Head) -> Duration {
     let deadline = head.headers.get(caller_api::DEADLINE_HEADER);
     let deadline = deadline.and_then(|d| d.trim().parse().ok());
@@ -203,7 +200,7 @@
 fn unavailable(retry_after: Duration) -> Response {
     let seconds = retry_after.as_secs_f64().ceil().to_string();
     Response::text("{}")
-        .with_status_code(UNAVAILABLE)
+        .with_status_code(503)
         .with_additional_header("Retry-After", seconds)
 }
 
@@ -255,6 +252,12 @@
     let response = reply
         .response
         .with_additional_header(wire::LEADER_EPOCH_HEADER, epoch);
+    let response = match reply.has_taken_effect {
+        Some(held) => {
+            response.with_additional_header(wire::EFFECT_HEADER, u8::from(held).to_string())
+        }
+        None => response,
+    };
     match reply.queue_refused_for {
         Some(time) => {
             let millis = time.as_millis().to_string();
@@ -281,6 +284,7 @@
             return Attempt::Answered(Reply {
                 epoch: leadership.epoch,
                 response: Response::text("{}").with_status_code(405),
+                has_taken_effect: Some(false),
                 queue_refused_for: None,
             });
         }
@@ -297,13 +301,17 @@
     if leadership.events.send(Event::Call(call)).is_err() {
         return Attempt::NotExecuted;
     }
-    let answer: Result<Answer, _> = rx.recv_timeout(timeout);
-    match answer {
-        Ok(answer) => {
+    let reply: Result<core::Reply, _> = rx.recv_timeout(timeout);
+    match reply {
+        Ok(core::Reply {
+            answer,
+            has_taken_effect,
+        }) => {
             log_answer(incoming, &answer);
             Attempt::Answered(Reply {
                 epoch: leadership.epoch,
                 response: respond(&answer),
+                has_taken_effect: Some(has_taken_effect),
                 queue_refused_for: queue_refused_for(&answer),
             })
         }
--- a/pomelohitchd/src/fleet/forwarding.rs
+++ b/pomelohitchd/src/fleet/forwarding.rs
@@ -6,11 +6,12 @@
 
 use pomelohitch_adapter::call::{self, Effect, Request};
 use pomelohitch_route::Head;
+use pomelohitch_sched::attempts::GONE;
 use pomelohitch_sched::forwarding::Window;
 use pomelohitch_sched::{Epoch, Steady};
 use tracing::info;
 
-use super::callers::{Attempt, GONE, Reply, json};
+use super::callers::{Attempt, Reply, json};
 use super::clock;
 use super::shared::Shared;
 use super::wire::{self, Leader};
@@ -245,8 +246,14 @@
     let retry_after = answer.header("Retry-After").map(str::to_owned);
     let refused_ms = answer.header(wire::QUEUE_REFUSED_MS_HEADER);
     let refused_ms = refused_ms.and_then(|ms| ms.parse().ok());
+    let has_taken_effect = match answer.header(wire::EFFECT_HEADER) {
+        Some("0") => Some(false),
+        Some("1") => Some(true),
+        _ => None,
+    };
     Attempt::Answered(Reply {
         epoch,
+        has_taken_effect,
         queue_refused_for: refused_ms.map(Duration::from_millis),
         response: json(answer.status, answer.body, retry_after),
     })
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -52,7 +52,16 @@
     /// Requested operation.
     pub verb: Verb,
     /// Receives the answer.
-    pub reply: SyncSender<Answer>,
+    pub reply: SyncSender<Reply>,
+}
+
+/// The leader's reply to a caller's request.
+#[derive(Debug)]
+pub struct Reply {
+    /// The answer.
+    pub answer: Answer,
+    /// Whether the leader holds the effect of the request; see [`Action::Reply`].
+    pub has_taken_effect: bool,
 }
 
 /// Input of the leader's event loop.
@@ -149,7 +158,7 @@
     dispatcher: Dispatcher,
     journal: Journal,
     platform_calls: PlatformCalls,
-    pending_calls: HashMap<CallId, SyncSender<Answer>>,
+    pending_calls: HashMap<CallId, SyncSender<Reply>>,
     next_call: CallId,
     in_flight: InFlight,
     last_append_at: Steady,
@@ -396,7 +405,17 @@
                     operation,
                     at,
                 } => self.platform_calls.operate(instance, operation, at),
-                Action::Reply { call, answer } => self.reply(call, answer),
+                Action::Reply {
+                    call,
+                    answer,
+                    has_taken_effect,
+                } => self.reply(
+                    call,
+                    Reply {
+                        answer,
+                        has_taken_effect,
+                    },
+                ),
                 Action::WaveStatus { wave, is_completed } => {
                     self.platform_calls.write_wave_status(wave, is_completed);
                 }
@@ -407,10 +426,10 @@
         }
     }
 
-    fn reply(&mut self, call: CallId, answer: Answer) {
-        if let Some(reply) = self.pending_calls.remove(&call) {
+    fn reply(&mut self, call: CallId, reply: Reply) {
+        if let Some(tx) = self.pending_calls.remove(&call) {
             // The receiver may have timed out; the caller then repeats its request.
-            let _ = reply.try_send(answer);
+            let _ = tx.try_send(reply);
         }
     }
 
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -27,6 +27,10 @@
 /// except for status 504, which leaves that open.
 pub const LEADER_EPOCH_HEADER: &str = "X-Leader-Epoch";
 
+/// Header of an answer to a forwarded request: `1` if the leader holds the effect of the request,
+/// from this or an earlier attempt, `0` if not.
+pub const EFFECT_HEADER: &str = "X-Effect-Held";
+
 /// Header of a refusal of a forwarded request: for how many milliseconds all new jobs of its queue
 /// are refused.
 pub const QUEUE_REFUSED_MS_HEADER: &str = "X-Queue-Refused-Ms";
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -26,9 +26,24 @@
 const GONE: &str = "HTTP/1.1 410 Gone\r\nX-Leader-Epoch: 1\r\nContent-Length: 2\r\n\r\n{}";
 const UNKNOWN: &str = "HTTP/1.1 504 Unknown\r\nContent-Length: 0\r\n\r\n";
 
-const REFUSED_BY_LATER_LEADER: &str =
+/// Refusals by a later leader, for each reason.
+const REFUSED_LATER: &str = "HTTP/1.1 503 Busy\r\nX-Leader-Epoch: 2\r\nRetry-After: 2\r\n\
+    X-Effect-Held: 0\r\nContent-Length: 2\r\n\r\n{}";
+const NO_KEY_LATER: &str =
+    "HTTP/1.1 401 No\r\nX-Leader-Epoch: 2\r\nX-Effect-Held: 0\r\nContent-Length: 2\r\n\r\n{}";
+const NO_QUEUE_LATER: &str =
+    "HTTP/1.1 404 No\r\nX-Leader-Epoch: 2\r\nX-Effect-Held: 0\r\nContent-Length: 2\r\n\r\n{}";
+/// The same by a later leader that holds the effect of the request.
+const REFUSED_LATER_HELD: &str = "HTTP/1.1 503 Busy\r\nX-Leader-Epoch: 2\r\nRetry-After: 2\r\n\
+    X-Effect-Held: 1\r\nContent-Length: 2\r\n\r\n{}";
+const NO_KEY_LATER_HELD: &str =
+    "HTTP/1.1 401 No\r\nX-Leader-Epoch: 2\r\nX-Effect-Held: 1\r\nContent-Length: 2\r\n\r\n{}";
+const NO_QUEUE_LATER_HELD: &str =
+    "HTTP/1.1 404 No\r\nX-Leader-Epoch: 2\r\nX-Effect-Held: 1\r\nContent-Length: 2\r\n\r\n{}";
+/// The same by a later leader that doesn't say whether it holds the effect.
+const REFUSED_LATER_UNPROVED: &str =
     "HTTP/1.1 503 Busy\r\nX-Leader-Epoch: 2\r\nRetry-After: 2\r\nContent-Length: 2\r\n\r\n{}";
-const NO_KEY_BY_LATER_LEADER: &str =
+const NO_KEY_LATER_UNPROVED: &str =
     "HTTP/1.1 401 No\r\nX-Leader-Epoch: 2\r\nContent-Length: 2\r\n\r\n{}";
 
 /// A leader that gives these answers in turn and then repeats the last one.
@@ -192,13 +207,35 @@
 
 /// Guards against a 504 for a request although a later leader knows that it wasn't executed.
 #[test]
-fn a_later_leaders_answer_is_conclusive_after_an_unanswered_attempt() {
+fn a_later_leaders_refusal_is_returned_if_it_does_not_hold_the_job() {
     for (later, answer) in [
-        (REFUSED_BY_LATER_LEADER, (503, true)),
-        (NO_KEY_BY_LATER_LEADER, (401, false)),
+        (REFUSED_LATER, (503, true)),
+        (NO_KEY_LATER, (401, false)),
+        (NO_QUEUE_LATER, (404, false)),
         (ACCEPTED, (200, false)),
     ] {
         assert_eq!(response_to_post(leader(&[UNKNOWN, later])), answer);
+        let cancel = request("DELETE");
+        assert_eq!(response_to(leader(&[UNKNOWN, later]), &cancel), answer);
+    }
+}
+
+/// Guards against refusing a job or a cancellation that an earlier leader has executed: a later one
+/// may refuse it for its key, its queue or a missing configuration although it holds the effect.
+#[test]
+fn a_later_leaders_refusal_is_not_returned_unless_it_proves_that_nothing_was_executed() {
+    for later in [
+        REFUSED_LATER_HELD,
+        NO_KEY_LATER_HELD,
+        NO_QUEUE_LATER_HELD,
+        REFUSED_LATER_UNPROVED,
+        NO_KEY_LATER_UNPROVED,
+    ] {
+        for method in ["POST", "DELETE"] {
+            let answers = [UNKNOWN, later];
+            let response = response_to(leader(&answers), &request(method));
+            assert_eq!(response, (504, false), "{method}: {later}");
+        }
     }
 }
 
@@ -268,7 +305,7 @@
     set_leader(&shared, 1, addr);
     let callers = call_concurrently(&shared, 24);
     std::thread::sleep(Duration::from_millis(100));
-    set_leader(&shared, 2, leader(&[REFUSED_BY_LATER_LEADER]));
+    set_leader(&shared, 2, leader(&[REFUSED_LATER]));
     assert_eq!(callers::answer(&shared, &post_request()).status_code, 503);
     for caller in callers {
         caller.join().expect("the caller doesn't panic");
--- a/pomelohitchd/tests/fleet/in_flight.rs
+++ b/pomelohitchd/tests/fleet/in_flight.rs
@@ -9,6 +9,7 @@
     batch.actions.push(Action::Reply {
         call,
         answer: Answer::Accepted,
+        has_taken_effect: true,
     });
     batch
 }
