fix: a held job is confirmed whoever asks

Callers could see: 503 with Retry-After for a job that is stored and runs. While a leader refuses new jobs of a queue, members ask it only whether it holds the job. It said no (410) if the caller's workspace wasn't that of the job: the queue is public and the key withdrawn, or the key now belongs to another workspace. The member then refused the job. The complete request would have been accepted, since it looks up the id alone.

Cause: two lookups for one question. The confirmation and the submission now share one.

The test failed before: Gone in place of Accepted.

--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -118,9 +118,9 @@
         let name = &call.path[queue.prefix.len()..];
         match (&call.verb, name, id::parse_job(name)) {
             (Verb::Read, "", _) => Some(Answer::Waiting(self.queued_count(queue))),
-            (Verb::Submit(_) | Verb::Confirm, _, Ok(job))
-                if self.has_visible_job(job, workspace.as_ref()) =>
-            {
+            // A job of another workspace is confirmed too: it runs, so its caller must not be told
+            // that it was refused.
+            (Verb::Submit(_) | Verb::Confirm, _, Ok(job)) if self.jobs.contains_key(&job) => {
                 self.after_commit.push(accepted(call.id));
                 None
             }
@@ -135,7 +135,7 @@
         }
     }
 
-    /// Accepts a job. A request with the id of a job that is already held doesn't change that job.
+    /// Accepts a job that isn't held yet.
     fn submit(
         &mut self,
         call: CallId,
@@ -144,10 +144,6 @@
         workspace: Option<WorkspaceName>,
         draft: &Draft,
     ) -> Option<Answer> {
-        if self.jobs.contains_key(&id) {
-            self.after_commit.push(accepted(call));
-            return None;
-        }
         if self.is_log_down {
             return Some(Answer::Refused {
                 retry_after: LOG_RETRY_AFTER,
@@ -228,13 +224,6 @@
         tasks.filter(|t| !t.is_done && t.runs.is_empty()).count()
     }
 
-    /// Whether a job with this id was accepted already and is visible to the workspace.
-    fn has_visible_job(&self, id: JobId, workspace: Option<&WorkspaceName>) -> bool {
-        self.jobs
-            .get(&id)
-            .is_some_and(|j| is_visible_to(j, workspace))
-    }
-
     fn read(&self, id: JobId, workspace: Option<&WorkspaceName>) -> Answer {
         match self.jobs.get(&id) {
             Some(job) if !is_visible_to(job, workspace) => Answer::Gone,
--- a/crates/pomelohitch-sched/tests/cell/calls.rs
+++ b/crates/pomelohitch-sched/tests/cell/calls.rs
@@ -1,5 +1,6 @@
 //! API calls and their answers.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use pomelohitch_sched::cell::calls::Verb;
@@ -37,6 +38,26 @@
     assert_eq!(fleet.starts.len(), 2);
 }
 
+/// Guards against a member that takes a held job for not submitted, and refuses it.
+#[test]
+fn a_held_job_is_confirmed_also_after_its_key_is_withdrawn_from_a_public_queue() {
+    let mut fleet = Fleet::new(1);
+    let mut cfg = super::fleet::config(2);
+    cfg.queues[0].is_public = true;
+    fleet.cell.configure(Arc::new(cfg));
+    fleet.submit(ID, job(vec![step(1, 500, 100)]));
+    fleet.advance(2);
+    let path = &format!("/q/{ID}");
+    let repeated = Verb::Submit(Ok(job(vec![step(1, 500, 100)])));
+    let repeated = fleet.call_with(path, Some("withdrawn"), repeated);
+    let confirmed = fleet.call_with(path, Some("withdrawn"), Verb::Confirm);
+    let unknown = fleet.call("/q/00000000000000ff", Verb::Confirm);
+    fleet.advance(2);
+    assert_eq!(fleet.replies[&repeated], Answer::Accepted);
+    assert_eq!(fleet.replies[&confirmed], Answer::Accepted);
+    assert_eq!(fleet.replies[&unknown], Answer::Gone);
+}
+
 /// Guards against a job that is accepted before its record is durable: it would be lost if all
 /// entry instances lost power.
 #[test]
