fix: an answer without an epoch is taken for a refusal only if its status says so

Callers could see: 503 for a request that was handed on and answered by something else than a leader's refusal: each status but 504 without the epoch's header counted as not executed, also 2xx, 3xx, 500 and 502. No member sends one of these to a forwarded request today, so this is the same class of fault without a known case: "not executed" concluded from an answer that doesn't say so.

Now only 4xx and 503 count, which members send before they read a request, or if they don't lead; anything else leaves the outcome open, and the caller is told 504.

The test failed before: 503 with Retry-After after a 200 without an epoch.

--- a/pomelohitchd/src/fleet/forwarding.rs
+++ b/pomelohitchd/src/fleet/forwarding.rs
@@ -230,15 +230,21 @@
     }
 }
 
+/// Whether an answer without an epoch says that its sender refused the request unexecuted. Members
+/// do so before they read a request or if they don't lead.
+fn excludes_execution(status: u16) -> bool {
+    matches!(status, 400..=499 | 503)
+}
+
 /// Interprets the answer of a process that was expected to be the leader with `epoch`.
 fn interpret(answer: call::Answer, epoch: Epoch, head: &Head) -> Attempt {
     let Some(answered_by) = answer.header(wire::LEADER_EPOCH_HEADER) else {
         info!(path = %head.target, method = %head.method, epoch, status = answer.status,
             "request not answered by the leader");
-        return if answer.status == 504 {
-            Attempt::Unknown(epoch)
-        } else {
+        return if excludes_execution(answer.status) {
             Attempt::NotExecuted
+        } else {
+            Attempt::Unknown(epoch)
         };
     };
     // Epoch 0, if the header isn't a number, never counts as later than that of an earlier attempt.
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -23,8 +23,8 @@
 /// before.
 pub const CONFIRM_HEADER: &str = "X-Confirm";
 /// Header of an answer to a forwarded request: epoch of the leader that gave it. An answer without
-/// it comes from a process that doesn't lead, or no longer does, and didn't execute the request,
-/// except for status 504, which leaves that open.
+/// it comes from a process that doesn't lead, or no longer does. It refused the request unexecuted
+/// if the status is 4xx or 503; any other status leaves that open.
 pub const LEADER_EPOCH_HEADER: &str = "X-Leader-Epoch";
 
 /// Header of an answer to a forwarded request: `1` if the leader holds the effect of the request,
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -297,6 +297,20 @@
     assert_eq!(accepted.load(Ordering::SeqCst), 16);
 }
 
+/// Guards against taking any answer without an epoch for the word of a member that doesn't lead.
+#[test]
+fn an_answer_that_does_not_exclude_an_execution_is_not_taken_for_one() {
+    for excluded in ["421 Misdirected", "404 Not Found", "503 Busy"] {
+        let answer = format!("HTTP/1.1 {excluded}\r\nContent-Length: 0\r\n\r\n");
+        assert_eq!(response_to_post(leader(&[answer.leak()])), (503, true));
+    }
+    for possible in ["200 OK", "302 Found", "500 Error", "502 Bad Gateway"] {
+        let answer = format!("HTTP/1.1 {possible}\r\nContent-Length: 0\r\n\r\n");
+        let response = response_to_post(leader(&[answer.leak()]));
+        assert_eq!(response, (504, false), "{possible}");
+    }
+}
+
 /// Guards against leaking slots when the leader changes while requests wait for one.
 #[test]
 fn all_slots_are_released_when_the_leader_changes() {
