feat: the log says when lines of it were dropped

Operators saw an incomplete log that looked complete: lines beyond 8,192 waiting were counted, but only `stopped` said so, which a process that is killed never writes.

`log lines dropped` now says how many were dropped since the last such line and in all, at most once each 5 s, from the loop that watches signals and settings; the metric `log_lines_dropped` counts them. A report that is dropped itself is counted, so that a later one follows.

--- a/pomelohitchd/src/fleet/lifecycle.rs
+++ b/pomelohitchd/src/fleet/lifecycle.rs
@@ -15,6 +15,7 @@
 use tracing::{info, warn};
 
 use super::leader::core::Event;
+use super::logs::Logs;
 use super::shared::{Shared, spawn, spawn_with};
 use super::{callers, clock, election, internal, logs, members, relay};
 use crate::front::{self, Service};
@@ -58,8 +59,8 @@
 /// Runs the daemon with the settings file at `path` until a signal ends it.
 #[must_use]
 pub fn run(path: &Path) -> ExitCode {
-    let logs = logs::start();
-    match serve(path) {
+    let mut logs = logs::start();
+    match serve(path, &mut logs) {
         Ok(()) => {
             info!(dropped_lines = logs.dropped(), "stopped");
             ExitCode::SUCCESS
@@ -81,7 +82,7 @@
     reload: Arc<AtomicBool>,
 }
 
-fn serve(path: &Path) -> Result<()> {
+fn serve(path: &Path, logs: &mut Logs) -> Result<()> {
     let site = settings::read(path).context(SettingsSnafu)?;
     let signals = install_signals()?;
     let metrics = PrometheusBuilder::new()
@@ -107,7 +108,7 @@
         front::serve_with(service, &callers, callers::limits());
     })
     .context(ThreadSnafu)?;
-    watch_settings(path, &shared, &signals);
+    watch(path, &shared, &signals, logs);
     shut_down(&shared, &serving);
     Ok(())
 }
@@ -155,12 +156,14 @@
     Ok(signals)
 }
 
-/// Reloads the settings file when it changes or on a signal, until a signal ends the process.
-fn watch_settings(path: &Path, shared: &Shared, signals: &Signals) {
+/// Reloads the settings file when it changes or on a signal, and reports dropped log lines, until a
+/// signal ends the process.
+fn watch(path: &Path, shared: &Shared, signals: &Signals, logs: &mut Logs) {
     let mut last_modified = modified(path);
     let mut ticks = 0_u32;
     while !signals.stop.load(Ordering::Acquire) {
         std::thread::sleep(TICK);
+        logs.report_dropped(clock::steady());
         ticks += 1;
         let is_signalled = signals.reload.swap(false, Ordering::AcqRel);
         if !is_signalled && !ticks.is_multiple_of(TICKS_PER_SETTINGS_CHECK) {
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -224,6 +224,11 @@
         "requests",
         "Requests of callers for which no leader answered in time.",
     ),
+    counter(
+        "log_lines_dropped",
+        "lines",
+        "Log lines that were dropped because too many waited to be written.",
+    ),
     Metric {
         name: "planner_look_seconds",
         kind: Kind::Histogram,
