test: an operation without an answer is taken for not carried out

Fails on the current code, each time: 1.5 s after an operation on an instance whose answer was lost, the leader forgets it, and by a list from before the operation the instance is up. It takes another one down, where one may be down (rule LIMIT).

--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -209,6 +209,39 @@
     assert!(fleet.statuses.contains(&(1, true)));
 }
 
+/// An operation is carried out but its answer is lost, and the list of instances can't be read for a
+/// while. Guards against counting the instance as up by the former list and taking another one down.
+#[test]
+fn an_unanswered_operation_counts_as_down_until_a_later_list_shows_the_instance() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit("00000000000000a1", job(vec![step(1, 500, 8_000)]));
+    fleet.advance(400);
+    let busy = format!("m{}", &fleet.starts[0].2[1..]);
+    let idle = if busy == "m0" { "m1" } else { "m0" };
+    fleet.loses_operations = true;
+    fleet.cell.wave(wave(&[&busy, idle], 1));
+    while fleet.operations.is_empty() {
+        fleet.advance(1);
+    }
+    assert_eq!(operated_instances(&fleet), [idle]);
+    fleet.hides_instances = true;
+    let down = fleet.instances.get_mut(idle).expect("the instance exists");
+    down.state = InstanceState::Maintenance;
+    fleet.advance(1_000);
+    assert!(
+        !operated_instances(&fleet).contains(&&*busy),
+        "two instances are down: {:?}",
+        operated_instances(&fleet)
+    );
+
+    let back = fleet.instances.get_mut(idle).expect("the instance exists");
+    back.state = InstanceState::Up;
+    fleet.hides_instances = false;
+    fleet.loses_operations = false;
+    fleet.advance(1_000);
+    assert!(fleet.statuses.contains(&(1, true)));
+}
+
 /// An instance that crashed is missing from the list for some seconds. Guards against dropping it
 /// from the wave.
 #[test]
