test: a caller is told that a job doesn't run that an earlier attempt submitted

Fails on the current code, each time: a submit is appended but not read back in time, and answered 504 with `ran: unknown`; its repeat with the same Idempotency-Key, which the log refuses, is answered 503 with `ran: no`, and the job runs. `NotAppended` says that of the repeat's record only.

`Platform::entry_with` of the test's support is split, so that an entry instance can be had that hasn't read the log; what it does is unchanged.

--- a/pomelohitchd/tests/batch/faults.rs
+++ b/pomelohitchd/tests/batch/faults.rs
@@ -77,6 +77,42 @@
     assert_eq!(platform.ledger().jobs[&id].started, 1);
 }
 
+/// A submit was appended but not confirmed in time, and the log refuses the caller's repeat with the
+/// same key. Guards against telling the caller that the job doesn't run, after which it would submit
+/// the job under another key.
+#[test]
+fn a_repeat_that_the_log_refuses_does_not_deny_the_job_of_the_first_attempt() {
+    let platform = Platform::start(4);
+    let entry = platform.planner(100);
+    let behind = platform.entry_behind("entry-2");
+    let body = job("settle", false, "run=50");
+    let first = behind.call("POST", "/v1/jobs", Some("night-1"), &body);
+    assert_eq!(first.status, 504, "{}", first.body);
+    platform.log.set_faults(log::Faults {
+        calls: CallFaults {
+            down: true,
+            ..CallFaults::default()
+        },
+        keep: None,
+    });
+    let repeat = behind.call("POST", "/v1/jobs", Some("night-1"), &body);
+    platform.log.set_faults(log::Faults::default());
+    wait_until("the job ran", || {
+        platform
+            .ledger()
+            .jobs
+            .values()
+            .any(|runs| runs.succeeded == 1)
+    });
+    drop(entry);
+    assert!(
+        !repeat.body.contains(r#""ran":"no""#),
+        "{} {}",
+        repeat.status,
+        repeat.body
+    );
+}
+
 /// The workers are unreachable for some seconds while a job is placed. It starts once they are
 /// back, and only once.
 #[test]
--- a/pomelohitchd/tests/batch/support.rs
+++ b/pomelohitchd/tests/batch/support.rs
@@ -67,6 +67,15 @@
     }
 
     pub fn entry_with(&self, member: &str, options: batch::Options) -> Entry {
+        let entry = self.entry_behind(member);
+        spawn(&entry.node, reader::run);
+        entry.join();
+        spawn(&entry.node, move |node| batch::run_with(node, options));
+        entry
+    }
+
+    /// An entry instance that appends to the log but hasn't read it yet.
+    pub fn entry_behind(&self, member: &str) -> Entry {
         let settings = Settings::parse_from([
             "pomelohitchd",
             &format!("--member={member}"),
@@ -79,11 +88,7 @@
             &format!("--admin-key-hash={}", key::hash("operator")),
         ]);
         let node = Arc::new(Node::new(settings));
-        let entry = Entry { node };
-        spawn(&entry.node, reader::run);
-        entry.join();
-        spawn(&entry.node, move |node| batch::run_with(node, options));
-        entry
+        Entry { node }
     }
 
     /// An entry instance that is the planner, and a team that may run `jobs` jobs at once.
