fix: an operation without an answer counts as down until a later list shows the instance

What operators saw: in a wave with at most one instance down, two are taken down, if the platform's list can't be read around an operation whose answer was lost.

Cause: `forget_unanswered` dropped an operation 1.5 s after it was decided, whatever was known of it: also without an answer, with only a list from before it, and while the call was still in flight (it may be sent 0.8 s after the decision and take 1.2 s). The instance then counted as up. "Not carried out" was concluded from the lack of an answer.

Why it works: the outcome is kept with the operation. One that had no effect is ordered again as before. One without an answer is ordered again only once a list that was requested 0.3 s after the call ended has been read, so that an instance in maintenance counts by that list. One in flight waits for its outcome, which always follows: the call has a timeout, and an operation that isn't sent is withdrawn.

--- a/crates/pomelohitch-sched/src/instances.rs
+++ b/crates/pomelohitch-sched/src/instances.rs
@@ -86,13 +86,36 @@
 /// An instance with an operation that is not known to be over.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct UnderWay {
-    /// When it was decided or, once the platform has accepted it, when the answer arrived.
-    since: Steady,
+    decided_at: Steady,
     endpoint: Option<EndpointId>,
-    is_answered: bool,
+    /// Outcome of the call and when it was known; `None` while the call is in flight.
+    outcome: Option<(OperationOutcome, Steady)>,
     to: Option<ServiceName>,
 }
 
+impl UnderWay {
+    /// When the platform accepted the operation, if it did.
+    fn accepted_at(&self) -> Option<Steady> {
+        match self.outcome {
+            Some((OperationOutcome::Taken, at)) => Some(at),
+            _ => None,
+        }
+    }
+
+    /// Whether the operation may be ordered again. One without an answer may have been carried out,
+    /// which only a list requested after it shows: until then the instance counts as down.
+    fn may_be_repeated(&self, now: Steady, listed_at: Option<Steady>) -> bool {
+        let is_known = match self.outcome {
+            None | Some((OperationOutcome::Taken, _)) => false,
+            Some((OperationOutcome::Unanswered, at)) => {
+                listed_at.is_some_and(|listed| listed > at + LIST_LAG)
+            }
+            Some(_) => true,
+        };
+        is_known && now > self.decided_at + RETRY_AFTER
+    }
+}
+
 /// State of all instances and waves.
 #[derive(Debug, Clone, Default)]
 pub struct Instances {
@@ -111,8 +134,8 @@
     moving: BTreeSet<InstanceId>,
 }
 
-/// A list requested less than this after an operation was accepted may not reflect the operation
-/// yet.
+/// A list requested less than this after the outcome of an operation was known may not reflect the
+/// operation yet.
 const LIST_LAG: Duration = Duration::from_millis(300);
 /// An operation that was not accepted, or not answered, is ordered again after this time.
 const RETRY_AFTER: Duration = Duration::from_millis(1500);
@@ -347,9 +370,9 @@
         self.under_way.insert(
             id.clone(),
             UnderWay {
-                since: now,
+                decided_at: now,
                 endpoint,
-                is_answered: false,
+                outcome: None,
                 to,
             },
         );
@@ -358,7 +381,7 @@
     /// Withdraws the operation decided at `at`, which was dropped before it was sent. A newer
     /// operation on the instance stays.
     pub fn operation_dropped(&mut self, id: &InstanceId, at: Steady) {
-        if self.under_way.get(id).is_some_and(|u| u.since == at) {
+        if self.under_way.get(id).is_some_and(|u| u.decided_at == at) {
             self.under_way.remove(id);
         }
     }
@@ -381,14 +404,11 @@
         outcome: OperationOutcome,
         now: Steady,
     ) -> progress::Result<Option<Record>> {
+        if let Some(under_way) = self.under_way.get_mut(id) {
+            under_way.outcome = Some((outcome, now));
+        }
         match outcome {
-            OperationOutcome::Taken => {
-                if let Some(under_way) = self.under_way.get_mut(id) {
-                    under_way.is_answered = true;
-                    under_way.since = now;
-                }
-                wave.map(|w| self.confirm(w, id)).transpose()
-            }
+            OperationOutcome::Taken => wave.map(|w| self.confirm(w, id)).transpose(),
             // Ordered again after `RETRY_AFTER`. This includes refusals because the instance
             // does not exist: it may have crashed and come back.
             OperationOutcome::Refused
@@ -404,11 +424,13 @@
         wave_record(wave, confirmed)
     }
 
-    /// Drops operations whose answer was lost, so that they are ordered again. If one was carried
-    /// out, the repeated order is confirmed.
+    /// Drops operations that had no effect, and those without an answer once a later list shows what
+    /// became of them, so that they are ordered again. If one was carried out, the repeated order is
+    /// confirmed.
     pub fn forget_unanswered(&mut self, now: Steady) {
+        let listed_at = self.listed_at;
         self.under_way
-            .retain(|_, u| u.is_answered || now <= u.since + RETRY_AFTER);
+            .retain(|_, u| !u.may_be_repeated(now, listed_at));
     }
 
     /// Whether an instance is missing from the list and will not come back: it was about to leave,
@@ -518,9 +540,7 @@
 }
 
 fn is_operation_over(instance: Option<&Instance>, under_way: &UnderWay, asked_at: Steady) -> bool {
-    let Some(instance) = instance else {
-        return under_way.is_answered && asked_at > under_way.since + LIST_LAG;
-    };
-    let is_up = instance.state == InstanceState::Up;
-    is_up && under_way.is_answered && asked_at > under_way.since + LIST_LAG
+    let is_down = instance.is_some_and(|i| i.state != InstanceState::Up);
+    let accepted_at = under_way.accepted_at();
+    !is_down && accepted_at.is_some_and(|at| asked_at > at + LIST_LAG)
 }
--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -242,6 +242,21 @@
     assert!(fleet.statuses.contains(&(1, true)));
 }
 
+/// An operation waited before it was sent, and its answer is late. Guards against ordering another
+/// one meanwhile because the instance is still listed as up.
+#[test]
+fn an_operation_in_flight_counts_as_down_however_late_its_answer_is() {
+    let mut instances = Instances::default();
+    let second = Duration::from_secs(1);
+    let list: Vec<Instance> = (0..2).map(|n| instance(n, InstanceState::Up)).collect();
+    instances.update_list(list.clone(), second);
+    instances.add_wave(wave(&["m0", "m1"], 1), second);
+    instances.operation_started(&list[0].id, second, None);
+    instances.update_list(list, 2 * second);
+    instances.forget_unanswered(3 * second);
+    assert_eq!(instances.remaining()[0].may_begin, 0);
+}
+
 /// An instance that crashed is missing from the list for some seconds. Guards against dropping it
 /// from the wave.
 #[test]
