fix: a refused repeat of a submit or cancel isn't told as "not run"

What callers saw: a submit with an Idempotency-Key was answered 504, `ran: unknown`; its repeat 503, `ran: no`, while the log was away; and the job ran. A caller that then submits the job under another key has it run twice.

Cause: `NotAppended` says that the record of this request isn't in the log. The answer said it of the job, whose earlier record may be in the log and not read here. The same holds for the limit of kept jobs, which is looked up in a state that may be behind, and for a repeated cancel.

Why it works: a request that may repeat an earlier one (a key, or a cancel) is refused with 503 as before but `ran: unknown`; the same key may be used again. `ran: no` stays where it is certain: a submit without a key, whose id is new. Callers with a key lose the "no" of a first attempt that the log refused, which no entry instance can tell from a repeat.

--- a/pomelohitchd/src/jobs_api.rs
+++ b/pomelohitchd/src/jobs_api.rs
@@ -122,14 +122,14 @@
     if let Some(answer) = known_job(node, &job) {
         return answer;
     }
+    let may_be_repeat = key.is_some();
     if node.state.load().jobs.table.len() >= MAX_KEPT_JOBS {
         metrics::counter!("jobs_turned_away").increment(1);
-        return problem(503, "no", "too many jobs are kept; nothing was taken in")
-            .with_additional_header("Retry-After", RETRY_AFTER);
+        return refused("too many jobs are kept", may_be_repeat);
     }
     match node.commit_jobs(JobChange::Submit(vec![job.clone()])) {
         Outcome::Durable => submitted_job(node, &job),
-        outcome => not_durable(outcome),
+        outcome => not_durable(outcome, may_be_repeat),
     }
 }
 
@@ -225,16 +225,27 @@
     }
 }
 
-fn not_durable(outcome: Outcome) -> Response {
+fn not_durable(outcome: Outcome, may_be_repeat: bool) -> Response {
     match outcome {
-        Outcome::NotAppended => problem(503, "no", "the log refused; nothing was taken in"),
+        Outcome::NotAppended => refused("the log refused", may_be_repeat),
         _ => problem(
             504,
             "unknown",
             "the log didn't confirm in time; ask again with the same Idempotency-Key",
-        ),
+        )
+        .with_additional_header("Retry-After", RETRY_AFTER),
     }
-    .with_additional_header("Retry-After", RETRY_AFTER)
+}
+
+/// The answer if nothing of this request was appended. If it may repeat an earlier one, the record of
+/// that one may be in the log and not read here yet, so that nothing is known of the job.
+fn refused(why: &str, may_be_repeat: bool) -> Response {
+    let (ran, rest) = if may_be_repeat {
+        ("unknown", "an earlier request may have been taken in")
+    } else {
+        ("no", "nothing was taken in")
+    };
+    problem(503, ran, &format!("{why}; {rest}")).with_additional_header("Retry-After", RETRY_AFTER)
 }
 
 fn list(node: &Node, team: &TeamId) -> Response {
@@ -261,7 +272,7 @@
     }
     match node.commit_jobs(JobChange::Cancel(vec![id.into()])) {
         Outcome::Durable => show(node, team, id),
-        outcome => not_durable(outcome),
+        outcome => not_durable(outcome, true),
     }
 }
 
