test: a caller whose API key was withdrawn is told that its job doesn't run

Fails on the current code, each time: a job was submitted with an Idempotency-Key, the API key is withdrawn, and the caller's repeat is answered 401 with `ran: no`. The key is looked at before the job is.

--- a/pomelohitchd/tests/front/answers.rs
+++ b/pomelohitchd/tests/front/answers.rs
@@ -2,12 +2,18 @@
 
 use std::net::TcpListener;
 
+use pomelohitch_core::key;
+use pomelohitch_core::record::Body;
+use pomelohitch_core::record::job::{Job, JobRecord, Resources, Urgency};
 use pomelohitch_route::problem::Ran;
 use pomelohitchd::front::Limits;
 
 use crate::entry::{Entry, problem, status};
 use crate::runner::{Runner, ok};
 
+/// The team of the key that `Entry::call` shows.
+const TEAM: &str = "valley";
+
 #[test]
 fn the_complete_answer_is_returned() {
     let runner = Runner::start(|_| {
@@ -131,3 +137,29 @@
     let words = serde_json::to_string(&[Ran::No, Ran::Unknown]).unwrap();
     insta::assert_snapshot!(words, @r#"["no","unknown"]"#);
 }
+
+/// A job was submitted with an Idempotency-Key, and the caller, who got no answer, repeats that after
+/// its API key was withdrawn. Guards against telling it that the job doesn't run.
+#[test]
+fn a_submit_repeated_with_a_withdrawn_key_does_not_deny_the_job() {
+    let entry = Entry::start(&[], Limits::default());
+    let id = &key::hash(&format!("{TEAM}\0night-1"))[..32];
+    let job = Job {
+        id: id.into(),
+        team: TEAM.into(),
+        class: "settle".into(),
+        urgency: Urgency::Patient,
+        need: Resources::default(),
+        run_time: std::time::Duration::ZERO,
+        idempotent: false,
+        command: "".into(),
+        group: None,
+    };
+    entry.apply(Body::Job(JobRecord::Submit(vec![job])));
+    assert!(entry.node.state.load().jobs.get(id).is_some());
+    entry.withdraw_key();
+    let headers = ["Idempotency-Key: night-1", "Content-Length: 0"];
+    let answer = entry.call("POST", "/v1/jobs", &headers);
+    assert_eq!(status(&answer), 401);
+    assert_ne!(problem(&answer)["ran"], "no");
+}
