fix: a submit or cancel that is refused by its key isn't told as "not run"

What callers saw: a submit with an Idempotency-Key had no answer or 504; its repeat was answered 401 (key withdrawn meanwhile) or 503 `stale-knowledge` with `ran: no`, and the job ran.

Cause: the key is looked at before the job is, and the refusal says of the job what it knows only of this request.

Evidence: `a_submit_repeated_with_a_withdrawn_key_does_not_deny_the_job` failed with `ran: no` for a job in the entry instance's own state.

Why it works: under `/v1/jobs`, a POST with an Idempotency-Key and a DELETE are refused by the key with the same status, but `ran: unknown`. Requests to services are unchanged: there `ran` is of the one call, as OPERATIONS.md says.

--- a/pomelohitchd/src/front/exchange.rs
+++ b/pomelohitchd/src/front/exchange.rs
@@ -89,7 +89,8 @@
         arrived: Instant,
     ) -> Result<Response> {
         let key = bearer_key(&head.headers)?;
-        let (state, team) = check_key(&self.node, &key)?;
+        let checked = check_key(&self.node, &key);
+        let (state, team) = checked.map_err(|problem| of_job(problem, &head))?;
         if is_jobs_path(&head.target) {
             return Ok(jobs_api::answer(
                 &self.node,
@@ -243,6 +244,21 @@
     path == "/v1/jobs" || path.starts_with("/v1/jobs/")
 }
 
+/// The problem of a request that was refused by its key. A submit or cancel may repeat an earlier
+/// one, which was taken in while the key was in force.
+fn of_job(problem: Problem, head: &Head) -> Problem {
+    let may_be_repeat = match &*head.method {
+        "POST" => head.headers.get("Idempotency-Key").is_some(),
+        method => method == "DELETE",
+    };
+    let ran = if is_jobs_path(&head.target) && may_be_repeat {
+        Ran::Unknown
+    } else {
+        problem.ran
+    };
+    Problem { ran, ..problem }
+}
+
 fn request(head: Head, body: Vec<u8>, peer: SocketAddr) -> Request {
     let headers = head.headers.iter();
     let headers = headers
