--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -229,6 +229,11 @@
         "answers",
         "Refusals by a leader after an attempt that an earlier leader may have executed.",
     ),
+    counter(
+        "log_lines_dropped",
+        "lines",
+        "Log lines that were dropped because too many waited to be written.",
+    ),
     Metric {
         name: "planner_look_seconds",
         kind: Kind::Histogram,
