fix: a leader that skipped a record doesn't say that it holds no effect of a request

Callers could see, while members of two versions run: 401 or 404 for a job that runs. A leader that can't decode a job's record skips it with a warning, holds no such job, and its refusal counted as proof; a leader of the other version decodes the record and runs the job.

The word is now that the request may have taken effect (it was that the effect is held), which a leader with skipped records says of each id that it doesn't hold. The names follow.

Found by review, without a run of two versions. The test failed before: the reply to a job whose record was skipped counted as proof.

--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -104,8 +104,8 @@
     pub crashes: Crashes,
     /// Answers to callers by call number.
     pub replies: BTreeMap<u64, Answer>,
-    /// Calls whose effect the leader held when it replied.
-    pub effective_calls: BTreeSet<u64>,
+    /// Calls that may have taken effect by the leader's reply.
+    pub effects_possible: BTreeSet<u64>,
     /// Reported status of waves: number, and whether the wave is completed.
     pub statuses: Vec<(u64, bool)>,
     /// Requested operations on instances, in order.
@@ -254,7 +254,7 @@
             faults: Faults::default(),
             crashes: Crashes::default(),
             replies: BTreeMap::new(),
-            effective_calls: BTreeSet::new(),
+            effects_possible: BTreeSet::new(),
             statuses: Vec::new(),
             operations: Vec::new(),
             violations: Vec::new(),
--- a/crates/pomelohitch-emulator/src/fleet/orders.rs
+++ b/crates/pomelohitch-emulator/src/fleet/orders.rs
@@ -25,11 +25,11 @@
                 Action::Reply {
                     call,
                     answer,
-                    has_taken_effect,
+                    is_effect_possible,
                 } => {
                     self.replies.insert(call, answer);
-                    if has_taken_effect {
-                        self.effective_calls.insert(call);
+                    if is_effect_possible {
+                        self.effects_possible.insert(call);
                     }
                 }
                 Action::WaveStatus { wave, is_completed } => {
--- a/crates/pomelohitch-sched/src/attempts.rs
+++ b/crates/pomelohitch-sched/src/attempts.rs
@@ -20,9 +20,9 @@
     pub epoch: Epoch,
     /// HTTP status.
     pub status: u16,
-    /// Whether the leader holds the effect of the request; see
-    /// [`Action::Reply`](crate::order::Action::Reply). `None` if it doesn't say.
-    pub has_taken_effect: Option<bool>,
+    /// Whether the request may have taken effect; see
+    /// [`Action::Reply`](crate::order::Action::Reply). `None` if the leader doesn't say.
+    pub is_effect_possible: Option<bool>,
 }
 
 impl Reply {
@@ -66,7 +66,7 @@
         let Some(earlier) = self.maybe_executed_by else {
             return Verdict::Return;
         };
-        let is_proof = reply.epoch > earlier && reply.has_taken_effect == Some(false);
+        let is_proof = reply.epoch > earlier && reply.is_effect_possible == Some(false);
         if !reply.is_refusal() || is_proof {
             Verdict::Return
         } else if reply.status == UNAVAILABLE {
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -211,6 +211,8 @@
     queues: HashMap<QueueName, usize>,
     /// Index of each workspace in the configuration.
     workspaces: HashMap<WorkspaceName, usize>,
+    /// Whether a record couldn't be decoded when the leader took over.
+    has_skipped_records: bool,
     housekeeping_at: Steady,
     scheduled_at: Steady,
     /// Moving average of the duration of a tick.
@@ -344,6 +346,7 @@
         let recorded = cell.jobs.values();
         let newest = recorded.map(|j| j.spec.accepted_ms.max(j.progress.ended_ms));
         cell.leader_since_ms = cell.leader_since_ms.max(newest.max().unwrap_or(0));
+        cell.has_skipped_records = !errors.is_empty();
         (cell, errors)
     }
 
@@ -356,6 +359,7 @@
             cfg: None,
             queues: HashMap::new(),
             workspaces: HashMap::new(),
+            has_skipped_records: false,
             housekeeping_at: Steady::ZERO,
             scheduled_at: Steady::ZERO,
             tick_duration: Duration::ZERO,
--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -70,35 +70,37 @@
 impl Cell {
     /// Handles an API request. Its answer follows as an [`Action::Reply`].
     pub fn call(&mut self, call: &Call) {
-        let has_taken_effect = self.has_taken_effect(call);
-        let Some(answer) = self.answer(call, has_taken_effect) else {
+        let is_effect_possible = self.is_effect_possible(call);
+        let Some(answer) = self.answer(call, is_effect_possible) else {
             return;
         };
-        if has_taken_effect {
-            info!(path = %call.path, ?answer, "request refused whose effect is held");
+        if is_effect_possible {
+            info!(path = %call.path, ?answer, "request refused although it may have taken effect");
         }
         self.outbox.push(Action::Reply {
             call: call.id,
             answer,
-            has_taken_effect,
+            is_effect_possible,
         });
     }
 
-    /// Whether the effect of a request is held already. Needs no configuration: the queue of the
-    /// job may have been removed, and the key of its workspace withdrawn.
-    fn has_taken_effect(&self, call: &Call) -> bool {
+    /// Whether an earlier attempt at a request may have taken effect. Needs no configuration: the
+    /// queue of the job may have been removed, and the key of its workspace withdrawn. A record that
+    /// couldn't be decoded may be that of the job; a leader of another version may decode it.
+    fn is_effect_possible(&self, call: &Call) -> bool {
         let held = id::job_at_end(&call.path).and_then(|id| self.jobs.get(&id));
-        held.is_some_and(|job| match call.verb {
-            Verb::Submit(_) | Verb::Confirm => true,
-            Verb::Cancel => job.progress.state == JobState::Cancelled,
-            Verb::Read => false,
-        })
+        match (&call.verb, held) {
+            (Verb::Read, _) => false,
+            (_, None) => self.has_skipped_records,
+            (Verb::Submit(_) | Verb::Confirm, Some(_)) => true,
+            (Verb::Cancel, Some(job)) => job.progress.state == JobState::Cancelled,
+        }
     }
 
     /// The answer to a request; `None` if the answer has to wait for a record to be durable.
-    fn answer(&mut self, call: &Call, has_taken_effect: bool) -> Option<Answer> {
+    fn answer(&mut self, call: &Call, is_effect_possible: bool) -> Option<Answer> {
         let Some(cfg) = self.cfg.clone() else {
-            if has_taken_effect {
+            if is_effect_possible {
                 return Some(Answer::Unverified);
             }
             return Some(Answer::Refused {
@@ -260,7 +262,7 @@
         self.after_commit.push(Action::Reply {
             call,
             answer: Answer::Cancelled,
-            has_taken_effect: true,
+            is_effect_possible: true,
         });
         None
     }
@@ -275,7 +277,7 @@
     Action::Reply {
         call,
         answer: Answer::Accepted,
-        has_taken_effect: true,
+        is_effect_possible: true,
     }
 }
 
--- a/crates/pomelohitch-sched/src/order.rs
+++ b/crates/pomelohitch-sched/src/order.rs
@@ -195,9 +195,9 @@
         call: CallId,
         /// Answer to send.
         answer: Answer,
-        /// Whether the leader holds the effect of the request, from this or an earlier attempt:
-        /// for a submission the job, for a cancellation the cancelled job.
-        has_taken_effect: bool,
+        /// Whether this or an earlier attempt may have taken effect: the leader holds the submitted
+        /// job, or the cancelled one, or couldn't read all records.
+        is_effect_possible: bool,
     },
     /// Reports the status of a maintenance wave.
     WaveStatus {
--- a/crates/pomelohitch-sched/tests/attempts.rs
+++ b/crates/pomelohitch-sched/tests/attempts.rs
@@ -18,11 +18,11 @@
         for status in [200, 401, 410, 503] {
             for epoch in [1, 2, 3] {
                 let held = [Some(false), Some(true), None];
-                let row = held.map(|has_taken_effect| {
+                let row = held.map(|is_effect_possible| {
                     attempts.verdict(&Reply {
                         epoch,
                         status,
-                        has_taken_effect,
+                        is_effect_possible,
                     })
                 });
                 verdicts.push(format!("{name}: {status} by epoch {epoch}: {row:?}"));
@@ -83,7 +83,7 @@
                 let reply = Reply {
                     epoch: by as Epoch,
                     status: REFUSALS[argument % REFUSALS.len()],
-                    has_taken_effect: Some(self.holds[by]),
+                    is_effect_possible: Some(self.holds[by]),
                 };
                 return self.attempts.verdict(&reply) == Verdict::Return;
             }
--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -101,7 +101,12 @@
         unknown,
         no_key_to_cancel_again,
     ];
-    let replies = calls.map(|call| (&fleet.replies[&call], fleet.effective_calls.contains(&call)));
+    let replies = calls.map(|call| {
+        (
+            &fleet.replies[&call],
+            fleet.effects_possible.contains(&call),
+        )
+    });
     insta::assert_debug_snapshot!(replies);
 }
 
@@ -121,6 +126,47 @@
     assert!(matches!(fleet.replies[&unknown], Answer::Refused { .. }));
 }
 
+/// Guards against a refusal that counts as proof although the leader couldn't read the job's record:
+/// a leader of another version may read it, and runs the job.
+#[test]
+fn a_leader_that_skipped_a_jobs_record_does_not_say_that_it_holds_no_effect() {
+    let path = &format!("/q/{ID}");
+    let mut fleet = Fleet::new(1);
+    fleet.submit(ID, job(vec![step(1, 1000, 100)]));
+    fleet.advance(2);
+    let mut records: Vec<_> = fleet.log.clone().into_iter().collect();
+    let of_spec = |(key, _): &&mut (Box<str>, Box<[u8]>)| **key == *format!("j{ID}");
+    let spec = records.iter_mut().find(of_spec).expect("the job is stored");
+    spec.1 = Box::default();
+    let (cell, skipped) = Cell::restore(fleet.settings.clone(), 9, fleet.now, &records);
+    assert_eq!(skipped.len(), 1);
+    fleet.cell = cell;
+    fleet.cell.configure(Arc::new(super::fleet::config(1)));
+    let submit = Verb::Submit(Ok(job(vec![step(1, 1000, 100)])));
+    let no_key = fleet.call_with(path, Some("withdrawn"), submit);
+    fleet.advance(2);
+    assert_eq!(fleet.replies[&no_key], Answer::NoKey);
+    assert!(fleet.effects_possible.contains(&no_key));
+}
+
+/// Guards against a 503 of a member, which says that the job never runs, for a job that is held: the
+/// member concludes it from 410 to a confirmation. A complete submission is accepted.
+#[test]
+fn a_confirmation_is_answered_like_the_submission_whose_key_has_moved() {
+    let path = &format!("/q/{ID}");
+    let mut fleet = Fleet::new(1);
+    fleet.submit(ID, job(vec![step(1, 1000, 100)]));
+    fleet.advance(2);
+    let mut moved = super::fleet::config(2);
+    moved.workspaces[0].name = "snow".into();
+    fleet.cell.configure(Arc::new(moved));
+    let submission = fleet.call(path, Verb::Submit(Ok(job(vec![step(1, 1000, 100)]))));
+    let confirmation = fleet.call(path, Verb::Confirm);
+    fleet.advance(2);
+    assert_eq!(fleet.replies[&submission], Answer::Accepted);
+    assert_eq!(fleet.replies[&confirmation], Answer::Accepted);
+}
+
 /// All members lose power during a burst of demand. Guards against a new leader that waits seconds
 /// before it switches on instances that have long been off, as if they had just been switched off.
 #[test]
--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -101,8 +101,8 @@
     pub(super) epoch: Epoch,
     /// Response for the caller.
     pub(super) response: Response,
-    /// Whether the leader holds the effect of the request, if it says so.
-    pub(super) has_taken_effect: Option<bool>,
+    /// Whether the request may have taken effect, if the leader says so.
+    pub(super) is_effect_possible: Option<bool>,
     /// How long the leader refuses all new jobs of the queue, if it does.
     pub(super) queue_refused_for: Option<Duration>,
 }
@@ -112,7 +112,7 @@
         attempts::Reply {
             epoch: self.epoch,
             status: self.response.status_code,
-            has_taken_effect: self.has_taken_effect,
+            is_effect_possible: self.is_effect_possible,
         }
     }
 }
@@ -158,7 +158,7 @@
     let maybe_executed_by = attempts.maybe_executed_by();
     info!(path = %incoming.head.target, method = %incoming.head.method,
         status = reply.response.status_code, epoch = reply.epoch, ?maybe_executed_by,
-        has_taken_effect = ?reply.has_taken_effect, ?verdict, waited_ms,
+        is_effect_possible = ?reply.is_effect_possible, ?verdict, waited_ms,
         "request refused by a leader");
     if maybe_executed_by.is_some_and(|earlier| earlier < reply.epoch) {
         metrics::counter!("refusals_after_unknown_attempt").increment(1);
@@ -252,7 +252,7 @@
     let response = reply
         .response
         .with_additional_header(wire::LEADER_EPOCH_HEADER, epoch);
-    let response = match reply.has_taken_effect {
+    let response = match reply.is_effect_possible {
         Some(held) => {
             response.with_additional_header(wire::EFFECT_HEADER, u8::from(held).to_string())
         }
@@ -284,7 +284,7 @@
             return Attempt::Answered(Reply {
                 epoch: leadership.epoch,
                 response: Response::text("{}").with_status_code(405),
-                has_taken_effect: Some(false),
+                is_effect_possible: Some(false),
                 queue_refused_for: None,
             });
         }
@@ -305,13 +305,13 @@
     match reply {
         Ok(core::Reply {
             answer,
-            has_taken_effect,
+            is_effect_possible,
         }) => {
             log_answer(incoming, &answer);
             Attempt::Answered(Reply {
                 epoch: leadership.epoch,
                 response: respond(&answer),
-                has_taken_effect: Some(has_taken_effect),
+                is_effect_possible: Some(is_effect_possible),
                 queue_refused_for: queue_refused_for(&answer),
             })
         }
--- a/pomelohitchd/src/fleet/forwarding.rs
+++ b/pomelohitchd/src/fleet/forwarding.rs
@@ -252,14 +252,14 @@
     let retry_after = answer.header("Retry-After").map(str::to_owned);
     let refused_ms = answer.header(wire::QUEUE_REFUSED_MS_HEADER);
     let refused_ms = refused_ms.and_then(|ms| ms.parse().ok());
-    let has_taken_effect = match answer.header(wire::EFFECT_HEADER) {
+    let is_effect_possible = match answer.header(wire::EFFECT_HEADER) {
         Some("0") => Some(false),
         Some("1") => Some(true),
         _ => None,
     };
     Attempt::Answered(Reply {
         epoch,
-        has_taken_effect,
+        is_effect_possible,
         queue_refused_for: refused_ms.map(Duration::from_millis),
         response: json(answer.status, answer.body, retry_after),
     })
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -60,8 +60,8 @@
 pub struct Reply {
     /// The answer.
     pub answer: Answer,
-    /// Whether the leader holds the effect of the request; see [`Action::Reply`].
-    pub has_taken_effect: bool,
+    /// Whether the request may have taken effect; see [`Action::Reply`].
+    pub is_effect_possible: bool,
 }
 
 /// Input of the leader's event loop.
@@ -408,12 +408,12 @@
                 Action::Reply {
                     call,
                     answer,
-                    has_taken_effect,
+                    is_effect_possible,
                 } => self.reply(
                     call,
                     Reply {
                         answer,
-                        has_taken_effect,
+                        is_effect_possible,
                     },
                 ),
                 Action::WaveStatus { wave, is_completed } => {
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -27,9 +27,9 @@
 /// if the status is 4xx or 503; any other status leaves that open.
 pub const LEADER_EPOCH_HEADER: &str = "X-Leader-Epoch";
 
-/// Header of an answer to a forwarded request: `1` if the leader holds the effect of the request,
-/// from this or an earlier attempt, `0` if not.
-pub const EFFECT_HEADER: &str = "X-Effect-Held";
+/// Header of an answer to a forwarded request: `0` if neither this nor an earlier attempt has taken
+/// effect, `1` if one may have.
+pub const EFFECT_HEADER: &str = "X-Effect-Possible";
 
 /// Header of a refusal of a forwarded request: for how many milliseconds all new jobs of its queue
 /// are refused.
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -28,18 +28,18 @@
 
 /// Refusals by a later leader, for each reason.
 const REFUSED_LATER: &str = "HTTP/1.1 503 Busy\r\nX-Leader-Epoch: 2\r\nRetry-After: 2\r\n\
-    X-Effect-Held: 0\r\nContent-Length: 2\r\n\r\n{}";
+    X-Effect-Possible: 0\r\nContent-Length: 2\r\n\r\n{}";
 const NO_KEY_LATER: &str =
-    "HTTP/1.1 401 No\r\nX-Leader-Epoch: 2\r\nX-Effect-Held: 0\r\nContent-Length: 2\r\n\r\n{}";
+    "HTTP/1.1 401 No\r\nX-Leader-Epoch: 2\r\nX-Effect-Possible: 0\r\nContent-Length: 2\r\n\r\n{}";
 const NO_QUEUE_LATER: &str =
-    "HTTP/1.1 404 No\r\nX-Leader-Epoch: 2\r\nX-Effect-Held: 0\r\nContent-Length: 2\r\n\r\n{}";
+    "HTTP/1.1 404 No\r\nX-Leader-Epoch: 2\r\nX-Effect-Possible: 0\r\nContent-Length: 2\r\n\r\n{}";
 /// The same by a later leader that holds the effect of the request.
 const REFUSED_LATER_HELD: &str = "HTTP/1.1 503 Busy\r\nX-Leader-Epoch: 2\r\nRetry-After: 2\r\n\
-    X-Effect-Held: 1\r\nContent-Length: 2\r\n\r\n{}";
+    X-Effect-Possible: 1\r\nContent-Length: 2\r\n\r\n{}";
 const NO_KEY_LATER_HELD: &str =
-    "HTTP/1.1 401 No\r\nX-Leader-Epoch: 2\r\nX-Effect-Held: 1\r\nContent-Length: 2\r\n\r\n{}";
+    "HTTP/1.1 401 No\r\nX-Leader-Epoch: 2\r\nX-Effect-Possible: 1\r\nContent-Length: 2\r\n\r\n{}";
 const NO_QUEUE_LATER_HELD: &str =
-    "HTTP/1.1 404 No\r\nX-Leader-Epoch: 2\r\nX-Effect-Held: 1\r\nContent-Length: 2\r\n\r\n{}";
+    "HTTP/1.1 404 No\r\nX-Leader-Epoch: 2\r\nX-Effect-Possible: 1\r\nContent-Length: 2\r\n\r\n{}";
 /// The same by a later leader that doesn't say whether it holds the effect.
 const REFUSED_LATER_UNPROVED: &str =
     "HTTP/1.1 503 Busy\r\nX-Leader-Epoch: 2\r\nRetry-After: 2\r\nContent-Length: 2\r\n\r\n{}";
--- a/pomelohitchd/tests/fleet/in_flight.rs
+++ b/pomelohitchd/tests/fleet/in_flight.rs
@@ -9,7 +9,7 @@
     batch.actions.push(Action::Reply {
         call,
         answer: Answer::Accepted,
-        has_taken_effect: true,
+        is_effect_possible: true,
     });
     batch
 }
