fix: a member that knows a later leader doesn't answer callers by its own leadership

Callers could see: 410 to a cancel of a job that was accepted by a later leader and runs on. A leader that was suspended hears of the later one before its own leadership ends, and went on answering its callers from a state that lacks the jobs accepted since.

Now such requests are forwarded to the later leader at once.

Found by review. The test failed before: 410 in place of the later leader's 200.

--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -209,7 +209,10 @@
     if remaining.is_zero() {
         return Attempt::NotExecuted;
     }
-    if let Some(leadership) = shared.leadership() {
+    let leader = shared.view().leader;
+    // The own leadership may not have ended yet although a later leader is known.
+    let is_current = |own: &Leadership| leader.as_ref().is_none_or(|l| l.epoch <= own.epoch);
+    if let Some(leadership) = shared.leadership().filter(is_current) {
         let host = incoming.head.headers.get("Host").unwrap_or_default();
         return ask_local_leader(
             &leadership,
@@ -220,7 +223,7 @@
         );
     }
     let own = shared.site.load().internal;
-    match shared.view().leader {
+    match leader {
         Some(leader) if leader.addr != own => {
             forwarding::forward(shared, &leader, incoming, remaining.min(ATTEMPT_TIMEOUT))
         }
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -9,7 +9,9 @@
 use std::time::{Duration, Instant};
 
 use pomelohitch_route::{Head, head};
+use pomelohitch_sched::order::Answer;
 use pomelohitchd::fleet::callers;
+use pomelohitchd::fleet::leader::core::{self, Event};
 use pomelohitchd::fleet::shared::{Leadership, Shared};
 use pomelohitchd::fleet::wire::{self, Leader};
 use pomelohitchd::front::Incoming;
@@ -252,6 +254,32 @@
     assert!(received.try_recv().is_err());
 }
 
+/// Guards against confirming the end of a job that a later leader has accepted and runs: a leader
+/// that was suspended hears of the later one before its own leadership ends.
+#[test]
+fn a_cancel_is_not_answered_by_an_own_leadership_that_is_known_to_be_over() {
+    const CANCELLED: &str = "HTTP/1.1 200 OK\r\nX-Leader-Epoch: 2\r\nX-Effect-Possible: 1\r\nContent-Length: 2\r\n\r\n{}";
+    let shared = Shared::new(site());
+    let (events, received) = std::sync::mpsc::channel();
+    shared.set_leadership(Some(Leadership { epoch: 1, events }));
+    std::thread::spawn(move || {
+        for event in received {
+            if let Event::Call(call) = event {
+                let reply = core::Reply {
+                    answer: Answer::Gone,
+                    is_effect_possible: false,
+                };
+                call.reply.send(reply).expect("the caller waits");
+            }
+        }
+    });
+    set_leader(&shared, 2, leader(&[CANCELLED]));
+    assert_eq!(
+        callers::answer(&shared, &request("DELETE")).status_code,
+        200
+    );
+}
+
 /// A leader that accepts connections and answers nothing, with the number of connections.
 fn silent_leader() -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
