--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -12,6 +12,8 @@
 mod journal;
 #[path = "fleet/leaders.rs"]
 mod leaders;
+#[path = "fleet/lost_answers.rs"]
+mod lost_answers;
 #[path = "fleet/operations.rs"]
 mod operations;
 #[path = "fleet/outages.rs"]
