--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -14,6 +14,8 @@
 mod leaders;
 #[path = "fleet/logs.rs"]
 mod logs;
+#[path = "fleet/lost_answers.rs"]
+mod lost_answers;
 #[path = "fleet/operations.rs"]
 mod operations;
 #[path = "fleet/outages.rs"]
