--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -211,8 +211,8 @@
     queues: HashMap<QueueName, usize>,
     /// Index of each workspace in the configuration.
     workspaces: HashMap<WorkspaceName, usize>,
-    /// Whether a record couldn't be decoded when the leader took over.
-    has_skipped_records: bool,
+    /// Number of records that couldn't be decoded when the leader took over.
+    skipped_records: usize,
     housekeeping_at: Steady,
     scheduled_at: Steady,
     /// Moving average of the duration of a tick.
@@ -346,7 +346,7 @@
         let recorded = cell.jobs.values();
         let newest = recorded.map(|j| j.spec.accepted_ms.max(j.progress.ended_ms));
         cell.leader_since_ms = cell.leader_since_ms.max(newest.max().unwrap_or(0));
-        cell.has_skipped_records = !errors.is_empty();
+        cell.skipped_records = errors.len();
         (cell, errors)
     }
 
@@ -359,7 +359,7 @@
             cfg: None,
             queues: HashMap::new(),
             workspaces: HashMap::new(),
-            has_skipped_records: false,
+            skipped_records: 0,
             housekeeping_at: Steady::ZERO,
             scheduled_at: Steady::ZERO,
             tick_duration: Duration::ZERO,
--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -91,7 +91,7 @@
         let held = id::job_at_end(&call.path).and_then(|id| self.jobs.get(&id));
         match (&call.verb, held) {
             (Verb::Read, _) => false,
-            (_, None) => self.has_skipped_records,
+            (_, None) => self.skipped_records > 0,
             (Verb::Submit(_) | Verb::Confirm, Some(_)) => true,
             (Verb::Cancel, Some(job)) => job.progress.state == JobState::Cancelled,
         }
