fix: a submission or cancellation isn't refused without the leader's word

Callers saw: a first attempt without an answer or with 504, then 503 of another member, which says that the job never runs; and the job ran.

Cause: a member that has no slot, or reaches no leader, knows only that this attempt was not executed, and said it of the job.

Now such answers are 504 with the same Retry-After; reads keep 503. 503 of a queue stays where the leader has confirmed that it doesn't hold the job; a 410 of a leader that says the job may be held no longer counts as that.

--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -88,9 +88,11 @@
     Answered(Reply),
     /// The request was not executed.
     NotExecuted,
-    /// The request was not executed, since the leader accepts no more requests, or no new jobs of
-    /// the queue. It may be retried after this time.
+    /// The request was not sent, since the leader accepts no more requests. It may be retried after
+    /// this time.
     Overloaded(Duration),
+    /// The leader accepts no new jobs of the queue for this time, and doesn't hold the job.
+    QueueRefused(Duration),
     /// The leader with this epoch may have executed the request.
     Unknown(Epoch),
 }
@@ -138,11 +140,19 @@
                     Verdict::GiveUp => return give_up(incoming, true),
                 }
             }
+            Attempt::QueueRefused(retry_after) if attempts.maybe_executed_by().is_none() => {
+                log_not_forwarded(incoming, retry_after);
+                return refusal(503, retry_after);
+            }
             Attempt::Overloaded(retry_after) if attempts.maybe_executed_by().is_none() => {
-                return refuse(incoming, retry_after);
+                log_not_forwarded(incoming, retry_after);
+                return refusal(status_without_leader(incoming), retry_after);
             }
             Attempt::Unknown(epoch) if has_effect => attempts.record_unknown(epoch),
-            Attempt::NotExecuted | Attempt::Overloaded(_) | Attempt::Unknown(_) => {}
+            Attempt::NotExecuted
+            | Attempt::Overloaded(_)
+            | Attempt::QueueRefused(_)
+            | Attempt::Unknown(_) => {}
         }
         if incoming.arrived.elapsed() + RETRY_INTERVAL >= timeout {
             return give_up(incoming, attempts.maybe_executed_by().is_some());
@@ -185,22 +195,30 @@
     if may_be_done {
         return Response::text("{}").with_status_code(504);
     }
-    unavailable(NO_LEADER_RETRY_AFTER)
+    refusal(status_without_leader(incoming), NO_LEADER_RETRY_AFTER)
 }
 
-/// Refuses a request that was not forwarded.
-fn refuse(incoming: &Incoming, retry_after: Duration) -> Response {
+/// Status of a refusal without the leader's word. An earlier attempt of the caller, at another member
+/// or before a restart of this one, may have been executed; 503 would deny that.
+fn status_without_leader(incoming: &Incoming) -> u16 {
+    if has_effect(&incoming.head.method) {
+        504
+    } else {
+        503
+    }
+}
+
+fn log_not_forwarded(incoming: &Incoming, retry_after: Duration) {
     let waited_ms = incoming.arrived.elapsed().as_millis();
     warn!(path = %incoming.head.target, method = %incoming.head.method, ?retry_after, waited_ms,
         "request not forwarded: leader or queue is overloaded");
     metrics::counter!("requests_not_passed_on").increment(1);
-    unavailable(retry_after)
 }
 
-fn unavailable(retry_after: Duration) -> Response {
+fn refusal(status: u16, retry_after: Duration) -> Response {
     let seconds = retry_after.as_secs_f64().ceil().to_string();
     Response::text("{}")
-        .with_status_code(503)
+        .with_status_code(status)
         .with_additional_header("Retry-After", seconds)
 }
 
@@ -244,7 +262,9 @@
     };
     match ask_local_leader(&leadership, incoming, host, path, ATTEMPT_TIMEOUT) {
         Attempt::Answered(reply) => forwarded_response(reply),
-        Attempt::NotExecuted | Attempt::Overloaded(_) => Response::text("").with_status_code(421),
+        Attempt::NotExecuted | Attempt::Overloaded(_) | Attempt::QueueRefused(_) => {
+            Response::text("").with_status_code(421)
+        }
         Attempt::Unknown(_) => Response::text("").with_status_code(504),
     }
 }
--- a/pomelohitchd/src/fleet/forwarding.rs
+++ b/pomelohitchd/src/fleet/forwarding.rs
@@ -150,13 +150,17 @@
             slot.release(Window::answered);
         }
         Attempt::Unknown(_) => slot.release(Window::timed_out),
-        Attempt::NotExecuted | Attempt::Overloaded(_) => {
+        Attempt::NotExecuted | Attempt::Overloaded(_) | Attempt::QueueRefused(_) => {
             slot.release(|window, _, _| window.cancelled());
         }
     }
     match (refused_for, attempt) {
         (Some(time), Attempt::Answered(reply)) if reply.response.status_code == GONE => {
-            Attempt::Overloaded(time)
+            if reply.is_effect_possible == Some(true) {
+                Attempt::Overloaded(time)
+            } else {
+                Attempt::QueueRefused(time)
+            }
         }
         (Some(_), Attempt::Unknown(_)) => Attempt::NotExecuted,
         (_, attempt) => attempt,
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -16,6 +16,8 @@
 use pomelohitchd::fleet::wire::{self, Leader};
 use pomelohitchd::front::Incoming;
 
+use rouille::Response;
+
 use super::site::{nowhere, site};
 
 const ACCEPTED: &str = "HTTP/1.1 200 OK\r\nX-Leader-Epoch: 1\r\nContent-Length: 2\r\n\r\n{}";
@@ -143,11 +145,13 @@
 fn response_to(addr: SocketAddr, incoming: &Incoming) -> (u16, bool) {
     let shared = Shared::new(site());
     set_leader(&shared, 1, addr);
-    let response = callers::answer(&shared, incoming);
-    let has_retry_after = response
-        .headers
-        .iter()
-        .any(|(name, _)| name == "Retry-After");
+    summary(&callers::answer(&shared, incoming))
+}
+
+/// Status of an answer, and whether it has a `Retry-After`.
+fn summary(response: &Response) -> (u16, bool) {
+    let mut headers = response.headers.iter();
+    let has_retry_after = headers.any(|(name, _)| name == "Retry-After");
     (response.status_code, has_retry_after)
 }
 
@@ -157,9 +161,13 @@
     assert_eq!(response_to_post(leader(&[REFUSED])), (503, true));
 }
 
+/// Guards against denying that an earlier attempt, at another member, was executed.
 #[test]
-fn without_a_leader_the_answer_has_a_retry_after() {
-    assert_eq!(response_to_post(nowhere()), (503, true));
+fn without_a_leader_the_answer_has_a_retry_after_and_leaves_the_outcome_open() {
+    assert_eq!(response_to_post(nowhere()), (504, true));
+    let cancel = request("DELETE");
+    assert_eq!(response_to(nowhere(), &cancel), (504, true));
+    assert_eq!(response_to(nowhere(), &request("GET")), (503, true));
 }
 
 /// Guards against reporting a job as refused though it may run: the first attempt may have stored
@@ -207,6 +215,19 @@
     assert_eq!(*methods, ["POST", "POST confirmation", "POST confirmation"]);
 }
 
+/// Guards against a 503, which says that the job never runs, although the leader says that it holds
+/// it: 410 to a confirmation may only mean that the caller's workspace can't see the job.
+#[test]
+fn a_confirmation_by_a_leader_that_holds_the_job_is_not_a_refusal() {
+    const QUEUE_REFUSED: &str = "HTTP/1.1 503 Busy\r\nX-Leader-Epoch: 1\r\nRetry-After: 9\r\n\
+        X-Queue-Refused-Ms: 9000\r\nContent-Length: 2\r\n\r\n{}";
+    const GONE_HELD: &str = "HTTP/1.1 410 Gone\r\nX-Leader-Epoch: 1\r\nX-Effect-Possible: 1\r\nContent-Length: 2\r\n\r\n{}";
+    let shared = Shared::new(site());
+    set_leader(&shared, 1, leader(&[QUEUE_REFUSED, GONE_HELD]));
+    assert_eq!(callers::answer(&shared, &post_request()).status_code, 503);
+    assert_eq!(callers::answer(&shared, &post_request()).status_code, 504);
+}
+
 /// Guards against a 504 for a request although a later leader knows that it wasn't executed.
 #[test]
 fn a_later_leaders_refusal_is_returned_if_it_does_not_hold_the_job() {
@@ -297,13 +318,13 @@
 }
 
 /// Starts `count` concurrent callers, each with a deadline that allows for one attempt. The threads
-/// return the statuses of the answers.
-fn call_concurrently(shared: &Arc<Shared>, count: usize) -> Vec<JoinHandle<u16>> {
+/// return the statuses of the answers, and whether they have a `Retry-After`.
+fn call_concurrently(shared: &Arc<Shared>, count: usize) -> Vec<JoinHandle<(u16, bool)>> {
     let start_caller = |_| {
         let shared = shared.clone();
         std::thread::spawn(move || {
             let incoming = request_with("POST", "Deadline-Ms: 1600\r\n");
-            callers::answer(&shared, &incoming).status_code
+            summary(&callers::answer(&shared, &incoming))
         })
     };
     (0..count).map(start_caller).collect()
@@ -320,8 +341,10 @@
         .into_iter()
         .map(|caller| caller.join().expect("the caller doesn't panic"))
         .collect();
-    let refused = statuses.iter().filter(|status| **status == 503).count();
+    let refused = statuses.iter().filter(|s| **s == (504, true)).count();
     assert_eq!(refused, 8, "{statuses:?}");
+    let unanswered = statuses.iter().filter(|s| **s == (504, false)).count();
+    assert_eq!(unanswered, 16, "{statuses:?}");
     assert_eq!(accepted.load(Ordering::SeqCst), 16);
 }
 
@@ -330,7 +353,7 @@
 fn an_answer_that_does_not_exclude_an_execution_is_not_taken_for_one() {
     for excluded in ["421 Misdirected", "404 Not Found", "503 Busy"] {
         let answer = format!("HTTP/1.1 {excluded}\r\nContent-Length: 0\r\n\r\n");
-        assert_eq!(response_to_post(leader(&[answer.leak()])), (503, true));
+        assert_eq!(response_to_post(leader(&[answer.leak()])), (504, true));
     }
     for possible in ["200 OK", "302 Found", "500 Error", "502 Bad Gateway"] {
         let answer = format!("HTTP/1.1 {possible}\r\nContent-Length: 0\r\n\r\n");
