fix: a repeated cancellation isn't refused while the log is down

Callers saw: 503 to the repeat of a cancellation whose first attempt had no answer, for a job that was cancelled, while the leader knew that the store takes no records.

Cause: the leader looked at the log before it looked whether the job is cancelled already.

Found by review and by reading in two places. The test failed before: Refused, the cancelling can't be made durable now.

--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -243,14 +243,12 @@
         id: JobId,
         workspace: Option<&WorkspaceName>,
     ) -> Option<Answer> {
-        if !self
-            .jobs
-            .get(&id)
-            .is_some_and(|j| is_visible_to(j, workspace))
-        {
+        let visible = self.jobs.get(&id).filter(|j| is_visible_to(j, workspace));
+        let Some(job) = visible else {
             return Some(Answer::Gone);
-        }
-        if self.is_log_down {
+        };
+        let is_cancelled = job.progress.state == JobState::Cancelled;
+        if self.is_log_down && !is_cancelled {
             return Some(Answer::Refused {
                 retry_after: LOG_RETRY_AFTER,
                 is_for_queue: false,
--- a/crates/pomelohitch-sched/tests/cell/calls.rs
+++ b/crates/pomelohitch-sched/tests/cell/calls.rs
@@ -82,6 +82,21 @@
     assert!(matches!(fleet.replies[&submitted], Answer::Refused { .. }));
 }
 
+/// Guards against refusing to cancel a job that an earlier request has cancelled.
+#[test]
+fn a_cancelled_job_is_cancelled_again_while_the_log_is_down() {
+    let path = &format!("/q/{ID}");
+    let mut fleet = Fleet::new(1);
+    fleet.submit(ID, job(vec![step(1, 500, 100)]));
+    fleet.advance(2);
+    fleet.call(path, Verb::Cancel);
+    fleet.advance(2);
+    fleet.cell.set_log_down(true);
+    let again = fleet.call(path, Verb::Cancel);
+    fleet.advance(2);
+    assert_eq!(fleet.replies[&again], Answer::Cancelled);
+}
+
 #[test]
 fn calls_to_unknown_jobs_queues_and_keys_are_answered() {
     let mut fleet = Fleet::new(1);
