fix: an answer that waits for a configuration is retried within the request

A caller could be told 504 after an attempt of unknown outcome although the next leader has the job and gets its configuration well before the request's timeout: only a 503 was retried, the 504 of a leader that can't check the key yet ended the request. Both are retried now.

--- a/crates/pomelohitch-sched/src/attempts.rs
+++ b/crates/pomelohitch-sched/src/attempts.rs
@@ -8,8 +8,8 @@
 
 use crate::Epoch;
 
-/// Status if the leader can't serve the request now; a retry may succeed.
-const UNAVAILABLE: u16 = 503;
+/// Statuses if the leader can't serve the request now; a retry may succeed.
+const UNAVAILABLE: [u16; 2] = [503, 504];
 /// Status if the leader has no such job; also the answer to a repeated cancel.
 pub const GONE: u16 = 410;
 
@@ -69,7 +69,7 @@
         let is_proof = reply.epoch > earlier && reply.is_effect_possible == Some(false);
         if !reply.is_refusal() || is_proof {
             Verdict::Return
-        } else if reply.status == UNAVAILABLE {
+        } else if UNAVAILABLE.contains(&reply.status) {
             Verdict::Retry
         } else {
             Verdict::GiveUp
