fix: a member without room for a connection doesn't deny earlier attempts

Callers could see: 503, which says that a job never runs, from a member that has read neither the request nor its id, after an attempt at another member that stored the job.

The answer for lack of room is now part of the port's limits: a problem document with 503 as before for requests and for other members, 504 with a Retry-After for callers of jobs.

Found by review and by reading. The test failed before: 503.

--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -28,6 +28,8 @@
 const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Pause between attempts at a request.
 const RETRY_INTERVAL: Duration = Duration::from_millis(60);
+/// `Retry-After` if there is no room for a connection or a body.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// `Retry-After` if no leader has answered.
 const NO_LEADER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -42,6 +44,8 @@
             body_bytes: 256 * 1024,
             ..pomelohitch_route::head::Limits::default()
         },
+        // Nothing is known of earlier attempts at the request, which isn't read.
+        no_room: |_| refusal(504, NO_ROOM_RETRY_AFTER),
         ..Limits::default()
     }
 }
--- a/pomelohitchd/src/front.rs
+++ b/pomelohitchd/src/front.rs
@@ -158,7 +158,7 @@
         };
         match front.connections.take(1) {
             Some(guard) if !is_over => start(front, stream, peer, guard),
-            _ => refuse(&stream),
+            _ => refuse(front, &stream),
         }
     }
 }
@@ -181,8 +181,8 @@
 
 /// Refuses a connection. The answer fits into the empty send buffer of a new connection, so the
 /// write never blocks.
-fn refuse(mut stream: &TcpStream) {
+fn refuse(front: &Front, mut stream: &TcpStream) {
     metrics::counter!("callers_refused").increment(1);
-    let answer = connection::refusal("no room for another connection");
-    let _ = stream.write_all(&answer);
+    let response = (front.limits.no_room)("no room for another connection");
+    let _ = stream.write_all(&connection::last_answer(response));
 }
--- a/pomelohitchd/src/front/connection.rs
+++ b/pomelohitchd/src/front/connection.rs
@@ -161,18 +161,18 @@
     /// Answers with a problem document, if the caller is still connected, and ends the connection.
     fn refuse(&mut self, error: &Error) -> bool {
         let detail = error.to_string();
-        let problem = match error {
+        let bad_request = |status| {
+            let problem = Problem::not_run(Kind::BadRequest(status), &*detail);
+            exchange::problem_response(&problem)
+        };
+        let response = match error {
             Error::Ended => return false,
-            Error::Slow => Problem::not_run(Kind::BadRequest(408), detail),
-            Error::Unreadable { source } => {
-                Problem::not_run(Kind::BadRequest(source.status()), detail)
-            }
-            Error::BodyBudgetExhausted => {
-                Problem::not_run(Kind::EntryFull, detail).retry_after(OVERLOAD_RETRY_AFTER)
-            }
+            Error::Slow => bad_request(408),
+            Error::Unreadable { source } => bad_request(source.status()),
+            Error::BodyBudgetExhausted => (self.front.limits.no_room)(&detail),
         };
         metrics::counter!("requests_unreadable").increment(1);
-        if self.write(exchange::problem_response(&problem), true, false) {
+        if self.write(response, true, false) {
             self.linger();
         }
         false
@@ -201,11 +201,17 @@
     }
 }
 
-/// The answer that refuses a connection because a limit is reached, as bytes.
+/// The answer if there is no room for a connection or a body.
 #[must_use]
-pub fn refusal(detail: &str) -> Vec<u8> {
+pub fn no_room(detail: &str) -> Response {
     let problem = Problem::not_run(Kind::EntryFull, detail).retry_after(OVERLOAD_RETRY_AFTER);
-    encode(exchange::problem_response(&problem), true, false).unwrap_or_default()
+    exchange::problem_response(&problem)
+}
+
+/// The bytes of the only answer on a connection.
+#[must_use]
+pub fn last_answer(response: Response) -> Vec<u8> {
+    encode(response, true, false).unwrap_or_default()
 }
 
 /// Headers that [`encode`] sets itself.
--- a/pomelohitchd/src/front/limits.rs
+++ b/pomelohitchd/src/front/limits.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use pomelohitch_route::head;
+use rouille::Response;
+
+use super::connection;
 
 /// Limits on sizes and times at the callers' port.
 ///
@@ -32,6 +35,8 @@
     pub shutdown_check_interval: Duration,
     /// New connections are still served for this long after a graceful shutdown begins.
     pub shutdown_grace: Duration,
+    /// The answer, with the given detail, if there is no room for a connection or a body.
+    pub no_room: fn(&str) -> Response,
 }
 
 impl Default for Limits {
@@ -47,6 +52,7 @@
             idle_check_interval: Duration::from_millis(250),
             shutdown_check_interval: Duration::from_millis(10),
             shutdown_grace: Duration::from_secs(1),
+            no_room: connection::no_room,
         }
     }
 }
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -14,7 +14,7 @@
 use pomelohitchd::fleet::leader::core::{self, Event};
 use pomelohitchd::fleet::shared::{Leadership, Shared};
 use pomelohitchd::fleet::wire::{self, Leader};
-use pomelohitchd::front::Incoming;
+use pomelohitchd::front::{self, Incoming, Limits};
 
 use rouille::Response;
 
@@ -362,6 +362,28 @@
     }
 }
 
+/// Guards against denying that an earlier attempt was executed, at a member that can't read the
+/// request because all connections are in use.
+#[test]
+fn a_caller_without_a_connection_is_told_that_the_outcome_is_open() {
+    let shared = Arc::new(Shared::new(site()));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let addr = listener.local_addr().expect("the socket is bound");
+    let limits = Limits {
+        connections: 1,
+        ..callers::limits()
+    };
+    front::serve_in_background(callers::service(&shared), listener, limits);
+    let _held = TcpStream::connect(addr).expect("the member listens");
+    let mut refused = TcpStream::connect(addr).expect("the member listens");
+    let mut answer = String::new();
+    refused
+        .read_to_string(&mut answer)
+        .expect("the member closes the connection");
+    assert!(answer.starts_with("HTTP/1.1 504 "), "{answer}");
+    assert!(answer.contains("Retry-After: 1\r\n"), "{answer}");
+}
+
 /// Guards against leaking slots when the leader changes while requests wait for one.
 #[test]
 fn all_slots_are_released_when_the_leader_changes() {
