--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -280,8 +280,9 @@
         .response
         .with_additional_header(wire::LEADER_EPOCH_HEADER, epoch);
     let response = match reply.is_effect_possible {
-        Some(held) => {
-            response.with_additional_header(wire::EFFECT_HEADER, u8::from(held).to_string())
+        Some(is_possible) => {
+            let value = u8::from(is_possible).to_string();
+            response.with_additional_header(wire::EFFECT_HEADER, value)
         }
         None => response,
     };
