--- a/pomelohitchd/tests/front/bad_input.rs
+++ b/pomelohitchd/tests/front/bad_input.rs
@@ -159,6 +159,28 @@
     }
 }
 
+/// A job was submitted with an Idempotency-Key, and its caller, who got no answer, repeats that at an
+/// entry instance that has no room for the body, or sends the body too slowly. The head has been
+/// read. Guards against telling it that the job doesn't run.
+#[test]
+fn a_submit_repeated_without_room_for_its_body_does_not_deny_the_job() {
+    let headers = format!(
+        "Authorization: Bearer {KEY}\r\nIdempotency-Key: night-1\r\nContent-Length: 5\r\n"
+    );
+    let mut bytes = request("POST /v1/jobs HTTP/1.1", &headers);
+    bytes.extend(b"ab");
+    let no_room = Limits {
+        total_body_bytes: 4,
+        ..limits()
+    };
+    for (limits, expected) in [(no_room, 503), (limits(), 408)] {
+        let entry = Entry::start(&[], limits);
+        let answer = entry.send(&bytes);
+        assert_eq!(status(&answer), expected, "{answer}");
+        assert_ne!(problem(&answer)["ran"], "no", "{answer}");
+    }
+}
+
 /// Idle clients use up the limit of connections. A new connection gets 503 at once, and one that
 /// closes makes a slot available for the next.
 #[test]
