--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -301,6 +301,30 @@
     );
 }
 
+/// Guards against confirming the end of a job that a later leader has accepted and runs, to the
+/// caller of another member: that one hasn't heard of the later leader yet, this one has.
+#[test]
+fn a_forwarded_cancel_is_not_answered_by_a_leadership_that_is_known_to_be_over() {
+    let shared = Shared::new(site());
+    let (events, received) = std::sync::mpsc::channel();
+    shared.set_leadership(Some(Leadership { epoch: 1, events }));
+    std::thread::spawn(move || {
+        for event in received {
+            if let Event::Call(call) = event {
+                let reply = core::Reply {
+                    answer: Answer::Gone,
+                    is_effect_possible: false,
+                };
+                call.reply.send(reply).expect("the caller waits");
+            }
+        }
+    });
+    set_leader(&shared, 2, nowhere());
+    let incoming = request_with("DELETE", &format!("{}: 1\r\n", wire::FOR_EPOCH_HEADER));
+    let response = callers::answer_forwarded(&shared, &incoming, "/q/00000000000000a1");
+    assert_eq!(response.status_code, 421);
+}
+
 /// A leader that accepts connections and answers nothing, with the number of connections.
 fn silent_leader() -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
