--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -325,6 +325,15 @@
     assert_eq!(response.status_code, 421);
 }
 
+/// Guards against a 503, which says that the job never runs, although the leader says that an earlier
+/// attempt, at another member, may have taken effect: it couldn't read a record when it took over,
+/// and refuses new jobs while the log is down.
+#[test]
+fn a_first_refusal_by_a_leader_that_may_hold_the_job_is_not_returned_as_503() {
+    let response = response_to_post(leader(&[REFUSED_LATER_HELD]));
+    assert_eq!(response.0, 504);
+}
+
 /// A leader that accepts connections and answers nothing, with the number of connections.
 fn silent_leader() -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
