--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -334,6 +334,39 @@
     assert_eq!(response.0, 504);
 }
 
+/// Guards against an answer after the caller's deadline: a request that waits for a slot has less
+/// time left for the leader's answer. The first sixteen hold all slots for 0.3 s.
+#[test]
+fn a_request_that_has_waited_for_a_slot_is_answered_before_its_deadline() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let addr = listener.local_addr().expect("the socket is bound");
+    std::thread::spawn(move || {
+        for (number, stream) in listener.incoming().enumerate() {
+            let mut stream = stream.expect("a caller connects");
+            std::thread::spawn(move || {
+                if number < 16 {
+                    std::thread::sleep(Duration::from_millis(300));
+                    let _ = stream.write_all(ACCEPTED.as_bytes());
+                }
+                let mut rest = Vec::new();
+                let _ = stream.read_to_end(&mut rest);
+            });
+        }
+    });
+    let shared = Arc::new(Shared::new(site()));
+    set_leader(&shared, 1, addr);
+    let first = call_concurrently(&shared, 16);
+    std::thread::sleep(Duration::from_millis(50));
+    assert_eq!(shared.forwarding.in_flight(), 16);
+    let incoming = request_with("POST", "Deadline-Ms: 600\r\n");
+    assert_eq!(callers::answer(&shared, &incoming).status_code, 504);
+    let took = incoming.arrived.elapsed();
+    assert!(took < Duration::from_millis(600), "{took:?}");
+    for caller in first {
+        assert_eq!(caller.join().expect("the caller doesn't panic").0, 200);
+    }
+}
+
 /// A leader that accepts connections and answers nothing, with the number of connections.
 fn silent_leader() -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
