--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -149,6 +149,26 @@
     assert!(fleet.effects_possible.contains(&no_key));
 }
 
+/// Guards against acknowledging a cancellation of a job whose record was skipped: a leader that can
+/// decode it runs the job on.
+#[test]
+fn a_leader_that_skipped_a_jobs_record_does_not_say_that_its_cancelled_job_is_gone() {
+    let mut fleet = Fleet::new(1);
+    fleet.submit(ID, job(vec![step(1, 1000, 100)]));
+    fleet.advance(2);
+    let mut records: Vec<_> = fleet.log.clone().into_iter().collect();
+    let of_spec = |(key, _): &&mut (Box<str>, Box<[u8]>)| **key == *format!("j{ID}");
+    let spec = records.iter_mut().find(of_spec).expect("the job is stored");
+    spec.1 = Box::default();
+    let (cell, skipped) = Cell::restore(fleet.settings.clone(), 9, fleet.now, &records);
+    assert_eq!(skipped.len(), 1);
+    fleet.cell = cell;
+    fleet.cell.configure(Arc::new(super::fleet::config(1)));
+    let cancel = fleet.call(&format!("/q/{ID}"), Verb::Cancel);
+    fleet.advance(2);
+    assert_ne!(fleet.replies.get(&cancel), Some(&Answer::Gone));
+}
+
 /// Guards against a 503 of a member, which says that the job never runs, for a job that is held: the
 /// member concludes it from 410 to a confirmation. A complete submission is accepted.
 #[test]
