--- a/pomelohitchd/tests/front/bad_input.rs
+++ b/pomelohitchd/tests/front/bad_input.rs
@@ -162,9 +162,8 @@
 /// Repeats a submit, of whose body only a part arrives, at an entry instance with these limits. The
 /// caller got no answer to the first one, which may have been taken in.
 fn assert_repeat_is_not_denied(limits: Limits, expected: u16) {
-    let headers = format!(
-        "Authorization: Bearer {KEY}\r\nIdempotency-Key: night-1\r\nContent-Length: 5\r\n"
-    );
+    let headers =
+        format!("Authorization: Bearer {KEY}\r\nIdempotency-Key: night-1\r\nContent-Length: 5\r\n");
     let mut bytes = request("POST /v1/jobs HTTP/1.1", &headers);
     bytes.extend(b"ab");
     let entry = Entry::start(&[], limits);
