test: a leader that skipped a job's progress says that it wasn't cancelled

Fails: the refusal of a repeated cancellation counts as proof that it took no effect, though the skipped record holds it. Only ids that aren't held count as possible.

--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -169,6 +169,34 @@
     assert_ne!(fleet.replies.get(&cancel), Some(&Answer::Gone));
 }
 
+/// The same for a cancellation that only the skipped record holds: the job itself is restored, as if
+/// nobody had cancelled it.
+#[test]
+fn a_leader_that_skipped_a_jobs_progress_does_not_say_that_it_was_not_cancelled() {
+    let path = &format!("/q/{ID}");
+    let mut fleet = Fleet::new(1);
+    fleet.submit(ID, job(vec![step(1, 1000, 100_000)]));
+    fleet.advance(50);
+    let cancel = fleet.call(path, Verb::Cancel);
+    fleet.advance(1);
+    assert!(!fleet.replies.contains_key(&cancel), "it isn't durable yet");
+    while !fleet.replies.contains_key(&cancel) {
+        fleet.advance(1);
+    }
+    let mut records: Vec<_> = fleet.log.clone().into_iter().collect();
+    let of_progress = |(key, _): &&mut (Box<str>, Box<[u8]>)| **key == *format!("p{ID}");
+    let progress = records.iter_mut().find(of_progress);
+    progress.expect("the cancellation is stored").1 = Box::default();
+    let (cell, skipped) = Cell::restore(fleet.settings.clone(), 9, fleet.now, &records);
+    assert_eq!(skipped.len(), 1);
+    fleet.cell = cell;
+    fleet.cell.configure(Arc::new(super::fleet::config(1)));
+    let repeated = fleet.call_with(path, Some("withdrawn"), Verb::Cancel);
+    fleet.advance(2);
+    assert_eq!(fleet.replies[&repeated], Answer::NoKey);
+    assert!(fleet.effects_possible.contains(&repeated));
+}
+
 /// Guards against a 503 of a member, which says that the job never runs, for a job that is held: the
 /// member concludes it from 410 to a confirmation. A complete submission is accepted.
 #[test]
