--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -301,6 +301,72 @@
     );
 }
 
+/// Guards against confirming the end of a job that a later leader has accepted and runs, to the
+/// caller of another member: that one hasn't heard of the later leader yet, this one has.
+#[test]
+fn a_forwarded_cancel_is_not_answered_by_a_leadership_that_is_known_to_be_over() {
+    let shared = Shared::new(site());
+    let (events, received) = std::sync::mpsc::channel();
+    shared.set_leadership(Some(Leadership { epoch: 1, events }));
+    std::thread::spawn(move || {
+        for event in received {
+            if let Event::Call(call) = event {
+                let reply = core::Reply {
+                    answer: Answer::Gone,
+                    is_effect_possible: false,
+                };
+                call.reply.send(reply).expect("the caller waits");
+            }
+        }
+    });
+    set_leader(&shared, 2, nowhere());
+    let incoming = request_with("DELETE", &format!("{}: 1\r\n", wire::FOR_EPOCH_HEADER));
+    let response = callers::answer_forwarded(&shared, &incoming, "/q/00000000000000a1");
+    assert_eq!(response.status_code, 421);
+}
+
+/// Guards against a 503, which says that the job never runs, although the leader says that an earlier
+/// attempt, at another member, may have taken effect: it couldn't read a record when it took over,
+/// and refuses new jobs while the log is down.
+#[test]
+fn a_first_refusal_by_a_leader_that_may_hold_the_job_is_not_returned_as_503() {
+    let response = response_to_post(leader(&[REFUSED_LATER_HELD]));
+    assert_eq!(response.0, 504);
+}
+
+/// Guards against an answer after the caller's deadline: a request that waits for a slot has less
+/// time left for the leader's answer. The first sixteen hold all slots for 0.3 s.
+#[test]
+fn a_request_that_has_waited_for_a_slot_is_answered_before_its_deadline() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let addr = listener.local_addr().expect("the socket is bound");
+    std::thread::spawn(move || {
+        for (number, stream) in listener.incoming().enumerate() {
+            let mut stream = stream.expect("a caller connects");
+            std::thread::spawn(move || {
+                if number < 16 {
+                    std::thread::sleep(Duration::from_millis(300));
+                    let _ = stream.write_all(ACCEPTED.as_bytes());
+                }
+                let mut rest = Vec::new();
+                let _ = stream.read_to_end(&mut rest);
+            });
+        }
+    });
+    let shared = Arc::new(Shared::new(site()));
+    set_leader(&shared, 1, addr);
+    let first = call_concurrently(&shared, 16);
+    std::thread::sleep(Duration::from_millis(50));
+    assert_eq!(shared.forwarding.in_flight(), 16);
+    let incoming = request_with("POST", "Deadline-Ms: 600\r\n");
+    assert_eq!(callers::answer(&shared, &incoming).status_code, 504);
+    let took = incoming.arrived.elapsed();
+    assert!(took < Duration::from_millis(600), "{took:?}");
+    for caller in first {
+        assert_eq!(caller.join().expect("the caller doesn't panic").0, 200);
+    }
+}
+
 /// A leader that accepts connections and answers nothing, with the number of connections.
 fn silent_leader() -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
