fix: a first refusal by a leader that may hold the job isn't returned as 503

Callers could see, while members of two versions run: 503 for a repeat of a stored job, by a leader that skipped a record and refuses new jobs, since a member without an attempt of unknown outcome of its own returned each reply.

--- a/crates/pomelohitch-sched/src/attempts.rs
+++ b/crates/pomelohitch-sched/src/attempts.rs
@@ -26,6 +26,16 @@
 }
 
 impl Reply {
+    /// The verdict if no earlier attempt is known. A 503 says that the request never takes effect,
+    /// which an attempt at another member may have.
+    fn verdict_on_first(&self) -> Verdict {
+        if self.status == 503 && self.is_effect_possible == Some(true) {
+            Verdict::Retry
+        } else {
+            Verdict::Return
+        }
+    }
+
     fn is_refusal(&self) -> bool {
         !(200..300).contains(&self.status) && self.status != GONE
     }
@@ -64,7 +74,7 @@
     #[must_use]
     pub fn verdict(&self, reply: &Reply) -> Verdict {
         let Some(earlier) = self.maybe_executed_by else {
-            return Verdict::Return;
+            return reply.verdict_on_first();
         };
         let is_proof = reply.epoch > earlier && reply.is_effect_possible == Some(false);
         if !reply.is_refusal() || is_proof {
