fix: a leader that skipped records doesn't say that a job is gone or wasn't cancelled

The same while members of two versions run: 410 to the cancel of a job whose record the leader skipped, and the proof that no cancel took effect for a job whose progress it skipped. Answer::Unverified covers both cases and is called Undetermined.

--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -93,7 +93,9 @@
             (Verb::Read, _) => false,
             (_, None) => self.skipped_records > 0,
             (Verb::Submit(_) | Verb::Confirm, Some(_)) => true,
-            (Verb::Cancel, Some(job)) => job.progress.state == JobState::Cancelled,
+            (Verb::Cancel, Some(job)) => {
+                job.progress.state == JobState::Cancelled || self.skipped_records > 0
+            }
         }
     }
 
@@ -101,7 +103,7 @@
     fn answer(&mut self, call: &Call, is_effect_possible: bool) -> Option<Answer> {
         let Some(cfg) = self.cfg.clone() else {
             if is_effect_possible {
-                return Some(Answer::Unverified);
+                return Some(Answer::Undetermined);
             }
             return Some(Answer::Refused {
                 retry_after: NO_CONFIG_RETRY_AFTER,
@@ -245,7 +247,12 @@
     ) -> Option<Answer> {
         let visible = self.jobs.get(&id).filter(|j| is_visible_to(j, workspace));
         let Some(job) = visible else {
-            return Some(Answer::Gone);
+            let is_skipped = self.skipped_records > 0 && !self.jobs.contains_key(&id);
+            return Some(if is_skipped {
+                Answer::Undetermined
+            } else {
+                Answer::Gone
+            });
         };
         let is_cancelled = job.progress.state == JobState::Cancelled;
         if self.is_log_down && !is_cancelled {
--- a/crates/pomelohitch-sched/src/order.rs
+++ b/crates/pomelohitch-sched/src/order.rs
@@ -149,8 +149,9 @@
     NoKey,
     /// The request is not a valid job.
     Malformed(Box<str>),
-    /// The effect of an earlier attempt is held, and the caller's key can't be checked yet.
-    Unverified,
+    /// An earlier attempt may have taken effect, and the leader lacks the configuration or the record
+    /// to tell.
+    Undetermined,
     /// Refused for now, without any effect.
     Refused {
         /// When to retry.
--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -122,7 +122,7 @@
     let held = fleet.submit(ID, job(vec![step(1, 1000, 100)]));
     let unknown = fleet.submit("00000000000000ff", job(vec![step(1, 1000, 100)]));
     fleet.advance(2);
-    assert_eq!(fleet.replies[&held], Answer::Unverified);
+    assert_eq!(fleet.replies[&held], Answer::Undetermined);
     assert!(matches!(fleet.replies[&unknown], Answer::Refused { .. }));
 }
 
