fix: a submit whose body wasn't read isn't told as "not run" if it may be a repeat

Callers of the jobs API saw: 503 or 408 with `ran: no` for a job that an earlier submit with the same Idempotency-Key had taken in, where there was no room for the body or it came too slowly. The head with the key had been read. Now `ran: unknown`, as for a refusal by the key.

--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -45,7 +45,7 @@
             ..pomelohitch_route::head::Limits::default()
         },
         // Nothing is known of earlier attempts at the request, which isn't read.
-        no_room: |_| refusal(504, NO_ROOM_RETRY_AFTER),
+        no_room: |_, _| refusal(504, NO_ROOM_RETRY_AFTER),
         ..Limits::default()
     }
 }
--- a/pomelohitchd/src/front.rs
+++ b/pomelohitchd/src/front.rs
@@ -183,6 +183,6 @@
 /// write never blocks.
 fn refuse(front: &Front, mut stream: &TcpStream) {
     metrics::counter!("callers_refused").increment(1);
-    let response = (front.limits.no_room)("no room for another connection");
+    let response = (front.limits.no_room)("no room for another connection", None);
     let _ = stream.write_all(&connection::last_answer(response));
 }
--- a/pomelohitchd/src/front/connection.rs
+++ b/pomelohitchd/src/front/connection.rs
@@ -64,15 +64,15 @@
     fn serve_one(&mut self, peer: SocketAddr) -> bool {
         let head = match self.read_head() {
             Ok(head) => head,
-            Err(error) => return self.refuse(&error),
+            Err(error) => return self.refuse(&error, None),
         };
         let arrived = Instant::now();
         let Some(_guard) = self.front.body_bytes.take(head.body_length) else {
-            return self.refuse(&Error::BodyBudgetExhausted);
+            return self.refuse(&Error::BodyBudgetExhausted, Some(&head));
         };
         let body = match self.read_body(&head) {
             Ok(body) => body,
-            Err(error) => return self.refuse(&error),
+            Err(error) => return self.refuse(&error, Some(&head)),
         };
         let (keep_alive, is_head) = (head.keep_alive, &*head.method == "HEAD");
         let response = (self.front.service.answer)(Incoming {
@@ -159,17 +159,19 @@
     }
 
     /// Answers with a problem document, if the caller is still connected, and ends the connection.
-    fn refuse(&mut self, error: &Error) -> bool {
+    ///
+    /// `head` is that of the request, if it was read.
+    fn refuse(&mut self, error: &Error, head: Option<&Head>) -> bool {
         let detail = error.to_string();
         let bad_request = |status| {
             let problem = Problem::not_run(Kind::BadRequest(status), &*detail);
-            exchange::problem_response(&problem)
+            unread_response(problem, head)
         };
         let response = match error {
             Error::Ended => return false,
             Error::Slow => bad_request(408),
             Error::Unreadable { source } => bad_request(source.status()),
-            Error::BodyBudgetExhausted => (self.front.limits.no_room)(&detail),
+            Error::BodyBudgetExhausted => (self.front.limits.no_room)(&detail, head),
         };
         metrics::counter!("requests_unreadable").increment(1);
         if self.write(response, true, false) {
@@ -201,10 +203,19 @@
     }
 }
 
-/// The answer if there is no room for a connection or a body.
+/// The answer if there is no room for a connection, or for the body of the request with this head.
 #[must_use]
-pub fn no_room(detail: &str) -> Response {
+pub fn no_room(detail: &str, head: Option<&Head>) -> Response {
     let problem = Problem::not_run(Kind::EntryFull, detail).retry_after(OVERLOAD_RETRY_AFTER);
+    unread_response(problem, head)
+}
+
+/// The answer to a request that wasn't read completely. An earlier one may have submitted the job.
+fn unread_response(problem: Problem, head: Option<&Head>) -> Response {
+    let problem = match head {
+        Some(head) => exchange::of_job(problem, head),
+        None => problem,
+    };
     exchange::problem_response(&problem)
 }
 
--- a/pomelohitchd/src/front/exchange.rs
+++ b/pomelohitchd/src/front/exchange.rs
@@ -244,9 +244,9 @@
     path == "/v1/jobs" || path.starts_with("/v1/jobs/")
 }
 
-/// The problem of a request that was refused by its key. A submit or cancel may repeat an earlier
-/// one, which was taken in while the key was in force.
-fn of_job(problem: Problem, head: &Head) -> Problem {
+/// The problem of a request that was refused before its job was looked at. A submit or cancel may
+/// repeat an earlier one, which was taken in.
+pub(super) fn of_job(problem: Problem, head: &Head) -> Problem {
     let may_be_repeat = match &*head.method {
         "POST" => head.headers.get("Idempotency-Key").is_some(),
         method => method == "DELETE",
--- a/pomelohitchd/src/front/limits.rs
+++ b/pomelohitchd/src/front/limits.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use pomelohitch_route::head;
+use pomelohitch_route::{Head, head};
 use rouille::Response;
 
 use super::connection;
@@ -35,8 +35,9 @@
     pub shutdown_check_interval: Duration,
     /// New connections are still served for this long after a graceful shutdown begins.
     pub shutdown_grace: Duration,
-    /// The answer, with the given detail, if there is no room for a connection or a body.
-    pub no_room: fn(&str) -> Response,
+    /// The answer, with the given detail, if there is no room for a connection, or for the body of
+    /// the request with this head.
+    pub no_room: fn(&str, Option<&Head>) -> Response,
 }
 
 impl Default for Limits {
