fix: a request that has waited for a slot is answered before its deadline

Callers saw: an answer up to 0.4 s after their deadline (673 to 691 ms for one of 600 ms). The wait for a slot of the window wasn't subtracted from the time of the call. The call now has what is left of the request's time, its own limit of 1.2 s as before.

--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -25,7 +25,7 @@
 /// the deadline.
 const DEADLINE_FRACTION: f64 = 0.7;
 /// Timeout of one attempt to have the leader execute a request.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1200);
+pub(super) const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Pause between attempts at a request.
 const RETRY_INTERVAL: Duration = Duration::from_millis(60);
 /// `Retry-After` if there is no room for a connection or a body.
@@ -245,9 +245,9 @@
         );
     }
     let own = shared.site.load().internal;
-    match leader {
+    match shared.view().leader {
         Some(leader) if leader.addr != own => {
-            forwarding::forward(shared, &leader, incoming, remaining.min(ATTEMPT_TIMEOUT))
+            forwarding::forward(shared, &leader, incoming, remaining)
         }
         _ => Attempt::NotExecuted,
     }
--- a/pomelohitchd/src/fleet/forwarding.rs
+++ b/pomelohitchd/src/fleet/forwarding.rs
@@ -11,7 +11,7 @@
 use pomelohitch_sched::{Epoch, Steady};
 use tracing::info;
 
-use super::callers::{Attempt, Reply, json};
+use super::callers::{ATTEMPT_TIMEOUT, Attempt, Reply, json};
 use super::clock;
 use super::shared::Shared;
 use super::wire::{self, Leader};
@@ -119,20 +119,27 @@
     }
 }
 
-/// Forwards a request and waits for the answer.
+/// Forwards a request and waits for the answer, for at most `remaining`.
 pub(super) fn forward(
     shared: &Shared,
     leader: &Leader,
     incoming: &Incoming,
-    timeout: Duration,
+    remaining: Duration,
 ) -> Attempt {
+    let started_at = clock::steady();
     let slot = shared
         .forwarding
-        .acquire(leader.epoch, SLOT_TIMEOUT.min(timeout));
+        .acquire(leader.epoch, SLOT_TIMEOUT.min(remaining));
     let slot = match slot {
         Ok(slot) => slot,
         Err(retry_after) => return Attempt::Overloaded(retry_after),
     };
+    let waited = clock::steady().saturating_sub(started_at);
+    let timeout = ATTEMPT_TIMEOUT.min(remaining.saturating_sub(waited));
+    if timeout.is_zero() {
+        slot.release(|window, _, _| window.cancelled());
+        return Attempt::NotExecuted;
+    }
     let queue = queue_key(incoming);
     let refused_for = shared.forwarding.refused_for(leader.epoch, &queue);
     let refused_for = refused_for.filter(|_| &*incoming.head.method == "POST");
