fix: a member that knows a later leader doesn't answer forwarded requests by its own leadership

The same as for its own callers: 410 to a cancel, or a refusal, of a job that a later leader has accepted, by way of a member that hasn't heard of that leader yet. It answers 421 now, and the other member tries again.

--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -231,10 +231,7 @@
     if remaining.is_zero() {
         return Attempt::NotExecuted;
     }
-    let leader = shared.view().leader;
-    // The own leadership may not have ended yet although a later leader is known.
-    let is_current = |own: &Leadership| leader.as_ref().is_none_or(|l| l.epoch <= own.epoch);
-    if let Some(leadership) = shared.leadership().filter(is_current) {
+    if let Some(leadership) = current_leadership(shared) {
         let host = incoming.head.headers.get("Host").unwrap_or_default();
         return ask_local_leader(
             &leadership,
@@ -253,13 +250,21 @@
     }
 }
 
+/// The own leadership, unless a later leader is known: then it is over, though it may not have ended
+/// yet.
+fn current_leadership(shared: &Shared) -> Option<Leadership> {
+    let leader = shared.view().leader;
+    let is_current = |own: &Leadership| leader.is_none_or(|l| l.epoch <= own.epoch);
+    shared.leadership().filter(is_current)
+}
+
 /// Answers a request that another entry instance forwarded.
 pub fn answer_forwarded(shared: &Shared, incoming: &Incoming, path: &str) -> Response {
     let host = incoming.head.headers.get(wire::CALLER_HOST_HEADER);
     let host = host.unwrap_or_default();
     let for_epoch = incoming.head.headers.get(wire::FOR_EPOCH_HEADER);
     let for_epoch: Option<Epoch> = for_epoch.and_then(|epoch| epoch.parse().ok());
-    let leadership = shared.leadership();
+    let leadership = current_leadership(shared);
     let leadership = leadership.filter(|l| for_epoch.is_none_or(|epoch| epoch == l.epoch));
     let Some(leadership) = leadership else {
         return Response::text("").with_status_code(421);
