--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -126,6 +126,17 @@
     assert!(matches!(fleet.replies[&unknown], Answer::Refused { .. }));
 }
 
+/// Replaces the leader by one that can't decode the record with `key`.
+fn change_to_leader_that_skips(fleet: &mut Fleet, key: &str) {
+    let mut records: Vec<_> = fleet.log.clone().into_iter().collect();
+    let record = records.iter_mut().find(|(known, _)| **known == *key);
+    record.expect("the record is stored").1 = Box::default();
+    let (cell, skipped) = Cell::restore(fleet.settings.clone(), 9, fleet.now, &records);
+    assert_eq!(skipped.len(), 1);
+    fleet.cell = cell;
+    fleet.cell.configure(Arc::new(super::fleet::config(1)));
+}
+
 /// Guards against a refusal that counts as proof although the leader couldn't read the job's record:
 /// a leader of another version may read it, and runs the job.
 #[test]
@@ -134,14 +145,7 @@
     let mut fleet = Fleet::new(1);
     fleet.submit(ID, job(vec![step(1, 1000, 100)]));
     fleet.advance(2);
-    let mut records: Vec<_> = fleet.log.clone().into_iter().collect();
-    let of_spec = |(key, _): &&mut (Box<str>, Box<[u8]>)| **key == *format!("j{ID}");
-    let spec = records.iter_mut().find(of_spec).expect("the job is stored");
-    spec.1 = Box::default();
-    let (cell, skipped) = Cell::restore(fleet.settings.clone(), 9, fleet.now, &records);
-    assert_eq!(skipped.len(), 1);
-    fleet.cell = cell;
-    fleet.cell.configure(Arc::new(super::fleet::config(1)));
+    change_to_leader_that_skips(&mut fleet, &format!("j{ID}"));
     let submit = Verb::Submit(Ok(job(vec![step(1, 1000, 100)])));
     let no_key = fleet.call_with(path, Some("withdrawn"), submit);
     fleet.advance(2);
@@ -156,14 +160,7 @@
     let mut fleet = Fleet::new(1);
     fleet.submit(ID, job(vec![step(1, 1000, 100)]));
     fleet.advance(2);
-    let mut records: Vec<_> = fleet.log.clone().into_iter().collect();
-    let of_spec = |(key, _): &&mut (Box<str>, Box<[u8]>)| **key == *format!("j{ID}");
-    let spec = records.iter_mut().find(of_spec).expect("the job is stored");
-    spec.1 = Box::default();
-    let (cell, skipped) = Cell::restore(fleet.settings.clone(), 9, fleet.now, &records);
-    assert_eq!(skipped.len(), 1);
-    fleet.cell = cell;
-    fleet.cell.configure(Arc::new(super::fleet::config(1)));
+    change_to_leader_that_skips(&mut fleet, &format!("j{ID}"));
     let cancel = fleet.call(&format!("/q/{ID}"), Verb::Cancel);
     fleet.advance(2);
     assert_ne!(fleet.replies.get(&cancel), Some(&Answer::Gone));
@@ -183,14 +180,7 @@
     while !fleet.replies.contains_key(&cancel) {
         fleet.advance(1);
     }
-    let mut records: Vec<_> = fleet.log.clone().into_iter().collect();
-    let of_progress = |(key, _): &&mut (Box<str>, Box<[u8]>)| **key == *format!("p{ID}");
-    let progress = records.iter_mut().find(of_progress);
-    progress.expect("the cancellation is stored").1 = Box::default();
-    let (cell, skipped) = Cell::restore(fleet.settings.clone(), 9, fleet.now, &records);
-    assert_eq!(skipped.len(), 1);
-    fleet.cell = cell;
-    fleet.cell.configure(Arc::new(super::fleet::config(1)));
+    change_to_leader_that_skips(&mut fleet, &format!("p{ID}"));
     let repeated = fleet.call_with(path, Some("withdrawn"), Verb::Cancel);
     fleet.advance(2);
     assert_eq!(fleet.replies[&repeated], Answer::NoKey);
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -275,11 +275,8 @@
     assert!(received.try_recv().is_err());
 }
 
-/// Guards against confirming the end of a job that a later leader has accepted and runs: a leader
-/// that was suspended hears of the later one before its own leadership ends.
-#[test]
-fn a_cancel_is_not_answered_by_an_own_leadership_that_is_known_to_be_over() {
-    const CANCELLED: &str = "HTTP/1.1 200 OK\r\nX-Leader-Epoch: 2\r\nX-Effect-Possible: 1\r\nContent-Length: 2\r\n\r\n{}";
+/// A member that leads with epoch 1 and holds no job.
+fn leader_without_jobs() -> Shared {
     let shared = Shared::new(site());
     let (events, received) = std::sync::mpsc::channel();
     shared.set_leadership(Some(Leadership { epoch: 1, events }));
@@ -294,6 +291,16 @@
             }
         }
     });
+    shared
+}
+
+/// Guards against confirming the end of a job that a later leader has accepted and runs: a leader
+/// that was suspended hears of the later one before its own leadership ends.
+#[test]
+fn a_cancel_is_not_answered_by_an_own_leadership_that_is_known_to_be_over() {
+    const CANCELLED: &str = "HTTP/1.1 200 OK\r\nX-Leader-Epoch: 2\r\n\
+        X-Effect-Possible: 1\r\nContent-Length: 2\r\n\r\n{}";
+    let shared = leader_without_jobs();
     set_leader(&shared, 2, leader(&[CANCELLED]));
     assert_eq!(
         callers::answer(&shared, &request("DELETE")).status_code,
@@ -305,20 +312,7 @@
 /// caller of another member: that one hasn't heard of the later leader yet, this one has.
 #[test]
 fn a_forwarded_cancel_is_not_answered_by_a_leadership_that_is_known_to_be_over() {
-    let shared = Shared::new(site());
-    let (events, received) = std::sync::mpsc::channel();
-    shared.set_leadership(Some(Leadership { epoch: 1, events }));
-    std::thread::spawn(move || {
-        for event in received {
-            if let Event::Call(call) = event {
-                let reply = core::Reply {
-                    answer: Answer::Gone,
-                    is_effect_possible: false,
-                };
-                call.reply.send(reply).expect("the caller waits");
-            }
-        }
-    });
+    let shared = leader_without_jobs();
     set_leader(&shared, 2, nowhere());
     let incoming = request_with("DELETE", &format!("{}: 1\r\n", wire::FOR_EPOCH_HEADER));
     let response = callers::answer_forwarded(&shared, &incoming, "/q/00000000000000a1");
