fix: a request that no run can answer in time is refused as not run

Callers saw 504 answer-late with ran: unknown, two at a time, when the entry instance was suspended between the arrival of a request and its first byte, or when the request waited long in the queue.

Cause: the last check asked whether the deadline had passed, not whether a run can still meet it. Requests were sent with 0 to 29 ms left for runs of 22 to 33 ms (traces of four of them).

Ruled out by the same traces: an abandoned attempt followed by a connect that timed out; broken connections.

Change: a request is refused once less is left than two mean runs of its service, as the queue does on arrival, or half of its own timeout if that is less, so that callers with short timeouts are served. The same holds for retries, and an attempt isn't abandoned for one that would be refused. The detail of a 504 says how long its attempt could wait.

--- a/crates/pomelohitch-route/src/dispatch.rs
+++ b/crates/pomelohitch-route/src/dispatch.rs
@@ -333,6 +333,17 @@
         may_retry.then(|| MIN_ATTEMPT_TIMEOUT.max(mean_run * ATTEMPT_TIMEOUT_RUNS))
     }
 
+    /// Whether a request with `left` of its `timeout` is expected to be answered before its deadline.
+    ///
+    /// A request that is sent too late has an unknown outcome after it has occupied a slot. One that
+    /// still has most of its timeout is sent in any case: its caller knows how long its runs take.
+    #[must_use]
+    pub fn has_time(&self, service: &ServiceId, left: Monotonic, timeout: Monotonic) -> bool {
+        let mean_run = self.queues.get(service).map(Queue::mean_run);
+        let needed = mean_run.unwrap_or_default() * EXPECTED_RUNS;
+        !left.is_zero() && left >= needed.min(timeout / 2)
+    }
+
     /// Takes the permits of a request. The caller has checked in the same step that the lease is
     /// valid.
     fn take_permits(
@@ -477,6 +488,9 @@
 /// Number of mean run times without an answer after which a reused connection counts as broken.
 const ATTEMPT_TIMEOUT_RUNS: u32 = 8;
 
+/// Number of mean run times within which most runs end.
+const EXPECTED_RUNS: u32 = 2;
+
 /// Longest run time assumed for a service that was removed while its requests ran.
 const DEFAULT_LONGEST_RUN: Monotonic = Monotonic::from_mins(10);
 
--- a/crates/pomelohitch-route/src/send.rs
+++ b/crates/pomelohitch-route/src/send.rs
@@ -59,8 +59,11 @@
     #[snafu(display("the runner didn't start the request"))]
     NotStarted,
     /// No complete answer arrived within the timeout, or before the attempt was abandoned.
-    #[snafu(display("no whole answer in time"))]
-    Late,
+    #[snafu(display("no whole answer within {} ms", timeout.as_millis()))]
+    Late {
+        /// Timeout of the attempt.
+        timeout: Duration,
+    },
     /// The answer was lost, truncated or unreadable.
     #[snafu(display("receive: {reason}"))]
     Lost {
@@ -172,7 +175,8 @@
             let reason = "the request can't be passed on".into();
             return UnsentSnafu::<Box<str>> { reason }.fail();
         };
-        let connect_timeout = self.options.connect_timeout.min(patience.timeout);
+        let timeout = patience.timeout;
+        let connect_timeout = self.options.connect_timeout.min(timeout);
         let wait = Wait::new(patience, self.suspensions.clone(), Instant::now());
         transport::begin_call(wait, gate);
         let configured = agent
@@ -181,13 +185,13 @@
             .build();
         let mut answer = agent
             .run(configured)
-            .map_err(|error| classify_error(&error))?;
+            .map_err(|error| classify_error(&error, timeout))?;
         let body = answer
             .body_mut()
             .with_config()
             .limit(self.options.max_answer_bytes)
             .read_to_vec()
-            .map_err(|error| classify_error(&error))?;
+            .map_err(|error| classify_error(&error, timeout))?;
         let answer = Answer {
             status: answer.status().as_u16(),
             headers: headers_of(&answer),
@@ -259,12 +263,12 @@
 /// Classifies an error of the HTTP client. `Unsent` requires that no byte of the request reached
 /// the transport: a broken connection, a timeout or an unreadable answer may all occur after the
 /// runner started the request.
-fn classify_error(error: &ureq::Error) -> Error {
+fn classify_error(error: &ureq::Error, timeout: Duration) -> Error {
     let reason = error.to_string().into();
     match (transport::progress(), error) {
         (Progress::Unsent, _) => Error::Unsent { reason },
         (Progress::Withheld, _) => Error::Withheld,
-        (Progress::Started, ureq::Error::Timeout(_)) => Error::Late,
+        (Progress::Started, ureq::Error::Timeout(_)) => Error::Late { timeout },
         (Progress::Started, _) => Error::Lost { reason },
     }
 }
--- a/pomelohitchd/src/front/exchange/sending.rs
+++ b/pomelohitchd/src/front/exchange/sending.rs
@@ -12,12 +12,10 @@
 use pomelohitch_route::send::{self, Answer, Connection, Gate};
 use pomelohitch_route::{Problem, Ran};
 
-use super::{
-    Call, Exchange, NO_RUNNER_RETRY_AFTER, Result, STALE_RETRY_AFTER, acquire_problem, check_key,
-};
+use super::{Call, Exchange, NO_RUNNER_RETRY_AFTER, Result, STALE_RETRY_AFTER, check_key};
 use crate::node::Node;
+use crate::permits;
 use crate::permits::keys::{self, Granted};
-use crate::permits::{self, AcquireError};
 
 impl Exchange {
     /// Sends a request that has a runner and permits, and retries it if that is allowed.
@@ -93,7 +91,7 @@
     /// into `next`.
     fn abandonment(
         &self,
-        call: &Call,
+        call: &Arc<Call>,
         sent: &Sent,
         connection: Connection,
         next: &Rc<Cell<Option<Sent>>>,
@@ -102,12 +100,13 @@
             return None;
         }
         let after = permits::attempt_timeout(&self.node, &call.service.id)?;
-        let (node, sent, next) = (self.node.clone(), sent.clone(), next.clone());
-        let deadline = call.deadline;
+        let (node, call) = (self.node.clone(), call.clone());
+        let (sent, next) = (sent.clone(), next.clone());
         let may_abandon = move || {
             // After a suspension, only an answer to this attempt may still be of use.
-            let has_time = Instant::now() < deadline;
-            let retry = has_time.then(|| permits::retry(&node, &sent)).flatten();
+            let retry = has_time(&node, &call)
+                .then(|| permits::retry(&node, &sent))
+                .flatten();
             let is_possible = retry.is_some();
             next.set(retry);
             is_possible
@@ -119,8 +118,7 @@
     /// of its bytes were sent.
     fn next_attempt(&self, call: &Call, sent: &Sent, error: &send::Error) -> Option<Sent> {
         let is_unsent = matches!(error, send::Error::Unsent { .. } | send::Error::Withheld);
-        let has_time = Instant::now() < call.deadline;
-        let may_retry = has_time && (call.terms.idempotent || is_unsent);
+        let may_retry = (call.terms.idempotent || is_unsent) && has_time(&self.node, call);
         may_retry
             .then(|| permits::retry(&self.node, sent))
             .flatten()
@@ -139,13 +137,21 @@
     }
 }
 
+/// Whether a request can still be answered before its deadline. It may have waited in the queue, and
+/// the process may have been suspended.
+fn has_time(node: &Node, call: &Call) -> bool {
+    let left = call.deadline.saturating_duration_since(Instant::now());
+    permits::has_time(node, &call.service.id, left, call.terms.timeout)
+}
+
 /// Repeats the checks right before sending. While the process was paused, the deadline may have
-/// passed, its incarnation may have been ended and its permits granted to others; the key may have
+/// come too close, its incarnation may have been ended and its permits granted to others; the key may have
 /// been withdrawn while the request waited in the queue.
 fn recheck(node: &Node, call: &Call, sent: &Sent) -> Result<()> {
-    if Instant::now() >= call.deadline {
+    if !has_time(node, call) {
         let retry_after = permits::expected_wait(node, &call.service.id, &call.team.id);
-        return Err(acquire_problem(AcquireError::Expired { retry_after }));
+        let detail = "too little of its timeout is left for a run";
+        return Err(Problem::not_run(Kind::WaitedTooLong, detail).retry_after(retry_after));
     }
     let (_, team) = check_key(node, &call.key)?;
     if !permits::may_send(node, sent) {
@@ -192,7 +198,7 @@
         Ok(_) => Completion::Answered,
         Err(send::Error::Unsent { .. }) => Completion::Unsent,
         Err(send::Error::NotStarted | send::Error::Withheld) => Completion::Refused,
-        Err(send::Error::Late | send::Error::Lost { .. }) => Completion::Unknown,
+        Err(send::Error::Late { .. } | send::Error::Lost { .. }) => Completion::Unknown,
     }
 }
 
@@ -209,7 +215,7 @@
         send::Error::Withheld => {
             Problem::not_run(Kind::StaleKnowledge, detail).retry_after(STALE_RETRY_AFTER)
         }
-        send::Error::Late => Problem::unknown(Kind::AnswerLate, detail),
+        send::Error::Late { .. } => Problem::unknown(Kind::AnswerLate, detail),
         send::Error::Lost { .. } => Problem::unknown(Kind::AnswerLost, detail),
     };
     if may_have_run {
--- a/pomelohitchd/src/permits.rs
+++ b/pomelohitchd/src/permits.rs
@@ -256,6 +256,13 @@
     node.permits.lock().dispatcher.attempt_timeout(service)
 }
 
+/// Whether a request with `left` of its `timeout` is expected to be answered before its deadline.
+#[must_use]
+pub fn has_time(node: &Node, service: &ServiceId, left: Duration, timeout: Duration) -> bool {
+    let permits = node.permits.lock();
+    permits.dispatcher.has_time(service, left, timeout)
+}
+
 /// Records how a dispatched request ended, and dispatches waiting ones.
 pub fn complete(node: &Node, sent: &Sent, completion: Completion) {
     let permits = &node.permits;
--- a/pomelohitchd/tests/front/retries.rs
+++ b/pomelohitchd/tests/front/retries.rs
@@ -3,10 +3,12 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
+use pomelohitch_core::config::Service;
 use pomelohitchd::front::Limits;
 
-use crate::entry::{Entry, problem, status};
+use crate::entry::{Entry, passes, problem, status, wait_until};
 use crate::runner::{ReceivedRequest, Runner, ok};
 
 /// Two runners that share one request counter; `answer` gets the number of the request.
@@ -164,3 +166,28 @@
     let booked = entry.call("POST", "/s/passes/", &[key]);
     assert!(booked.ends_with("booked"), "{booked}");
 }
+
+/// Guards against sending a request so late that its answer misses the deadline: it would end as
+/// unknown, although it could be refused as not run.
+#[test]
+fn a_request_that_waited_too_long_for_a_run_is_not_sent() {
+    let runner = Runner::start(|seen| {
+        let is_slow = seen.lines[0].contains("/slow");
+        std::thread::sleep(Duration::from_millis(if is_slow { 850 } else { 400 }));
+        Some(ok("whole"))
+    });
+    let service = Service {
+        slots: 1,
+        ..passes()
+    };
+    let entry = Entry::start_with(&[runner.addr], Limits::default(), service);
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| entry.call("POST", "/s/passes/slow", &[]));
+        wait_until("the first request runs", || runner.count() == 1);
+        let answer = entry.call("POST", "/s/passes/", &["Request-Timeout-Ms: 1000"]);
+        assert_eq!(status(&answer), 503, "{answer}");
+        assert_eq!(problem(&answer)["ran"], "no", "{answer}");
+        assert_eq!(status(&first.join().unwrap()), 200);
+    });
+    assert_eq!(runner.count(), 1);
+}
