fix: a leader that was suspended doesn't take its relays for silent

Callers of a leader that stood still for a third of a second: all relayed calls fail, and for two seconds it connects to all endpoints itself, thousands in a large fleet.

Cause: the silence of a relay and the timeouts of relayed calls were measured on a clock that goes on while the process is suspended. At its end, the check may run before the frames that arrived meanwhile are read. A line says now for how long a relay was silent.

Change: these times are measured on a clock that counts at most 100 ms between two ticks. A leader that runs seldom still gives up a relay after some ticks.

--- a/pomelohitchd/src/fleet/clock.rs
+++ b/pomelohitchd/src/fleet/clock.rs
@@ -18,6 +18,40 @@
     Duration::new(secs, nanos)
 }
 
+/// Measures for how long this process waited for a peer. After a suspension, or without processor
+/// time, it hasn't yet read what arrived meanwhile, so that time counts only up to [`MAX_STEP`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WaitClock {
+    ticked_at: Steady,
+    waited: Duration,
+}
+
+/// Most time that counts between two ticks of a [`WaitClock`].
+pub const MAX_STEP: Duration = Duration::from_millis(100);
+
+impl WaitClock {
+    /// A clock that shows zero at `now`.
+    #[must_use]
+    pub fn new(now: Steady) -> WaitClock {
+        WaitClock {
+            ticked_at: now,
+            waited: Duration::ZERO,
+        }
+    }
+
+    /// Records that the process runs. Call it at intervals well below [`MAX_STEP`].
+    pub fn tick(&mut self, now: Steady) {
+        self.waited = self.at(now);
+        self.ticked_at = now;
+    }
+
+    /// Time waited until `now`.
+    #[must_use]
+    pub fn at(&self, now: Steady) -> Duration {
+        self.waited + now.saturating_sub(self.ticked_at).min(MAX_STEP)
+    }
+}
+
 /// Time of day in milliseconds since 1970.
 #[must_use]
 pub fn unix_ms() -> UnixMs {
--- a/pomelohitchd/src/fleet/relay/client.rs
+++ b/pomelohitchd/src/fleet/relay/client.rs
@@ -24,7 +24,7 @@
 };
 use super::spec_cache::SpecCache;
 use crate::fleet::calls::OutgoingOrder;
-use crate::fleet::clock;
+use crate::fleet::clock::{self, WaitClock};
 use crate::fleet::leader::core::Event;
 
 /// Connect timeout; a connection that takes longer isn't expected to succeed.
@@ -55,7 +55,8 @@
 struct InFlight {
     call: Call,
     sent_at: Steady,
-    expires_at: Steady,
+    /// On the session's wait clock.
+    expires_at: Duration,
 }
 
 /// A command to the task that runs the connection.
@@ -153,7 +154,9 @@
     expired_polls: RefCell<HashMap<CallNumber, EndpointId>>,
     listings: RefCell<HashMap<EndpointId, Listing>>,
     rto: RefCell<Rto>,
-    last_frame_at: Cell<Steady>,
+    wait_clock: Cell<WaitClock>,
+    /// On the wait clock.
+    last_frame_at: Cell<Duration>,
 }
 
 impl Session {
@@ -164,10 +167,16 @@
             expired_polls: RefCell::default(),
             listings: RefCell::default(),
             rto: RefCell::new(Rto::new(ORDER_TIMEOUT)),
-            last_frame_at: Cell::new(clock::steady()),
+            wait_clock: Cell::new(WaitClock::new(clock::steady())),
+            last_frame_at: Cell::default(),
         }
     }
 
+    /// Time that this session has waited, on its wait clock.
+    fn waited(&self) -> Duration {
+        self.wait_clock.get().at(clock::steady())
+    }
+
     async fn run(
         &self,
         peer: SocketAddr,
@@ -182,7 +191,7 @@
             return;
         };
         if message::send(&mut writer, &Hello { epoch }).await.is_ok() {
-            self.last_frame_at.set(clock::steady());
+            self.last_frame_at.set(self.waited());
             state.is_open.set(true);
             select! {
                 () = self.send(&mut writer, &rx) => {}
@@ -248,11 +257,10 @@
                 poll.wait + POLL_MARGIN + timeout
             }
         };
-        let sent_at = clock::steady();
         let in_flight = InFlight {
             call,
-            sent_at,
-            expires_at: sent_at + timeout,
+            sent_at: clock::steady(),
+            expires_at: self.waited() + timeout,
         };
         self.in_flight.borrow_mut().insert(number, in_flight);
     }
@@ -267,7 +275,7 @@
                     return;
                 }
             };
-            self.last_frame_at.set(clock::steady());
+            self.last_frame_at.set(self.waited());
             for reply in replies {
                 self.handle(reply);
             }
@@ -330,8 +338,12 @@
         loop {
             time::sleep(EXPIRY_INTERVAL).await;
             let now = clock::steady();
+            let mut wait_clock = self.wait_clock.get();
+            wait_clock.tick(now);
+            self.wait_clock.set(wait_clock);
+            let waited = wait_clock.at(now);
             let mut in_flight = self.in_flight.borrow_mut();
-            let expired = in_flight.extract_if(|_, c| c.expires_at <= now);
+            let expired = in_flight.extract_if(|_, c| c.expires_at <= waited);
             let expired: Vec<_> = expired.collect();
             drop(in_flight);
             for (number, InFlight { call, sent_at, .. }) in expired {
@@ -344,7 +356,9 @@
                     .add_sample(now.saturating_sub(sent_at));
                 self.fail(call);
             }
-            if now.saturating_sub(self.last_frame_at.get()) > MAX_SILENCE {
+            let silence = waited.saturating_sub(self.last_frame_at.get());
+            if silence > MAX_SILENCE {
+                info!(silence_ms = silence.as_millis(), "relay is silent");
                 return;
             }
         }
--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 #[path = "fleet/callers.rs"]
 mod callers;
+#[path = "fleet/clock.rs"]
+mod clock;
 #[path = "fleet/dispatcher.rs"]
 mod dispatcher;
 #[path = "fleet/heartbeats.rs"]
--- a/pomelohitchd/tests/fleet/relays.rs
+++ b/pomelohitchd/tests/fleet/relays.rs
@@ -3,6 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{self, Receiver};
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 use pomelohitch_sched::{Resources, TaskId};
 use pomelohitchd::fleet::clock;
 use pomelohitchd::fleet::leader::core::Event;
-use pomelohitchd::fleet::leader::dispatcher::{Dispatcher, Options};
+use pomelohitchd::fleet::leader::dispatcher::{Dispatcher, Members, Options};
 use pomelohitchd::fleet::relay::listing::Listing;
 use pomelohitchd::fleet::relay::message::{Hello, Instruction, Replies, Reply, Request, Requests};
 use pomelohitchd::fleet::relay::server::{self, DelayEstimator};
@@ -33,10 +34,14 @@
 }
 
 fn dispatcher(members: Vec<SocketAddr>) -> (Dispatcher, Receiver<Event>) {
+    dispatcher_with(Box::new(move || members.clone()))
+}
+
+fn dispatcher_with(members: Members) -> (Dispatcher, Receiver<Event>) {
     let (tx, rx) = mpsc::channel();
     let options = Options {
         epoch: 1,
-        members: Some(Box::new(move || members.clone())),
+        members: Some(members),
         link_bytes_per_s: Some(SLOW_LINK_BYTES_PER_S),
     };
     let dispatcher = Dispatcher::start(tx, options).expect("a thread can be started");
@@ -210,6 +215,32 @@
     }
 }
 
+/// Guards against a leader that connects to thousands of endpoints itself after a suspension, because
+/// it takes its relays for silent before it has read their frames.
+#[test]
+fn polls_are_relayed_after_a_suspension_of_the_leader() {
+    let endpoint = Recorder::start();
+    let relay = start_relay();
+    let is_suspended = Arc::new(AtomicBool::new(false));
+    let suspended = is_suspended.clone();
+    let (mut dispatcher, rx) = dispatcher_with(Box::new(move || {
+        // All calls are made on the thread that asks for the members.
+        if suspended.swap(false, Ordering::AcqRel) {
+            std::thread::sleep(Duration::from_millis(700));
+        }
+        vec![relay]
+    }));
+    poll_until_relayed(&mut dispatcher, &rx, &endpoint);
+    let connections = endpoint.connection_count();
+    for _ in 0..8 {
+        // The members are asked for at intervals.
+        std::thread::sleep(Duration::from_millis(300));
+        is_suspended.store(true, Ordering::Release);
+        poll(&mut dispatcher, &rx, endpoint.addr).expect("the poll is answered");
+    }
+    assert_eq!(endpoint.connection_count(), connections);
+}
+
 /// Guards against endpoints that are no longer called once the member that relays their calls is
 /// gone.
 #[test]
