feat: run times that the scheduler expects, as an interface

Cause: order, deferral and pools rest on declared run times. What is learned instead needs one place. Change: estimates.rs with the declared times and a fixed deviation; critical paths and work follow from it.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -32,6 +32,7 @@
 use crate::config::{FleetConfig, Queue};
 use crate::demand::Demand;
 use crate::endpoint::Endpoint;
+use crate::estimates::Estimates;
 use crate::evacuations::Evacuations;
 use crate::flow::StartWindow;
 use crate::id::{EndpointId, Epoch, JobId, QueueName, ServiceName, WorkspaceName};
@@ -248,6 +249,8 @@
     /// Time from which the former leader sends no more operations on instances.
     operations_allowed_from: Steady,
     demand: Demand,
+    /// Expected run times of tasks.
+    estimates: Estimates,
     /// Window on starts in flight.
     start_window: StartWindow,
     /// Moving average of the time from the arrival of an endpoint's answer to its processing.
@@ -355,6 +358,7 @@
             operation_limiter: RateLimiter::new(settings.operations_per_s),
             operations_allowed_from: now.steady + settings.former_leader_timeout,
             demand: Demand::new(settings.policy.demand, settings.policy.margins),
+            estimates: Estimates::default(),
             epoch,
             cfg: None,
             queues: HashMap::new(),
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -238,13 +238,19 @@
         let default = Queue::default();
         let queue = self.queue(&job.spec.queue).unwrap_or(&default);
         let (owner, weight) = self.owner(job.spec.workspace.as_ref());
+        let steps = &job.spec.steps;
+        let (estimates, name) = (&self.estimates, &job.spec.queue);
+        let length = |step: &StepSpec, count: u32| estimates.expect_step(name, step, count);
+        let whole = job::critical_path(steps, |index| length(&steps[index], steps[index].count));
+        let remaining = open.remaining_critical_path(steps, length);
         Some(Candidate {
             job: job.spec.id,
             from_ms: self.wanted_since_ms(&job.spec, *occurrence),
-            critical_path: job::critical_path(&job.spec.steps, |_| true),
-            remaining_critical_path: open.remaining_critical_path(&job.spec.steps),
+            critical_path: whole.time,
+            remaining_critical_path: remaining.time,
+            deviation: remaining.deviation,
             steps_left: open.steps_left(),
-            work_left: open.waiting_work(&job.spec.steps),
+            work_left: open.waiting_work(steps, |step| estimates.expect(name, step).time),
             has_begun: open.has_begun(),
             is_lasting: job.spec.steps.iter().any(|s| s.is_lasting),
             stretch: queue.stretch,
--- a/crates/pomelohitch-sched/src/job.rs
+++ b/crates/pomelohitch-sched/src/job.rs
@@ -6,6 +6,7 @@
 use snafu::{Snafu, ensure};
 
 use crate::UnixMs;
+use crate::estimates::Expected;
 use crate::id::{JobId, QueueName, ServiceName, WorkspaceName};
 use crate::resources::Resources;
 
@@ -168,20 +169,17 @@
     }
 }
 
-/// Length of the critical path, by estimates, over the steps for which `is_left` holds.
+/// Expected length of the critical path, given that of each step by its index.
 #[must_use]
-pub fn critical_path(steps: &[StepSpec], is_left: impl Fn(usize) -> bool) -> Duration {
-    let mut ends: Vec<Duration> = Vec::with_capacity(steps.len());
+pub fn critical_path(steps: &[StepSpec], length: impl Fn(usize) -> Expected) -> Expected {
+    let longer = |a: Expected, b: Expected| if b.time > a.time { b } else { a };
+    let mut ends: Vec<Expected> = Vec::with_capacity(steps.len());
     for (index, step) in steps.iter().enumerate() {
-        let begins = step.after.iter().map(|&a| ends[usize::from(a)]).max();
-        let own = if is_left(index) {
-            step.estimate
-        } else {
-            Duration::ZERO
-        };
-        ends.push(begins.unwrap_or_default() + own);
+        let begins = step.after.iter().map(|&a| ends[usize::from(a)]);
+        let begins = begins.reduce(longer).unwrap_or_default();
+        ends.push(begins.then(length(index)));
     }
-    ends.into_iter().max().unwrap_or_default()
+    ends.into_iter().reduce(longer).unwrap_or_default()
 }
 
 impl StepSpec {
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`avoidance`]: limit on the endpoints avoided because runs stall there.
 //! * [`demand`]: forecast of the processors that each service needs.
 //! * [`endpoint`]: state of an endpoint, its clock and its lease.
+//! * [`estimates`]: run times that tasks are expected to take.
 //! * [`evacuations`]: evacuations of availability zones.
 //! * [`flow`]: window on the starts in flight.
 //! * [`forwarding`]: window on the requests forwarded to the leader.
@@ -38,6 +39,7 @@
 pub mod config;
 pub mod demand;
 pub mod endpoint;
+pub mod estimates;
 pub mod evacuations;
 pub mod flow;
 pub mod forwarding;
--- a/crates/pomelohitch-sched/src/progress.rs
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
+use crate::estimates::Expected;
 use crate::id::{EndpointId, JobId, RunNumber, TaskId, job_text};
 use crate::job::{self, JobSpec, StepSpec};
 use crate::loss::Loss;
@@ -225,15 +226,19 @@
         u32::try_from(left.count()).unwrap_or(u32::MAX)
     }
 
-    /// Estimated work of the tasks that are neither running nor done: thousandths of a core times
-    /// milliseconds.
+    /// Expected work of the tasks that are neither running nor done, given the expected run time of
+    /// a task of each step: thousandths of a core times milliseconds.
     #[must_use]
-    pub fn waiting_work(&self, steps: &[StepSpec]) -> f64 {
+    pub fn waiting_work(
+        &self,
+        steps: &[StepSpec],
+        run_time: impl Fn(&StepSpec) -> Duration,
+    ) -> f64 {
         let work = self.steps.iter().zip(steps).map(|(tasks, step)| {
             let waiting = tasks.iter().filter(|t| !t.is_done && t.runs.is_empty());
             let count = u32::try_from(waiting.count()).unwrap_or(u32::MAX);
             let cpu = u32::try_from(step.task_resources().cpu).unwrap_or(u32::MAX);
-            f64::from(count) * f64::from(cpu) * step.estimate.as_secs_f64() * 1000.0
+            f64::from(count) * f64::from(cpu) * run_time(step).as_secs_f64() * 1000.0
         });
         work.sum()
     }
@@ -244,10 +249,18 @@
         self.steps.iter().flatten().any(|t| t.last_run > 0)
     }
 
-    /// Length of the critical path, by estimates, over the steps that are not done.
+    /// Expected length of the critical path over the tasks that are not done, given that of a
+    /// number of tasks of a step.
     #[must_use]
-    pub fn remaining_critical_path(&self, steps: &[StepSpec]) -> Duration {
-        job::critical_path(steps, |step| self.steps[step].iter().any(|t| !t.is_done))
+    pub fn remaining_critical_path(
+        &self,
+        steps: &[StepSpec],
+        length: impl Fn(&StepSpec, u32) -> Expected,
+    ) -> Expected {
+        job::critical_path(steps, |index| {
+            let left = self.steps[index].iter().filter(|t| !t.is_done).count();
+            length(&steps[index], u32::try_from(left).unwrap_or(u32::MAX))
+        })
     }
 }
 
--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -33,13 +33,15 @@
     pub job: JobId,
     /// When the job was accepted or became due.
     pub from_ms: UnixMs,
-    /// Length of its whole critical path, by estimates.
+    /// Expected length of its whole critical path.
     pub critical_path: Duration,
-    /// Length of the remaining critical path.
+    /// Expected length of the remaining critical path.
     pub remaining_critical_path: Duration,
+    /// Standard deviation of that length.
+    pub deviation: Duration,
     /// Number of remaining steps, an upper bound on the steps in sequence.
     pub steps_left: u32,
-    /// Estimated work of its tasks that have not begun: thousandths of a core times milliseconds.
+    /// Expected work of its tasks that have not begun: thousandths of a core times milliseconds.
     pub work_left: f64,
     /// Whether any of its tasks has begun.
     pub has_begun: bool,
