feat: learned run times, and refusal of jobs that can't be of use

Change: estimates.rs learns by queue how long tasks take against what was declared, with the deviation; a new leader knows it from records. admission.rs refuses at once, by weights, with a Retry-After that is spread by id. The test of the backlog's demand passes expected times to Demand::add, whose signature has changed; the random test of records has one more field.

--- a/crates/pomelohitch-emulator/src/arrivals.rs
+++ b/crates/pomelohitch-emulator/src/arrivals.rs
@@ -31,6 +31,8 @@
     pub workspace: usize,
     /// Specification of the job.
     pub draft: Draft,
+    /// Mean duration of the tasks of each step, of which `draft` has the declared one.
+    pub durations: Vec<Duration>,
 }
 
 /// Generates all jobs of a load in order of arrival.
@@ -44,12 +46,19 @@
         for (index, queue) in load.queues.iter().enumerate() {
             let rate = queue.per_s * rate_factor(load, index, at);
             for workspace in senders(load, rate, at, &mut rng) {
+                let id = rng.random();
+                let mut draft = job(queue, &mut rng);
+                let durations = draft.steps.iter().map(|s| s.estimate).collect();
+                for step in &mut draft.steps {
+                    step.estimate = declared(queue, step.estimate, &mut rng);
+                }
                 arrivals.push(Arrival {
                     at,
-                    id: rng.random(),
+                    id,
                     queue: index,
                     workspace,
-                    draft: job(queue, &mut rng),
+                    draft,
+                    durations,
                 });
             }
         }
@@ -136,6 +145,13 @@
     }
 }
 
+/// Duration that a caller declares for tasks of this duration.
+fn declared(queue: &Queue, duration: Duration, rng: &mut ChaCha8Rng) -> Duration {
+    let is_exact = queue.declared_error <= 0.0;
+    let error = if is_exact { 0.0 } else { normal(rng) };
+    duration.mul_f64(queue.declared_factor * (error * queue.declared_error).exp())
+}
+
 /// Draws a log-normal number with the given mean, limited to [`MAX_FACTOR`] times the mean.
 fn draw_around_mean(mean: f64, spread: f64, rng: &mut ChaCha8Rng) -> f64 {
     let factor = (normal(rng) * spread - spread * spread / 2.0).exp();
--- a/crates/pomelohitch-emulator/src/compare.rs
+++ b/crates/pomelohitch-emulator/src/compare.rs
@@ -13,7 +13,7 @@
 pub type Figure = (&'static str, fn(&Outcome) -> f64);
 
 /// The figures that are compared.
-pub const FIGURES: [Figure; 12] = [
+pub const FIGURES: [Figure; 13] = [
     ("worth", |o| o.worth),
     ("worst windows", |o| o.worst_windows),
     ("worst queue", |o| o.worst_queue),
@@ -21,6 +21,7 @@
     ("in time", |o| o.in_time),
     ("late", |o| o.late),
     ("of no use", |o| 1.0 - o.in_time - o.late),
+    ("refused", |o| o.refused),
     ("p99, s", |o| millis(o.p99_ms)),
     ("pool seconds", |o| o.pool_s),
     ("moves", |o| as_f64(o.moves)),
--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -16,7 +16,9 @@
 use pomelohitch_sched::instances::{Instance, InstanceState};
 use pomelohitch_sched::job::StepSpec;
 use pomelohitch_sched::order::{Answer, Operation, PollFailure, PollOrder};
-use pomelohitch_sched::{Cell, EndpointId, Now, Resources, Settings, Steady, TaskId, ZoneName};
+use pomelohitch_sched::{
+    Cell, EndpointId, JobId, Now, Resources, Settings, Steady, TaskId, ZoneName,
+};
 
 pub use self::crashes::Crashes;
 pub use self::endpoint::Endpoint;
@@ -100,6 +102,8 @@
     pub loses_operations: bool,
     /// Random faults.
     pub faults: Faults,
+    /// Mean duration of the tasks of each step of a job, if it isn't the declared one.
+    pub durations: BTreeMap<JobId, Vec<Duration>>,
     /// Tasks that crash their endpoints.
     pub crashes: Crashes,
     /// Answers to callers by call number.
@@ -252,6 +256,7 @@
             last_index: 100,
             loses_operations: false,
             faults: Faults::default(),
+            durations: BTreeMap::new(),
             crashes: Crashes::default(),
             replies: BTreeMap::new(),
             effects_possible: BTreeSet::new(),
--- a/crates/pomelohitch-emulator/src/fleet/faults.rs
+++ b/crates/pomelohitch-emulator/src/fleet/faults.rs
@@ -20,7 +20,7 @@
     /// Network delay of orders. It has an effect only if it exceeds their timeout: then they count
     /// as unanswered.
     pub orders_late: Duration,
-    /// Deviation of actual durations of tasks from their estimates: the standard deviation of the
+    /// Deviation of the durations of a step's tasks from their mean: the standard deviation of the
     /// logarithm. A task takes the same time in every run.
     pub unevenness: f64,
     /// Seed of the durations.
@@ -28,17 +28,17 @@
 }
 
 impl Faults {
-    /// Actual duration of a task for the estimate of its step.
+    /// Actual duration of a task for the mean duration of its step.
     #[must_use]
-    pub fn duration(&self, task: TaskId, estimate: Duration) -> Duration {
+    pub fn duration(&self, task: TaskId, mean: Duration) -> Duration {
         if self.unevenness <= 0.0 {
-            return estimate;
+            return mean;
         }
         let position = u64::from(task.step) << 32 | u64::from(task.index);
         let seed =
             self.seed ^ task.job.rotate_left(17) ^ position.wrapping_mul(0x9E37_79B9_7F4A_7C15);
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        estimate.mul_f64((normal(&mut rng) * self.unevenness).exp())
+        mean.mul_f64((normal(&mut rng) * self.unevenness).exp())
     }
 }
 
--- a/crates/pomelohitch-emulator/src/fleet/orders.rs
+++ b/crates/pomelohitch-emulator/src/fleet/orders.rs
@@ -118,8 +118,10 @@
         }
         let duration = match order {
             Order::Start { task, spec, .. } => {
-                let estimate = spec.steps[usize::from(task.step)].estimate;
-                self.faults.duration(*task, estimate)
+                let step = usize::from(task.step);
+                let mean = self.durations.get(&task.job).and_then(|d| d.get(step));
+                let mean = mean.copied().unwrap_or(spec.steps[step].estimate);
+                self.faults.duration(*task, mean)
             }
             _ => Duration::ZERO,
         };
--- a/crates/pomelohitch-emulator/src/load.rs
+++ b/crates/pomelohitch-emulator/src/load.rs
@@ -112,8 +112,15 @@
     pub steps: f64,
     /// Mean number of tasks of a step.
     pub tasks: f64,
-    /// Mean estimated duration of a task in milliseconds.
+    /// Mean duration of a task in milliseconds.
     pub work_ms: f64,
+    /// Duration that callers declare, as a multiple of the actual one.
+    #[serde(default = "declared_factor")]
+    pub declared_factor: f64,
+    /// Random deviation of the declared duration of each step: the standard deviation of the
+    /// logarithm.
+    #[serde(default)]
+    pub declared_error: f64,
     /// Mean processors of a task in thousandths of a core.
     pub cpu: f64,
     /// Spread around these means: the standard deviation of the logarithm.
@@ -183,7 +190,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Faults {
-    /// Deviation of actual durations from the estimates: the standard deviation of the logarithm.
+    /// Deviation of the durations of a step's tasks: the standard deviation of the logarithm.
     #[serde(default)]
     pub unevenness: f64,
     /// A fraction `strength` of all orders and polls gets no answer; the orders are executed
@@ -221,6 +228,10 @@
     4
 }
 
+fn declared_factor() -> f64 {
+    1.0
+}
+
 fn spread() -> f64 {
     0.45
 }
@@ -304,6 +315,16 @@
             "queues.spread",
             "0 to 2",
         )?;
+        require(
+            (0.01..=100.0).contains(&queue.declared_factor),
+            "queues.declared_factor",
+            "0.01 to 100",
+        )?;
+        require(
+            (0.0..=2.0).contains(&queue.declared_error),
+            "queues.declared_error",
+            "0 to 2",
+        )?;
     }
     let parts: f64 = load.workspaces.iter().map(|w| w.part).sum();
     let has_shares = load.workspaces.is_empty() || parts > 0.0;
--- a/crates/pomelohitch-emulator/src/play.rs
+++ b/crates/pomelohitch-emulator/src/play.rs
@@ -59,6 +59,8 @@
     pub in_time: f64,
     /// Fraction that completed late, but early enough to have some worth.
     pub late: f64,
+    /// Fraction that was refused at least once.
+    pub refused: f64,
     /// Median duration of a job in milliseconds.
     pub p50_ms: u64,
     /// 99th percentile of the duration in milliseconds.
@@ -88,6 +90,7 @@
     worth: f64,
     call: u64,
     is_accepted: bool,
+    was_refused: bool,
     retry_at: Duration,
     duration: Option<Duration>,
 }
@@ -290,15 +293,19 @@
             self.fleet.crashes.add_first_task_of(arrival.id);
         }
         let queue = &self.load.queues[arrival.queue];
+        self.fleet
+            .durations
+            .insert(arrival.id, arrival.durations.clone());
         let critical_path = critical_path(&self.fleet, &arrival);
         let objective =
             critical_path.mul_f64(queue.stretch) + Duration::from_millis(queue.slack_ms);
-        let work = work(&arrival.draft) / self.mean_work[arrival.queue].max(1.0);
+        let work = work(&arrival) / self.mean_work[arrival.queue].max(1.0);
         let mut sent = SentJob {
             objective,
             worth: FIXED_WORTH + (1.0 - FIXED_WORTH) * work.min(MAX_WORK),
             call: 0,
             is_accepted: false,
+            was_refused: false,
             retry_at: Duration::ZERO,
             duration: None,
             arrival,
@@ -325,6 +332,7 @@
             match self.fleet.replies.remove(&sent.call) {
                 Some(Answer::Accepted) => sent.is_accepted = true,
                 Some(Answer::Refused { retry_after, .. }) => {
+                    sent.was_refused = true;
                     sent.retry_at = self.elapsed + retry_after;
                 }
                 _ => {}
@@ -383,6 +391,7 @@
             ),
             in_time: fraction(SentJob::is_in_time),
             late: fraction(SentJob::is_late),
+            refused: fraction(|sent| sent.was_refused),
             p50_ms: durations.value_at_quantile(0.5),
             p99_ms: durations.value_at_quantile(0.99),
             pool_s: self.pool_time.as_secs_f64(),
@@ -464,19 +473,19 @@
                 step: u16::try_from(step_index).unwrap_or(u16::MAX),
                 index,
             };
-            fleet.faults.duration(task, step.estimate)
+            fleet.faults.duration(task, arrival.durations[step_index])
         });
         durations.max().unwrap_or_default()
     };
     steps.map(longest).sum()
 }
 
-/// Estimated work in core seconds.
-fn work(draft: &Draft) -> f64 {
-    let steps = draft.steps.iter();
+/// Work in core seconds, by the mean durations of the steps.
+fn work(arrival: &Arrival) -> f64 {
+    let steps = arrival.draft.steps.iter().zip(&arrival.durations);
     let cores = |step: &StepSpec| as_f64(usize::try_from(step.need.cpu).unwrap_or(0)) / 1000.0;
     steps
-        .map(|s| cores(s) * f64::from(s.count) * s.estimate.as_secs_f64())
+        .map(|(s, duration)| cores(s) * f64::from(s.count) * duration.as_secs_f64())
         .sum()
 }
 
@@ -484,7 +493,7 @@
     let queues = 0..load.queues.len();
     let mean = |queue| {
         let own = arrivals.iter().filter(|a| a.queue == queue);
-        let works: Vec<f64> = own.map(|a| work(&a.draft)).collect();
+        let works: Vec<f64> = own.map(work).collect();
         ratio(works.iter().sum(), as_f64(works.len()))
     };
     queues.map(mean).collect()
--- a/crates/pomelohitch-emulator/src/policies.rs
+++ b/crates/pomelohitch-emulator/src/policies.rs
@@ -8,11 +8,13 @@
 pub type Switch = (&'static str, fn(&mut Policy));
 
 /// Every mechanism that can be switched off.
-pub const SWITCHES: [Switch; 13] = [
+pub const SWITCHES: [Switch; 15] = [
     ("late-last", |p| p.ranks_late_last = false),
     ("latest-start", |p| p.by_latest_start = false),
     ("deferral", |p| p.defers_on_overload = false),
     ("promotion", |p| p.promotes_expiring = false),
+    ("estimates", |p| p.learns_run_times = false),
+    ("refusing", |p| p.refuses_useless = false),
     ("period", |p| p.demand.uses_period = false),
     ("rise", |p| p.demand.uses_trend = false),
     ("height", |p| p.demand.uses_peak = false),
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -1,6 +1,7 @@
 //! The scheduler's state of all jobs and endpoints, and the decisions made from it.
 //!
 //! * [`calls`]: API requests of callers.
+//! * `admit`: refusal of jobs that can't be of use any more.
 //! * `archive`: records of jobs that have ended.
 //! * [`accounting`]: jobs, runs, and the capacity and workspace limits that runs use.
 //! * [`commits`]: actions that wait until their records are durable.
@@ -10,6 +11,7 @@
 //! * [`lifecycle`]: endpoints that are listed, restart and disappear.
 //! * [`polls`]: polls of endpoints and their answers.
 //! * [`orders`]: results of orders to endpoints.
+//! * `run_times`: learning of run times, and what jobs are expected to take.
 //! * [`schedule`]: which tasks start on which endpoints.
 //! * [`gangs`]: gangs and rack-local steps.
 //! * [`advice`]: which endpoints a queue's placement policy allows.
@@ -32,7 +34,7 @@
 use crate::config::{FleetConfig, Queue};
 use crate::demand::Demand;
 use crate::endpoint::Endpoint;
-use crate::estimates::Estimates;
+use crate::estimates::{self, Estimates};
 use crate::evacuations::Evacuations;
 use crate::flow::StartWindow;
 use crate::id::{EndpointId, Epoch, JobId, QueueName, ServiceName, WorkspaceName};
@@ -48,6 +50,7 @@
 use crate::{Now, Steady, UnixMs};
 
 pub mod accounting;
+mod admit;
 pub mod advice;
 mod archive;
 pub mod autoscaling;
@@ -63,6 +66,7 @@
 pub mod operations;
 pub mod orders;
 pub mod polls;
+mod run_times;
 pub mod schedule;
 pub mod stalled;
 pub mod waves;
@@ -251,6 +255,8 @@
     demand: Demand,
     /// Expected run times of tasks.
     estimates: Estimates,
+    /// Work that waits for each service.
+    backlogs: admit::Backlogs,
     /// Window on starts in flight.
     start_window: StartWindow,
     /// Moving average of the time from the arrival of an endpoint's answer to its processing.
@@ -317,6 +323,10 @@
                 cell.instances.restore(key, value);
                 continue;
             }
+            if estimates::is_key(key) && cell.settings.policy.learns_run_times {
+                cell.estimates.restore(key, value);
+                continue;
+            }
             if !key.starts_with(['j', 'p', 'e']) {
                 continue;
             }
@@ -359,6 +369,7 @@
             operations_allowed_from: now.steady + settings.former_leader_timeout,
             demand: Demand::new(settings.policy.demand, settings.policy.margins),
             estimates: Estimates::default(),
+            backlogs: admit::Backlogs::new(),
             epoch,
             cfg: None,
             queues: HashMap::new(),
@@ -469,6 +480,7 @@
             self.release_expired_leases();
             self.prune_presumed_lost();
             self.manage_instances();
+            self.update_free_room();
             self.evict_lasting();
         }
         if now.steady >= self.scheduled_at + SCHEDULE_INTERVAL.max(interval) {
@@ -544,6 +556,11 @@
             let record = progress::encode_progress(id, &job.progress)?;
             batch.records.push(record);
         }
+        // These records alone aren't worth an append.
+        if !batch.records.is_empty() {
+            let learned = self.estimates.take_records(self.fleet_ms())?;
+            batch.records.extend(learned);
+        }
         for (id, is_archived) in std::mem::take(&mut self.dropped_jobs) {
             let records = if is_archived {
                 vec![progress::ended_key(id)]
--- a/crates/pomelohitch-sched/src/cell/accounting.rs
+++ b/crates/pomelohitch-sched/src/cell/accounting.rs
@@ -6,6 +6,7 @@
 use tracing::info;
 
 use super::{Cell, Job};
+use crate::demand::StepTimes;
 use crate::endpoint::{Allocation, Endpoint};
 use crate::id::{EndpointId, JobId, RunNumber, ServiceName, TaskId};
 use crate::job::{JobSpec, StepSpec};
@@ -33,7 +34,15 @@
         let runs: Vec<_> = progress.runs(id).map(|(t, r)| (t, r.clone())).collect();
         if spec.repeat.is_none() {
             let service = self.service_of(&spec);
-            self.demand.add(&service, &spec.steps, spec.accepted_ms);
+            let times = |step: &StepSpec| StepTimes {
+                task: self.estimates.expect(&spec.queue, step).time,
+                all: self
+                    .estimates
+                    .expect_step(&spec.queue, step, step.count)
+                    .time,
+            };
+            self.demand
+                .add(&service, &spec.steps, spec.accepted_ms, times);
         }
         self.jobs.insert(
             id,
@@ -163,6 +172,7 @@
         };
         let need = self.step(task).map(|s| s.need).unwrap_or_default();
         let is_lasting = self.step(task).is_some_and(|s| s.is_lasting);
+        let work = self.run_work(task);
         self.endpoints
             .entry(endpoint.clone())
             .or_insert_with(|| Endpoint::new(born))
@@ -172,6 +182,7 @@
                 Allocation {
                     resources,
                     is_lasting,
+                    work,
                 },
             );
         if let Some(workspace) = self.workspace_of(task.job) {
--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -183,12 +183,16 @@
         if let Err(error) = spec.check() {
             return Some(Answer::Malformed(error.to_string().into()));
         }
+        if let Some(refused) = self.refuse_useless(&spec, queue) {
+            return Some(refused);
+        }
         let tasks: u32 = spec.steps.iter().map(|s| s.count).sum();
         info!(job = %id::job_text(id), queue = %queue.name, workspace = ?spec.workspace,
             steps = spec.steps.len(), tasks, repeats = spec.occurrences(), "job accepted");
         self.unsaved_specs.insert(id);
         self.dirty.insert(id);
         self.add_job(Arc::new(spec), Progress::default());
+        self.add_to_backlog(id);
         self.after_commit.push(accepted(call));
         None
     }
--- a/crates/pomelohitch-sched/src/cell/completions.rs
+++ b/crates/pomelohitch-sched/src/cell/completions.rs
@@ -32,6 +32,7 @@
         };
         let spec = job.spec.clone();
         let step = &spec.steps[usize::from(task.step)];
+        let was_done = job.progress.task(task).is_some_and(|t| t.is_done);
         if how == EndReason::Done && step.is_gang {
             self.gang_done(task);
         } else if let Some(t) = job.progress.task_mut(task) {
@@ -47,6 +48,9 @@
                 _ => {}
             }
         }
+        if how == EndReason::Done && !was_done {
+            self.learn_step(task);
+        }
         self.check_completion(task, step);
     }
 
--- a/crates/pomelohitch-sched/src/cell/lifecycle.rs
+++ b/crates/pomelohitch-sched/src/cell/lifecycle.rs
@@ -119,6 +119,7 @@
         restarted.is_listed = endpoint.is_listed;
         restarted.runs = std::mem::take(&mut endpoint.runs);
         restarted.used = endpoint.used;
+        restarted.work = endpoint.work;
         restarted.lasting_runs = endpoint.lasting_runs;
         restarted.poll = endpoint.poll;
         *endpoint = restarted;
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -6,6 +6,7 @@
 use tracing::{info, warn};
 
 use super::Cell;
+use super::run_times::PollTimes;
 use crate::Steady;
 use crate::endpoint::{EndReason, Endpoint, PollReply, Running};
 use crate::id::{EndpointId, RunNumber, TaskId};
@@ -206,13 +207,14 @@
             info!(endpoint = %id, running = answer.running.len(), ended = answer.ended.len(),
                 "first poll answered");
         }
+        let times = PollTimes::new(endpoint, answer);
         endpoint.is_unresponsive = false;
         endpoint.polled_at = Some(answer.sent_at);
         endpoint.answered_at = Some(answer.answered_at);
         endpoint.lease_confirmed |= answer.lease_requested;
         endpoint.lists_completions = !answer.ended.is_empty();
         self.retract_losses(id);
-        self.apply_ends(id, answer);
+        self.apply_ends(id, answer, times);
         for running in &answer.running {
             self.apply_running(id, running, answer.answered_at);
         }
@@ -222,12 +224,13 @@
     }
 
     /// Applies the ends in a poll's answer that weren't handled before, in their order.
-    fn apply_ends(&mut self, id: &EndpointId, answer: &PollReply) {
+    fn apply_ends(&mut self, id: &EndpointId, answer: &PollReply, times: PollTimes) {
         let mut ends: Vec<_> = answer.ended.iter().collect();
         ends.sort_by_key(|e| e.number);
         let last_processed = self.endpoints.get(id).map_or(0, |e| e.last_processed);
         for end in ends.iter().filter(|e| e.number > last_processed) {
             if self.run(end.task, end.run).is_some() {
+                self.note_run_time(id, end, times);
                 self.run_ended(end.task, end.run, end.how, &end.checkpoint, id);
             } else if end.how == EndReason::Done {
                 self.given_up_run_done(end.task, end.run, id);
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::{Cell, Job, isolation};
 use crate::Steady;
@@ -10,7 +9,7 @@
 use crate::config::Queue;
 use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, JobId, ServiceName, TaskId, WorkspaceName};
-use crate::job::{self, JobSpec, StepSpec};
+use crate::job::{JobSpec, StepSpec};
 use crate::place::{self, Allowed, PlacementRequest, Slot, Slots};
 use crate::progress::Task;
 use crate::resources::Resources;
@@ -80,6 +79,7 @@
             .collect();
         self.shortages
             .retain(|service, _| services.contains(service));
+        self.backlogs.retain(&services);
         if !services.is_empty() {
             self.passes = self.passes.wrapping_add(1);
             let first = self.passes % services.len();
@@ -186,7 +186,7 @@
             && report.is_some_and(|r| r.service == *service && !r.is_draining)
     }
 
-    fn by_urgency(&self, service: &ServiceName, slots: &Slots) -> Vec<JobId> {
+    fn by_urgency(&mut self, service: &ServiceName, slots: &Slots) -> Vec<JobId> {
         let Some(ids) = self.ready_jobs.get(service) else {
             return Vec::new();
         };
@@ -194,7 +194,8 @@
             .iter()
             .filter_map(|id| self.jobs.get(id)?.candidate)
             .collect();
-        let capacity = self.capacity_of(service, slots, &candidates);
+        let capacity = self.capacity_of(service, slots);
+        self.note_backlog(service, &candidates, capacity);
         urgency::order(
             &candidates,
             &capacity,
@@ -205,29 +206,21 @@
 
     /// Capacity of a service's endpoints for tasks that end by themselves, the remaining work of
     /// those that run, and the capacity of instances being moved to the pool.
-    fn capacity_of(
-        &self,
-        service: &ServiceName,
-        slots: &Slots,
-        candidates: &[Candidate],
-    ) -> Capacity {
+    fn capacity_of(&self, service: &ServiceName, slots: &Slots) -> Capacity {
         /// Average share of its duration that a running task has left.
         const AVERAGE_LEFT: f64 = 0.5;
         let endpoints = slots.list.iter().filter_map(|s| self.endpoints.get(&s.id));
-        let (mut cpu, mut used) = (0, 0);
+        let (mut cpu, mut work) = (0, 0_u64);
         for endpoint in endpoints {
             let lasting = endpoint.runs.values().filter(|b| b.is_lasting);
             let lasting: u64 = lasting.map(|b| b.resources.cpu).sum();
             let capacity = endpoint.report.as_ref().map_or(0, |r| r.capacity.cpu);
             cpu += capacity.saturating_sub(lasting);
-            used += endpoint.used.cpu.saturating_sub(lasting);
+            work += endpoint.work;
         }
-        let steps: u32 = candidates.iter().map(|c| c.steps_left).sum();
-        let critical_paths: Duration = candidates.iter().map(|c| c.remaining_critical_path).sum();
-        let task_time = critical_paths.checked_div(steps).unwrap_or_default();
         Capacity {
             cpu: as_f64(cpu),
-            running_work: as_f64(used) * AVERAGE_LEFT * task_time.as_secs_f64() * 1000.0,
+            running_work: as_f64(work) * AVERAGE_LEFT,
             arriving: as_f64(self.instances.arriving_cpu(service, &self.evacuations)),
         }
     }
@@ -241,7 +234,7 @@
         let steps = &job.spec.steps;
         let (estimates, name) = (&self.estimates, &job.spec.queue);
         let length = |step: &StepSpec, count: u32| estimates.expect_step(name, step, count);
-        let whole = job::critical_path(steps, |index| length(&steps[index], steps[index].count));
+        let whole = self.expected_path(job, open);
         let remaining = open.remaining_critical_path(steps, length);
         Some(Candidate {
             job: job.spec.id,
@@ -274,7 +267,7 @@
 
     /// A workspace's index in the configuration and its weight. Jobs sent without a key, or by a
     /// workspace that was removed, share one more workspace of weight 1.
-    fn owner(&self, workspace: Option<&WorkspaceName>) -> (u32, u64) {
+    pub(super) fn owner(&self, workspace: Option<&WorkspaceName>) -> (u32, u64) {
         let index = workspace.and_then(|name| self.workspaces.get(name));
         let weight = index.and_then(|&at| Some(self.cfg.as_ref()?.workspaces.get(at)?.weight));
         let index = index.and_then(|&at| u32::try_from(at).ok());
--- a/crates/pomelohitch-sched/src/demand.rs
+++ b/crates/pomelohitch-sched/src/demand.rs
@@ -64,6 +64,15 @@
     }
 }
 
+/// Expected run times of a step.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StepTimes {
+    /// Run time of one task.
+    pub task: Duration,
+    /// Time until all tasks are done that start together.
+    pub all: Duration,
+}
+
 /// Past and forecast demand of each service.
 #[derive(Debug, Clone, Default)]
 pub struct Demand {
@@ -90,8 +99,14 @@
         }
     }
 
-    /// Adds the work of a job that arrived at `at_ms`.
-    pub fn add(&mut self, service: &ServiceName, steps: &[StepSpec], at_ms: UnixMs) {
+    /// Adds the work of a job that arrived at `at_ms`, by the expected run times of its steps.
+    pub fn add(
+        &mut self,
+        service: &ServiceName,
+        steps: &[StepSpec],
+        at_ms: UnixMs,
+        times: impl Fn(&StepSpec) -> StepTimes,
+    ) {
         let bucket = at_ms / BUCKET_MS;
         self.first_bucket = Some(
             self.first_bucket
@@ -104,9 +119,10 @@
         for step in steps {
             let begins = step.after.iter().map(|&a| ends[usize::from(a)]).max();
             let begins = begins.unwrap_or(at_ms);
-            let takes = u64::try_from(step.estimate.as_millis()).unwrap_or(u64::MAX);
+            let times = times(step);
+            let takes = millis(times.task);
+            ends.push(begins.saturating_add(millis(times.all)));
             let ends_at = begins.saturating_add(takes);
-            ends.push(ends_at);
             if step.is_lasting {
                 continue;
             }
@@ -316,6 +332,10 @@
     around.map(at).sum::<f64>() / count
 }
 
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Amounts of resources and times are small enough to be exact in an `f64`.
 #[expect(clippy::cast_precision_loss)]
 fn as_f64(number: u64) -> f64 {
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -140,6 +140,8 @@
     pub resources: Resources,
     /// Whether the run belongs to a lasting task.
     pub is_lasting: bool,
+    /// Expected work of the run, thousandths of a core times milliseconds; 0 for lasting tasks.
+    pub work: u64,
 }
 
 /// State of an endpoint.
@@ -154,6 +156,8 @@
     pub is_listed: bool,
     /// Allocated resources, including those of runs that are being stopped or may be running.
     pub used: Resources,
+    /// Expected work of all runs, thousandths of a core times milliseconds.
+    pub work: u64,
     /// Number of runs of lasting tasks.
     pub lasting_runs: usize,
     /// Runs that may exist there, with their allocations.
@@ -206,6 +210,7 @@
             born,
             is_listed: false,
             used: Resources::default(),
+            work: 0,
             lasting_runs: 0,
             runs: BTreeMap::new(),
             last_processed: 0,
@@ -335,6 +340,7 @@
     pub fn allocate(&mut self, task: TaskId, number: RunNumber, allocation: Allocation) {
         if self.runs.insert((task, number), allocation).is_none() {
             self.used += &allocation.resources;
+            self.work += allocation.work;
             self.lasting_runs += usize::from(allocation.is_lasting);
         }
     }
@@ -345,6 +351,7 @@
             return false;
         };
         self.used -= &allocation.resources;
+        self.work -= allocation.work;
         self.lasting_runs -= usize::from(allocation.is_lasting);
         true
     }
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`policy`]: policy switches and parameters.
 //! * [`progress`]: progress of jobs, and the durable records of it.
 //! * [`acks`]: acknowledgements of the leader's heartbeats.
+//! * [`admission`]: refusal of jobs that can't be of use any more.
 //! * [`attempts`]: what a caller may be told after several attempts at its request.
 //! * [`avoidance`]: limit on the endpoints avoided because runs stall there.
 //! * [`demand`]: forecast of the processors that each service needs.
@@ -33,6 +34,7 @@
 #![forbid(unsafe_code)]
 
 pub mod acks;
+pub mod admission;
 pub mod attempts;
 pub mod avoidance;
 pub mod cell;
--- a/crates/pomelohitch-sched/src/policy.rs
+++ b/crates/pomelohitch-sched/src/policy.rs
@@ -21,6 +21,10 @@
     pub defers_on_overload: bool,
     /// Late jobs are promoted shortly before their result becomes useless to the caller.
     pub promotes_expiring: bool,
+    /// Run times are learned from runs that end; otherwise the declared ones are relied on.
+    pub learns_run_times: bool,
+    /// Jobs that can't be of use any more are refused.
+    pub refuses_useless: bool,
     /// Methods used to forecast demand.
     pub demand: ForecastMethods,
     /// Headroom that pools get beyond the forecast demand.
@@ -90,6 +94,8 @@
             by_latest_start: true,
             defers_on_overload: true,
             promotes_expiring: true,
+            learns_run_times: true,
+            refuses_useless: true,
             demand: ForecastMethods::default(),
             margins: Margins::default(),
             provisions_backlog: true,
--- a/crates/pomelohitch-sched/src/progress.rs
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -89,6 +89,8 @@
     pub failed_at: Vec<EndpointId>,
     /// Backoff of its next start after refused starts; not durable.
     pub backoff: Backoff,
+    /// How long its first run took on a sound endpoint, once it is done; not durable.
+    pub took: Option<Duration>,
 }
 
 /// Exponential backoff after starts that were refused for a reason specific to the task.
--- a/crates/pomelohitch-sched/src/progress/stored.rs
+++ b/crates/pomelohitch-sched/src/progress/stored.rs
@@ -173,6 +173,7 @@
                 runs: runs.collect::<Option<_>>()?,
                 failed_at: Vec::new(),
                 backoff: Backoff::default(),
+                took: None,
             }
         }
     })
--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -14,7 +14,7 @@
 use crate::policy::Policy;
 
 /// A job's result is useful until this multiple of its objective.
-const USEFUL_MULTIPLE: f64 = 3.0;
+pub const USEFUL_MULTIPLE: f64 = 3.0;
 /// Jobs are deferred when the work due exceeds this multiple of what can be done. Above 1 because
 /// estimates are rough.
 const OVERLOAD_RATIO: f64 = 1.6;
@@ -24,7 +24,7 @@
 const PROMOTED_SHARE: f64 = 0.2;
 /// Time that a step takes beyond its work: recording and sending starts, polling and recording
 /// completions.
-const STEP_OVERHEAD: Duration = Duration::from_millis(80);
+pub(crate) const STEP_OVERHEAD: Duration = Duration::from_millis(80);
 
 /// A job as input to the ordering, among the jobs that wait for the same service.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -73,7 +73,7 @@
 
 impl Capacity {
     /// Average time until an instance being moved arrives; a move takes 1.5 s.
-    const ARRIVAL_MS: f64 = 900.0;
+    pub(crate) const ARRIVAL_MS: f64 = 900.0;
 
     /// Work that can be done within `millis`.
     fn work_within(&self, millis: f64) -> f64 {
@@ -111,7 +111,7 @@
     }
 
     /// Latest start time of the next step for the job to be done within `multiple` its objective.
-    fn start_by_ms(&self, multiple: f64) -> UnixMs {
+    pub(crate) fn start_by_ms(&self, multiple: f64) -> UnixMs {
         let allowed = millis(self.allowed().mul_f64(multiple));
         let takes = self.remaining_critical_path + STEP_OVERHEAD * self.steps_left;
         let end_by = self.from_ms.saturating_add(allowed);
--- a/crates/pomelohitch-sched/tests/cell.rs
+++ b/crates/pomelohitch-sched/tests/cell.rs
@@ -18,6 +18,8 @@
 mod pools;
 #[path = "cell/random.rs"]
 mod random;
+#[path = "cell/refusing.rs"]
+mod refusing;
 #[path = "cell/runs.rs"]
 mod runs;
 #[path = "cell/size.rs"]
--- a/crates/pomelohitch-sched/tests/demand.rs
+++ b/crates/pomelohitch-sched/tests/demand.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use pomelohitch_sched::ServiceName;
-use pomelohitch_sched::demand::Demand;
+use pomelohitch_sched::demand::{Demand, StepTimes};
 use pomelohitch_sched::job::StepSpec;
 use pomelohitch_sched::resources::Resources;
 
@@ -22,6 +22,14 @@
     }]
 }
 
+/// The declared run times.
+fn declared(step: &StepSpec) -> StepTimes {
+    StepTimes {
+        task: step.estimate,
+        all: step.estimate,
+    }
+}
+
 /// Adds jobs of one core for 0.8 s until `until_ms`, at the rate `per_second` of the time.
 fn add_jobs(
     demand: &mut Demand,
@@ -31,7 +39,7 @@
 ) {
     for at in (0..until_ms).step_by(100) {
         for _ in 0..per_second(at) / 10 {
-            demand.add(name, &steps(1000, 800), at);
+            demand.add(name, &steps(1000, 800), at, declared);
         }
     }
 }
@@ -58,7 +66,7 @@
 fn one_large_job_is_not_extrapolated() {
     let name: ServiceName = Arc::from("s");
     let mut demand = Demand::default();
-    demand.add(&name, &steps(20_000, 2_000), 10_000);
+    demand.add(&name, &steps(20_000, 2_000), 10_000, declared);
     let forecast = cores(&demand, &name, 10_100, AHEAD);
     assert!(forecast <= 20.0, "{forecast}");
 }
@@ -93,7 +101,7 @@
     for at in (0..8_000).step_by(100) {
         let per_step = if at < 4_000 { 6 } else { 0 };
         for _ in 0..per_step {
-            demand.add(&name, &steps(1000, 2_000), at);
+            demand.add(&name, &steps(1000, 2_000), at, declared);
         }
     }
     let forecast = |at| demand.forecast(&name, at, AHEAD).map(|f| f / 1000.0);
@@ -123,7 +131,7 @@
     let second = 1_000;
     let is_burst = |at_ms: u64| at_ms % (8 * second) < 2 * second;
     for at_ms in (0..32 * second).step_by(100).filter(|at| is_burst(*at)) {
-        demand.add(&service, std::slice::from_ref(&step), at_ms);
+        demand.add(&service, std::slice::from_ref(&step), at_ms, declared);
         demand.refresh(at_ms);
     }
     let ahead = Duration::from_secs(2);
--- a/crates/pomelohitch-sched/tests/progress.rs
+++ b/crates/pomelohitch-sched/tests/progress.rs
@@ -43,6 +43,7 @@
         runs,
         failed_at: Vec::new(),
         backoff: Backoff::default(),
+        took: None,
     }
 }
 
--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -361,6 +361,11 @@
     ) {
         return;
     }
+    if let Answer::Refused { reason, .. } = answer
+        && &*incoming.head.method == "POST"
+    {
+        metrics::counter!("submissions_refused", "reason" => *reason).increment(1);
+    }
     let took_ms = incoming.arrived.elapsed().as_millis();
     info!(path = %incoming.head.target, method = %incoming.head.method, ?answer, took_ms, "answered");
 }
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -37,6 +37,8 @@
 const MIN_BATCH_INTERVAL: Duration = Duration::from_millis(15);
 /// Minimum interval between the starts of two batches while appends are in flight.
 const MIN_BATCH_INTERVAL_IN_FLIGHT: Duration = Duration::from_millis(120);
+/// Interval at which gauges of what was learned are updated.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of queued events handled before the next tick.
 const MAX_EVENTS_PER_TICK: usize = 1_000;
 
@@ -160,6 +162,7 @@
     platform_calls: PlatformCalls,
     pending_calls: HashMap<CallId, SyncSender<Reply>>,
     next_call: CallId,
+    gauges_updated_at: Steady,
     in_flight: InFlight,
     last_append_at: Steady,
     pub(super) appends_failing_since: Option<Steady>,
@@ -204,6 +207,7 @@
         platform_calls,
         pending_calls: HashMap::new(),
         next_call: 0,
+        gauges_updated_at: Steady::ZERO,
         in_flight: InFlight::default(),
         last_append_at: Steady::ZERO,
         appends_failing_since: None,
@@ -280,6 +284,7 @@
                 .record_tick_duration(clock::steady().saturating_sub(now.steady));
             self.execute(actions);
             self.record_losses();
+            self.update_run_time_gauges();
             self.commit();
             self.check_store();
             self.check_larger_members();
@@ -289,6 +294,20 @@
         }
     }
 
+    /// Updates the gauges of learned run times, once a second.
+    fn update_run_time_gauges(&mut self) {
+        let now = clock::steady();
+        if now < self.gauges_updated_at + GAUGE_INTERVAL {
+            return;
+        }
+        self.gauges_updated_at = now;
+        for (queue, learned) in self.cell.learned_run_times() {
+            let queue = queue.to_string();
+            metrics::gauge!("run_time_factor", "queue" => queue.clone()).set(learned.factor);
+            metrics::gauge!("run_time_deviation", "queue" => queue).set(learned.deviation);
+        }
+    }
+
     fn record_losses(&mut self) {
         for (cause, count) in self.cell.take_losses() {
             metrics::counter!("runs_lost", "cause" => cause.label()).increment(count);
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -208,6 +208,25 @@
         "jobs",
         "Jobs that failed because endpoints crash under one of their tasks, at the leader.",
     ),
+    gauge(
+        "run_time_factor",
+        "ratio",
+        "queue",
+        "Expected run time of a queue's tasks as a multiple of the declared one, at the leader.",
+    ),
+    gauge(
+        "run_time_deviation",
+        "ratio",
+        "queue",
+        "Standard deviation of the run time of a queue's tasks, relative to the expected one, at the leader.",
+    ),
+    Metric {
+        name: "submissions_refused",
+        kind: Kind::Counter,
+        unit: "requests",
+        labels: "reason",
+        about: "Submissions that the leader refused, at the leader, by the reason that callers are told.",
+    },
     gauge(
         "evacuated_zones",
         "zones",
