--- a/crates/pomelohitch-emulator/src/policies.rs
+++ b/crates/pomelohitch-emulator/src/policies.rs
@@ -32,8 +32,9 @@
 pub type Parameter = (&'static str, fn(&mut Policy, f64));
 
 /// Every numeric parameter that can be set.
-pub const PARAMETERS: [Parameter; 14] = [
+pub const PARAMETERS: [Parameter; 15] = [
     ("late-after", |p, n| p.late_factor = n),
+    ("learned-late-after", |p, n| p.learned_late_factor = n),
     ("fill", |p, n| p.margins.target_utilization = n),
     ("most-backlog", |p, n| p.margins.max_backlog = n),
     ("height", |p, n| p.margins.peak_factor = n),
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -242,6 +242,7 @@
             critical_path: whole.time,
             remaining_critical_path: remaining.time,
             deviation: remaining.deviation,
+            is_learned: estimates.is_learned(name),
             steps_left: open.steps_left(),
             work_left: open.waiting_work(steps, |step| estimates.expect(name, step).time),
             has_begun: open.has_begun(),
--- a/crates/pomelohitch-sched/src/policy.rs
+++ b/crates/pomelohitch-sched/src/policy.rs
@@ -11,9 +11,12 @@
 pub struct Policy {
     /// Jobs that cannot meet their objective wait for those that still can.
     pub ranks_late_last: bool,
-    /// Multiple of the objective beyond which a job counts as late. Above 1 because estimates are
-    /// rough and would otherwise hold back jobs that can still meet their objective.
+    /// Multiple of the objective beyond which a job counts as late by declared run times. Above 1
+    /// because these are rough and would otherwise hold back jobs that can still meet their
+    /// objective.
     pub late_factor: f64,
+    /// The same by learned run times.
+    pub learned_late_factor: f64,
     /// Jobs are ordered by latest start time instead of arrival time.
     pub by_latest_start: bool,
     /// Under overload, defers the jobs with the most work, so that the others can meet their
@@ -91,6 +94,7 @@
         Policy {
             ranks_late_last: true,
             late_factor: 1.4,
+            learned_late_factor: 1.0,
             by_latest_start: true,
             defers_on_overload: true,
             promotes_expiring: true,
--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -39,6 +39,9 @@
     pub remaining_critical_path: Duration,
     /// Standard deviation of that length.
     pub deviation: Duration,
+    /// Whether these lengths are learned from runs; otherwise they are the declared ones, which are
+    /// rough.
+    pub is_learned: bool,
     /// Number of remaining steps, an upper bound on the steps in sequence.
     pub steps_left: u32,
     /// Expected work of its tasks that have not begun: thousandths of a core times milliseconds.
@@ -106,6 +109,15 @@
         self.from_ms.saturating_add(millis(self.allowed()))
     }
 
+    /// Multiple of the objective beyond which the job counts as late.
+    fn late_factor(&self, policy: &Policy) -> f64 {
+        if self.is_learned {
+            policy.learned_late_factor
+        } else {
+            policy.late_factor
+        }
+    }
+
     fn allowed(&self) -> Duration {
         self.critical_path.mul_f64(self.stretch.max(0.0)) + self.slack
     }
@@ -158,7 +170,7 @@
 fn rank<'a>(candidate: &'a Candidate, now_ms: UnixMs, policy: &Policy) -> Ranked<'a> {
     let start_by_ms_in_time = candidate.start_by_ms(1.0);
     let useful_start_by_ms = candidate.start_by_ms(USEFUL_MULTIPLE);
-    let is_feasible = now_ms <= candidate.start_by_ms(policy.late_factor);
+    let is_feasible = now_ms <= candidate.start_by_ms(candidate.late_factor(policy));
     let (feasibility, start_by_ms) = if candidate.is_lasting {
         (Feasibility::Lasting, candidate.from_ms)
     } else if is_feasible || !policy.ranks_late_last {
--- a/crates/pomelohitch-sched/tests/admission.rs
+++ b/crates/pomelohitch-sched/tests/admission.rs
@@ -26,6 +26,7 @@
         critical_path: Duration::from_secs(1),
         remaining_critical_path: Duration::from_secs(1),
         deviation: Duration::from_millis(400),
+        is_learned: false,
         steps_left: 1,
         work_left: 2_000_000.0,
         has_begun: false,
--- a/crates/pomelohitch-sched/tests/urgency.rs
+++ b/crates/pomelohitch-sched/tests/urgency.rs
@@ -15,6 +15,7 @@
         critical_path: Duration::from_secs(1),
         remaining_critical_path: Duration::from_secs(1),
         deviation: Duration::ZERO,
+        is_learned: false,
         steps_left: 1,
         work_left: work * 1_000_000.0,
         has_begun: false,
