--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -11,10 +11,12 @@
 //! * [`policy`]: policy switches and parameters.
 //! * [`progress`]: progress of jobs, and the durable records of it.
 //! * [`acks`]: acknowledgements of the leader's heartbeats.
+//! * [`admission`]: refusal of jobs that can't be of use any more.
 //! * [`attempts`]: what a caller may be told after several attempts at its request.
 //! * [`avoidance`]: limit on the endpoints avoided because runs stall there.
 //! * [`demand`]: forecast of the processors that each service needs.
 //! * [`endpoint`]: state of an endpoint, its clock and its lease.
+//! * [`estimates`]: run times that tasks are expected to take.
 //! * [`evacuations`]: evacuations of availability zones.
 //! * [`flow`]: window on the starts in flight.
 //! * [`forwarding`]: window on the requests forwarded to the leader.
@@ -32,12 +34,14 @@
 #![forbid(unsafe_code)]
 
 pub mod acks;
+pub mod admission;
 pub mod attempts;
 pub mod avoidance;
 pub mod cell;
 pub mod config;
 pub mod demand;
 pub mod endpoint;
+pub mod estimates;
 pub mod evacuations;
 pub mod flow;
 pub mod forwarding;
--- a/crates/pomelohitch-sched/src/policy.rs
+++ b/crates/pomelohitch-sched/src/policy.rs
@@ -11,9 +11,12 @@
 pub struct Policy {
     /// Jobs that cannot meet their objective wait for those that still can.
     pub ranks_late_last: bool,
-    /// Multiple of the objective beyond which a job counts as late. Above 1 because estimates are
-    /// rough and would otherwise hold back jobs that can still meet their objective.
+    /// Multiple of the objective beyond which a job counts as late by declared run times. Above 1
+    /// because these are rough and would otherwise hold back jobs that can still meet their
+    /// objective.
     pub late_factor: f64,
+    /// The same by learned run times.
+    pub learned_late_factor: f64,
     /// Jobs are ordered by latest start time instead of arrival time.
     pub by_latest_start: bool,
     /// Under overload, defers the jobs with the most work, so that the others can meet their
@@ -21,6 +24,10 @@
     pub defers_on_overload: bool,
     /// Late jobs are promoted shortly before their result becomes useless to the caller.
     pub promotes_expiring: bool,
+    /// Run times are learned from runs that end; otherwise the declared ones are relied on.
+    pub learns_run_times: bool,
+    /// Jobs that can't be of use any more are refused.
+    pub refuses_useless: bool,
     /// Methods used to forecast demand.
     pub demand: ForecastMethods,
     /// Headroom that pools get beyond the forecast demand.
@@ -87,9 +94,12 @@
         Policy {
             ranks_late_last: true,
             late_factor: 1.4,
+            learned_late_factor: 1.0,
             by_latest_start: true,
             defers_on_overload: true,
             promotes_expiring: true,
+            learns_run_times: true,
+            refuses_useless: true,
             demand: ForecastMethods::default(),
             margins: Margins::default(),
             provisions_backlog: true,
--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -14,7 +14,7 @@
 use crate::policy::Policy;
 
 /// A job's result is useful until this multiple of its objective.
-const USEFUL_MULTIPLE: f64 = 3.0;
+pub const USEFUL_MULTIPLE: f64 = 3.0;
 /// Jobs are deferred when the work due exceeds this multiple of what can be done. Above 1 because
 /// estimates are rough.
 const OVERLOAD_RATIO: f64 = 1.6;
@@ -24,7 +24,7 @@
 const PROMOTED_SHARE: f64 = 0.2;
 /// Time that a step takes beyond its work: recording and sending starts, polling and recording
 /// completions.
-const STEP_OVERHEAD: Duration = Duration::from_millis(80);
+pub(crate) const STEP_OVERHEAD: Duration = Duration::from_millis(80);
 
 /// A job as input to the ordering, among the jobs that wait for the same service.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -33,13 +33,18 @@
     pub job: JobId,
     /// When the job was accepted or became due.
     pub from_ms: UnixMs,
-    /// Length of its whole critical path, by estimates.
+    /// Expected length of its whole critical path.
     pub critical_path: Duration,
-    /// Length of the remaining critical path.
+    /// Expected length of the remaining critical path.
     pub remaining_critical_path: Duration,
+    /// Standard deviation of that length.
+    pub deviation: Duration,
+    /// Whether these lengths are learned from runs; otherwise they are the declared ones, which are
+    /// rough.
+    pub is_learned: bool,
     /// Number of remaining steps, an upper bound on the steps in sequence.
     pub steps_left: u32,
-    /// Estimated work of its tasks that have not begun: thousandths of a core times milliseconds.
+    /// Expected work of its tasks that have not begun: thousandths of a core times milliseconds.
     pub work_left: f64,
     /// Whether any of its tasks has begun.
     pub has_begun: bool,
@@ -71,7 +76,7 @@
 
 impl Capacity {
     /// Average time until an instance being moved arrives; a move takes 1.5 s.
-    const ARRIVAL_MS: f64 = 900.0;
+    pub(crate) const ARRIVAL_MS: f64 = 900.0;
 
     /// Work that can be done within `millis`.
     fn work_within(&self, millis: f64) -> f64 {
@@ -104,12 +109,21 @@
         self.from_ms.saturating_add(millis(self.allowed()))
     }
 
+    /// Multiple of the objective beyond which the job counts as late.
+    fn late_factor(&self, policy: &Policy) -> f64 {
+        if self.is_learned {
+            policy.learned_late_factor
+        } else {
+            policy.late_factor
+        }
+    }
+
     fn allowed(&self) -> Duration {
         self.critical_path.mul_f64(self.stretch.max(0.0)) + self.slack
     }
 
     /// Latest start time of the next step for the job to be done within `multiple` its objective.
-    fn start_by_ms(&self, multiple: f64) -> UnixMs {
+    pub(crate) fn start_by_ms(&self, multiple: f64) -> UnixMs {
         let allowed = millis(self.allowed().mul_f64(multiple));
         let takes = self.remaining_critical_path + STEP_OVERHEAD * self.steps_left;
         let end_by = self.from_ms.saturating_add(allowed);
@@ -156,7 +170,7 @@
 fn rank<'a>(candidate: &'a Candidate, now_ms: UnixMs, policy: &Policy) -> Ranked<'a> {
     let start_by_ms_in_time = candidate.start_by_ms(1.0);
     let useful_start_by_ms = candidate.start_by_ms(USEFUL_MULTIPLE);
-    let is_feasible = now_ms <= candidate.start_by_ms(policy.late_factor);
+    let is_feasible = now_ms <= candidate.start_by_ms(candidate.late_factor(policy));
     let (feasibility, start_by_ms) = if candidate.is_lasting {
         (Feasibility::Lasting, candidate.from_ms)
     } else if is_feasible || !policy.ranks_late_last {
