--- a/crates/pomelohitch-emulator/src/arrivals.rs
+++ b/crates/pomelohitch-emulator/src/arrivals.rs
@@ -42,7 +42,9 @@
     for slice in 0..u32::try_from(slices).unwrap_or(u32::MAX) {
         let at = SLICE * slice;
         for (index, queue) in load.queues.iter().enumerate() {
-            let rate = queue.per_s * rate_factor(load, index, at);
+            let surge = load.surges.iter().find(|span| span.contains(at));
+            let surge = surge.map_or(1.0, |span| span.strength);
+            let rate = queue.per_s * rate_factor(load, index, at) * surge;
             for workspace in senders(load, rate, at, &mut rng) {
                 arrivals.push(Arrival {
                     at,
--- a/crates/pomelohitch-emulator/src/load.rs
+++ b/crates/pomelohitch-emulator/src/load.rs
@@ -67,6 +67,9 @@
     /// Bursts of the queues, one queue after another; without them each queue has a constant rate.
     #[serde(rename = "turns")]
     pub bursts: Option<Bursts>,
+    /// Periods in which the arrival rate of all queues is multiplied by `strength`.
+    #[serde(default)]
+    pub surges: Vec<Span>,
     /// Faults during the play.
     #[serde(default)]
     pub faults: Faults,
--- a/crates/pomelohitch-emulator/src/play.rs
+++ b/crates/pomelohitch-emulator/src/play.rs
@@ -57,6 +57,8 @@
     pub worst_workspace: f64,
     /// Fraction of the jobs that completed within their objective.
     pub in_time: f64,
+    /// Fraction that completed within their objective, by queue in the order of the load.
+    pub in_time_by_queue: Vec<f64>,
     /// Fraction that completed late, but early enough to have some worth.
     pub late: f64,
     /// Median duration of a job in milliseconds.
@@ -382,6 +384,7 @@
                 1,
             ),
             in_time: fraction(SentJob::is_in_time),
+            in_time_by_queue: in_time_by_queue(self.load.queues.len(), &all),
             late: fraction(SentJob::is_late),
             p50_ms: durations.value_at_quantile(0.5),
             p99_ms: durations.value_at_quantile(0.99),
@@ -437,6 +440,15 @@
     worths.collect()
 }
 
+fn in_time_by_queue(queues: usize, all: &[&SentJob]) -> Vec<f64> {
+    let fraction = |queue| {
+        let own = all.iter().filter(|sent| sent.arrival.queue == queue);
+        let in_time = own.clone().filter(|sent| sent.is_in_time());
+        ratio(as_f64(in_time.count()), as_f64(own.count()))
+    };
+    (0..queues).map(fraction).collect()
+}
+
 fn mean_of_worst(mut values: Vec<f64>, count: usize) -> f64 {
     values.sort_by(f64::total_cmp);
     values.truncate(count);
--- a/crates/pomelohitch-emulator/src/policies.rs
+++ b/crates/pomelohitch-emulator/src/policies.rs
@@ -8,10 +8,13 @@
 pub type Switch = (&'static str, fn(&mut Policy));
 
 /// Every mechanism that can be switched off.
-pub const SWITCHES: [Switch; 13] = [
+pub const SWITCHES: [Switch; 16] = [
     ("late-last", |p| p.ranks_late_last = false),
     ("latest-start", |p| p.by_latest_start = false),
     ("deferral", |p| p.defers_on_overload = false),
+    ("adaptation", |p| p.adapts_to_overload = false),
+    ("finish-first", |p| p.finishes_first = false),
+    ("sharing", |p| p.shares_over_pools = false),
     ("promotion", |p| p.promotes_expiring = false),
     ("period", |p| p.demand.uses_period = false),
     ("rise", |p| p.demand.uses_trend = false),
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -17,6 +17,7 @@
 //! * [`evacuate`]: evacuation of availability zones.
 //! * [`evict`]: moving lasting tasks to other endpoints, and pacing of fillers.
 //! * [`autoscaling`]: moving instances between pools by demand.
+//! * [`sharing`]: sharing of room among workspaces over all pools.
 //! * [`operations`]: the list of instances, and operations on them.
 //! * [`waves`]: maintenance in waves.
 //!
@@ -40,10 +41,12 @@
 use crate::job::JobSpec;
 use crate::loss::LossCounts;
 use crate::order::{Action, Due, Target};
+use crate::overload::Overload;
 use crate::policy::Policy;
 use crate::progress::{self, Entry, JobState, Progress, Record};
 use crate::rate::RateLimiter;
 use crate::resources::Resources;
+use crate::sharing::RecentWork;
 use crate::urgency::Candidate;
 use crate::{Now, Steady, UnixMs};
 
@@ -64,6 +67,7 @@
 pub mod orders;
 pub mod polls;
 pub mod schedule;
+pub mod sharing;
 pub mod stalled;
 pub mod waves;
 
@@ -249,6 +253,16 @@
     /// Time from which the former leader sends no more operations on instances.
     operations_allowed_from: Steady,
     demand: Demand,
+    /// Recent work of each workspace, by service.
+    recent_work: RecentWork,
+    /// How much is let in where there is more work than can be done.
+    overload: Overload,
+    /// Room and claims of all pools as of the last decision about moves.
+    shares: sharing::Shares,
+    /// Whether `shares` have changed since the last call of [`Cell::take_new_shares`].
+    has_new_shares: bool,
+    /// Pools that are held to less than they want.
+    held_pools: BTreeSet<ServiceName>,
     /// Expected run times of tasks.
     estimates: Estimates,
     /// Window on starts in flight.
@@ -358,6 +372,11 @@
             operation_limiter: RateLimiter::new(settings.operations_per_s),
             operations_allowed_from: now.steady + settings.former_leader_timeout,
             demand: Demand::new(settings.policy.demand, settings.policy.margins),
+            recent_work: RecentWork::default(),
+            overload: Overload::default(),
+            shares: sharing::Shares::default(),
+            has_new_shares: false,
+            held_pools: BTreeSet::new(),
             estimates: Estimates::default(),
             epoch,
             cfg: None,
--- a/crates/pomelohitch-sched/src/cell/accounting.rs
+++ b/crates/pomelohitch-sched/src/cell/accounting.rs
@@ -34,6 +34,7 @@
         if spec.repeat.is_none() {
             let service = self.service_of(&spec);
             self.demand.add(&service, &spec.steps, spec.accepted_ms);
+            self.record_arrival(&service, &spec);
         }
         self.jobs.insert(
             id,
--- a/crates/pomelohitch-sched/src/cell/autoscaling.rs
+++ b/crates/pomelohitch-sched/src/cell/autoscaling.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Cell;
-use super::schedule::waiting_cpu;
+use super::sharing::Backlog;
 use crate::id::{EndpointId, InstanceId, ServiceName};
 use crate::instances::{Instance, InstanceState};
 use crate::order::Operation;
@@ -35,8 +35,9 @@
             return self.emptying.clone();
         }
         self.autoscaled_at = now;
-        let pools = self.pools();
+        self.recent_work.prune(self.fleet_ms());
         let candidates = self.move_candidates(due_instances);
+        let pools = self.pools(&candidates);
         let plan = pools::plan(&pools, &candidates, &self.settings.policy.margins);
         let mut emptying = BTreeSet::new();
         for Move { instance, to } in plan.moves {
@@ -73,49 +74,45 @@
     }
 
     /// Every pool with the CPU it will need: the forecast demand plus that of lasting tasks.
-    fn pools(&self) -> Vec<Pool> {
-        let Some(cfg) = &self.cfg else {
+    fn pools(&mut self, instances: &[Candidate]) -> Vec<Pool> {
+        let Some(cfg) = self.cfg.clone() else {
             return Vec::new();
         };
         let lasting_cpu = self.lasting_cpu();
-        let lasting_cpu = |name: &ServiceName| lasting_cpu.get(name).copied().unwrap_or(0.0);
-        let pool = |(name, service): (&ServiceName, &crate::config::Service)| Pool {
+        let lasting = |name: &ServiceName| lasting_cpu.get(name).copied().unwrap_or(0.0);
+        let lasting: Vec<f64> = cfg.services.keys().map(lasting).collect();
+        let backlogs: Vec<Backlog> = cfg.services.keys().map(|n| self.backlog(n)).collect();
+        let services = cfg.services.iter().zip(&lasting).zip(&backlogs);
+        let mut pools: Vec<Pool> = services
+            .map(|(((name, service), lasting), backlog)| {
+                self.pool(name, service.is_spare, *lasting, backlog)
+            })
+            .collect();
+        self.share_room(&mut pools, instances, &backlogs, &lasting);
+        pools
+    }
+
+    fn pool(&self, name: &ServiceName, is_spare: bool, lasting: f64, backlog: &Backlog) -> Pool {
+        let now_ms = self.fleet_ms();
+        let keep_within = self.settings.policy.margins.keep_within;
+        let shortage = self.shortages.get(name);
+        Pool {
             name: name.clone(),
-            is_spare: service.is_spare,
+            is_spare,
             is_short: self.is_short(name),
-            label: self
-                .shortages
-                .get(name)
-                .and_then(|s| s.requirements.label.clone()),
+            granted: None,
+            label: shortage.and_then(|s| s.requirements.label.clone()),
             backlog: if self.settings.policy.provisions_backlog {
-                self.backlog(name)
+                backlog.total()
             } else {
                 0.0
             },
-            wanted: self.demand.peak(name, self.fleet_ms(), LEAD_TIME) + lasting_cpu(name),
+            wanted: self.demand.peak(name, now_ms, LEAD_TIME) + lasting,
             peak_soon: self
                 .demand
-                .forecast(
-                    name,
-                    self.fleet_ms(),
-                    self.settings.policy.margins.keep_within,
-                )
-                .map(|soon| soon + lasting_cpu(name)),
-        };
-        cfg.services.iter().map(pool).collect()
-    }
-
-    /// CPU that waiting tasks of ready steps need, in thousandths of a core.
-    fn backlog(&self, service: &ServiceName) -> f64 {
-        let jobs = self.ready_jobs.get(service).into_iter().flatten();
-        let jobs = jobs.filter_map(|id| self.jobs.get(id));
-        // More instances don't help jobs that wait for their workspace's limit.
-        let allowed = jobs.filter(|job| {
-            let first = &job.spec.steps[0].need;
-            self.is_within_limit(&job.spec, first)
-        });
-        let waiting = allowed.map(waiting_cpu);
-        f64::from(u32::try_from(waiting.sum::<u64>()).unwrap_or(u32::MAX))
+                .forecast(name, now_ms, keep_within)
+                .map(|soon| soon + lasting),
+        }
     }
 
     /// Whether tasks of the service have fit on no endpoint for `SHORTAGE_DELAY`, including lasting
--- a/crates/pomelohitch-sched/src/cell/completions.rs
+++ b/crates/pomelohitch-sched/src/cell/completions.rs
@@ -180,6 +180,7 @@
         job.progress.ended_ms = ended_ms;
         info!(job = %job_text(id), ?state,
             took_ms = ended_ms.saturating_sub(job.spec.accepted_ms), "job ended");
+        self.observe_end(id);
         self.dirty.insert(id);
         self.ended_jobs.insert(Due {
             at_ms: ended_ms,
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -14,7 +14,7 @@
 use crate::place::{self, Allowed, PlacementRequest, Slot, Slots};
 use crate::progress::Task;
 use crate::resources::Resources;
-use crate::urgency::{self, Candidate, Capacity};
+use crate::urgency::{self, Candidate, Capacity, RankedJob, Ranking};
 
 /// Tasks that fit on no endpoint in this pass of a service.
 #[derive(Debug, Default)]
@@ -94,17 +94,28 @@
 
     fn schedule_service(&mut self, service: &ServiceName, mut slots: Slots) {
         let mut unplaced = Unplaced::default();
-        let ids = self.by_urgency(service, &slots).into_iter();
-        let (suspected, others): (Vec<JobId>, Vec<JobId>) =
-            ids.partition(|id| self.suspected.contains_key(id));
+        let ranking = self.ranking(service, &slots);
+        self.observe_overload(service, &ranking);
+        let (suspected, others): (Vec<RankedJob>, Vec<RankedJob>) = ranking
+            .jobs
+            .into_iter()
+            .partition(|ranked| self.suspected.contains_key(&ranked.job));
+        let suspected: Vec<JobId> = suspected.into_iter().map(|r| r.job).collect();
         let load = isolation::ServiceLoad {
             service,
             others_wait: !others.is_empty(),
         };
         self.start_suspected(&suspected, &load, &mut slots, &mut unplaced);
-        for id in others {
-            if self.start_ready(id, &mut slots, &mut unplaced) > 0 {
-                self.index(id);
+        for ranked in others {
+            let others_wait = !unplaced.needs.is_empty();
+            if self.waits_for_others(ranked.feasibility, ranked.has_begun, others_wait) {
+                continue;
+            }
+            if self.start_ready(ranked.job, &mut slots, &mut unplaced) > 0 {
+                self.index(ranked.job);
+                if !ranked.has_begun {
+                    self.observe_begin(ranked.job, ranked.feasibility);
+                }
             }
         }
         if let Some(requirements) = unplaced.first_unplaced {
@@ -186,20 +197,21 @@
             && report.is_some_and(|r| r.service == *service && !r.is_draining)
     }
 
-    fn by_urgency(&self, service: &ServiceName, slots: &Slots) -> Vec<JobId> {
+    fn ranking(&self, service: &ServiceName, slots: &Slots) -> Ranking {
         let Some(ids) = self.ready_jobs.get(service) else {
-            return Vec::new();
+            return Ranking::default();
         };
         let candidates: Vec<Candidate> = ids
             .iter()
             .filter_map(|id| self.jobs.get(id)?.candidate)
             .collect();
         let capacity = self.capacity_of(service, slots, &candidates);
-        urgency::order(
+        urgency::rank(
             &candidates,
             &capacity,
             self.fleet_ms(),
             &self.settings.policy,
+            &self.limits(service),
         )
     }
 
@@ -274,7 +286,7 @@
 
     /// A workspace's index in the configuration and its weight. Jobs sent without a key, or by a
     /// workspace that was removed, share one more workspace of weight 1.
-    fn owner(&self, workspace: Option<&WorkspaceName>) -> (u32, u64) {
+    pub(super) fn owner(&self, workspace: Option<&WorkspaceName>) -> (u32, u64) {
         let index = workspace.and_then(|name| self.workspaces.get(name));
         let weight = index.and_then(|&at| Some(self.cfg.as_ref()?.workspaces.get(at)?.weight));
         let index = index.and_then(|&at| u32::try_from(at).ok());
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -29,6 +29,8 @@
 //! * [`relaying`]: assignment of endpoints to the members that relay the leader's calls.
 //! * [`rto`]: adaptive timeouts of calls.
 //! * [`pools`]: planning of moves between pools.
+//! * [`sharing`]: division of the fleet's room among workspaces.
+//! * [`overload`]: how much work is let in while a service is overloaded.
 //! * [`cell`]: the scheduler's state, which combines all of these.
 #![forbid(unsafe_code)]
 
@@ -48,6 +50,7 @@
 pub mod job;
 pub mod loss;
 pub mod order;
+pub mod overload;
 pub mod place;
 pub mod policy;
 pub mod pools;
@@ -56,6 +59,7 @@
 pub mod relaying;
 pub mod resources;
 pub mod rto;
+pub mod sharing;
 pub mod suspicion;
 pub mod urgency;
 
--- a/crates/pomelohitch-sched/src/policy.rs
+++ b/crates/pomelohitch-sched/src/policy.rs
@@ -19,6 +19,13 @@
     /// Under overload, defers the jobs with the most work, so that the others can meet their
     /// objectives.
     pub defers_on_overload: bool,
+    /// How much is let in under overload follows from how the jobs let in end.
+    pub adapts_to_overload: bool,
+    /// Under overload, jobs that have begun go before others, and late ones aren't begun while
+    /// others wait that can meet their objectives.
+    pub finishes_first: bool,
+    /// Room is divided among workspaces over all pools when it doesn't suffice.
+    pub shares_over_pools: bool,
     /// Late jobs are promoted shortly before their result becomes useless to the caller.
     pub promotes_expiring: bool,
     /// Methods used to forecast demand.
@@ -89,6 +96,9 @@
             late_factor: 1.4,
             by_latest_start: true,
             defers_on_overload: true,
+            adapts_to_overload: true,
+            finishes_first: true,
+            shares_over_pools: true,
             promotes_expiring: true,
             demand: ForecastMethods::default(),
             margins: Margins::default(),
--- a/crates/pomelohitch-sched/src/pools.rs
+++ b/crates/pomelohitch-sched/src/pools.rs
@@ -16,6 +16,10 @@
 /// one instance at a time.
 const MIN_SHORTFALL: f64 = 1.0;
 
+/// A pool that is held to less than it wants keeps this part more, because grants vary with the
+/// demand of all other pools.
+const HELD_BAND: f64 = 0.05;
+
 /// Demand of a pool.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Pool {
@@ -30,6 +34,9 @@
     pub peak_soon: Option<f64>,
     /// Processors of the tasks that wait for capacity now, thousandths of a core.
     pub backlog: f64,
+    /// Processors that the pool may have at most, thousandths of a core, because there isn't enough
+    /// for all pools; `None` if there is.
+    pub granted: Option<f64>,
     /// Whether a task cannot be placed however many processors are free, because memory is short or
     /// the task has to be isolated.
     pub is_short: bool,
@@ -285,17 +292,23 @@
     }
 
     fn wanted(&self) -> f64 {
-        self.pool.wanted
-            + self
-                .pool
-                .backlog
-                .min(self.pool.wanted * self.margins.max_backlog)
+        let pool = self.pool;
+        let wanted = pool.wanted + pool.backlog.min(pool.wanted * self.margins.max_backlog);
+        self.held(wanted)
+    }
+
+    /// An amount of processors, limited to what the pool may have.
+    fn held(&self, wanted: f64) -> f64 {
+        self.pool
+            .granted
+            .map_or(wanted, |granted| wanted.min(granted))
     }
 
     fn can_give(&self, instance: &Candidate) -> bool {
         let left = self.capacity - as_f64(instance.cpu);
-        let is_enough =
-            self.count > MIN_INSTANCES && left >= self.wanted() / self.margins.target_utilization;
+        let band = self.pool.granted.map_or(0.0, |_| HELD_BAND);
+        let kept = self.wanted() * (1.0 + band) / self.margins.target_utilization;
+        let is_enough = self.count > MIN_INSTANCES && left >= kept;
         self.pool.is_spare || (is_enough && !self.pool.is_short)
     }
 
@@ -303,7 +316,7 @@
     /// `None` if that demand is unknown, and for the spare pool.
     fn surplus(&self) -> Option<f64> {
         let soon = self.pool.peak_soon.filter(|_| !self.pool.is_spare)?;
-        Some(self.capacity - soon.max(self.wanted()) / self.margins.target_utilization)
+        Some(self.capacity - self.held(soon).max(self.wanted()) / self.margins.target_utilization)
     }
 
     fn has_surplus_for(&self, instance: &Candidate) -> bool {
--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -11,17 +11,17 @@
 
 use crate::UnixMs;
 use crate::id::JobId;
+use crate::overload::{Limits, Observation};
 use crate::policy::Policy;
 
 /// A job's result is useful until this multiple of its objective.
 const USEFUL_MULTIPLE: f64 = 3.0;
-/// Jobs are deferred when the work due exceeds this multiple of what can be done. Above 1 because
-/// estimates are rough.
-const OVERLOAD_RATIO: f64 = 1.6;
 /// A late job is about to expire if its latest useful start time is within this time.
 const EXPIRING_WITHIN: Duration = Duration::from_millis(500);
 /// Largest share of a pool's capacity for promoted jobs.
 const PROMOTED_SHARE: f64 = 0.2;
+/// Time over which work due is compared with what can be done, at least.
+const MIN_SPAN_MS: f64 = 500.0;
 /// Time that a step takes beyond its work: recording and sending starts, polling and recording
 /// completions.
 const STEP_OVERHEAD: Duration = Duration::from_millis(80);
@@ -84,7 +84,7 @@
 
 /// Whether a job can meet its objective; variants in the order in which jobs are served.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Feasibility {
+pub enum Feasibility {
     /// A job of lasting tasks, which have to restart soon whatever else waits.
     Lasting,
     /// Late, and expires unless it starts now.
@@ -110,16 +110,53 @@
         self.critical_path.mul_f64(self.stretch.max(0.0)) + self.slack
     }
 
-    /// Latest start time of the next step for the job to be done within `multiple` its objective.
-    fn start_by_ms(&self, multiple: f64) -> UnixMs {
+    /// Whether the job can still meet its objective.
+    #[must_use]
+    pub fn is_feasible(&self, now_ms: UnixMs, policy: &Policy, limits: &Limits) -> bool {
+        let late_factor = policy.late_factor.min(1.0)
+            + (policy.late_factor - 1.0).max(0.0) * (1.0 - limits.strictness);
+        now_ms <= self.start_by_ms(late_factor, limits.strictness)
+    }
+
+    /// Whether the job can't meet its objective any more even if its estimates are exact.
+    #[must_use]
+    pub fn is_missed(&self, now_ms: UnixMs) -> bool {
+        now_ms > self.start_by_ms(1.0, 0.0)
+    }
+
+    /// Latest start time of the next step for the job to be done within `multiple` its objective,
+    /// with a margin in standard deviations of the remaining time.
+    fn start_by_ms(&self, multiple: f64, deviations: f64) -> UnixMs {
         let allowed = millis(self.allowed().mul_f64(multiple));
-        let takes = self.remaining_critical_path + STEP_OVERHEAD * self.steps_left;
+        let takes = self.remaining_critical_path
+            + self.deviation.mul_f64(deviations)
+            + STEP_OVERHEAD * self.steps_left;
         let end_by = self.from_ms.saturating_add(allowed);
         end_by.saturating_sub(millis(takes))
     }
 }
 
-/// Sorts jobs in the order in which they should get capacity.
+/// The order in which jobs should get capacity, and what it was decided from.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Ranking {
+    /// Jobs in this order.
+    pub jobs: Vec<RankedJob>,
+    /// Whether there is more work than can be done.
+    pub seen: Observation,
+}
+
+/// A job in a [`Ranking`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RankedJob {
+    /// Job id.
+    pub job: JobId,
+    /// Whether it can meet its objective.
+    pub feasibility: Feasibility,
+    /// Whether any of its tasks has begun.
+    pub has_begun: bool,
+}
+
+/// Sorts jobs in the order in which they should get capacity, with the default limits.
 #[must_use]
 pub fn order(
     candidates: &[Candidate],
@@ -127,15 +164,41 @@
     now_ms: UnixMs,
     policy: &Policy,
 ) -> Vec<JobId> {
-    let mut ranked: Vec<Ranked<'_>> = candidates.iter().map(|c| rank(c, now_ms, policy)).collect();
+    let ranking = rank(candidates, capacity, now_ms, policy, &Limits::default());
+    ranking.jobs.into_iter().map(|r| r.job).collect()
+}
+
+/// Ranks jobs by the order in which they should get capacity.
+#[must_use]
+pub fn rank(
+    candidates: &[Candidate],
+    capacity: &Capacity,
+    now_ms: UnixMs,
+    policy: &Policy,
+    limits: &Limits,
+) -> Ranking {
+    let ranked = candidates
+        .iter()
+        .map(|c| classify(c, now_ms, policy, limits));
+    let mut ranked: Vec<Ranked<'_>> = ranked.collect();
+    let mut seen = Observation::default();
     if policy.defers_on_overload {
-        defer(&mut ranked, capacity, now_ms);
+        seen = defer(&mut ranked, capacity, now_ms, limits.ratio);
     }
     if policy.promotes_expiring {
         promote_expiring(&mut ranked, capacity, now_ms);
     }
-    ranked.sort_unstable_by_key(Ranked::key);
-    ranked.into_iter().map(|p| p.candidate.job).collect()
+    let finishes_first = policy.finishes_first && limits.strictness > 0.0;
+    ranked.sort_unstable_by_key(|r| r.key(finishes_first));
+    let jobs = ranked.iter().map(|r| RankedJob {
+        job: r.candidate.job,
+        feasibility: r.feasibility,
+        has_begun: r.candidate.has_begun,
+    });
+    Ranking {
+        jobs: jobs.collect(),
+        seen,
+    }
 }
 
 /// A job with its rank.
@@ -147,18 +210,25 @@
 }
 
 impl Ranked<'_> {
-    /// Sort key, lowest first. Among late jobs, those that have begun go before the others.
-    fn key(&self) -> (Feasibility, u32, bool, UnixMs, JobId) {
-        let goes_last = self.feasibility >= Feasibility::Late && !self.candidate.has_begun;
+    /// Sort key, lowest first. Among late jobs, and with `finishes_first` among all jobs, those that
+    /// have begun go before the others.
+    fn key(&self, finishes_first: bool) -> (Feasibility, u32, bool, UnixMs, JobId) {
+        let is_late = self.feasibility >= Feasibility::Late;
+        let goes_last = (is_late || finishes_first) && !self.candidate.has_begun;
         let (priority, job) = (self.candidate.priority, self.candidate.job);
         (self.feasibility, priority, goes_last, self.start_by_ms, job)
     }
 }
 
-fn rank<'a>(candidate: &'a Candidate, now_ms: UnixMs, policy: &Policy) -> Ranked<'a> {
-    let start_by_ms_in_time = candidate.start_by_ms(1.0);
-    let useful_start_by_ms = candidate.start_by_ms(USEFUL_MULTIPLE);
-    let is_feasible = now_ms <= candidate.start_by_ms(policy.late_factor);
+fn classify<'a>(
+    candidate: &'a Candidate,
+    now_ms: UnixMs,
+    policy: &Policy,
+    limits: &Limits,
+) -> Ranked<'a> {
+    let start_by_ms_in_time = candidate.start_by_ms(1.0, 0.0);
+    let useful_start_by_ms = candidate.start_by_ms(USEFUL_MULTIPLE, 0.0);
+    let is_feasible = candidate.is_feasible(now_ms, policy, limits);
     let (feasibility, start_by_ms) = if candidate.is_lasting {
         (Feasibility::Lasting, candidate.from_ms)
     } else if is_feasible || !policy.ranks_late_last {
@@ -185,7 +255,16 @@
 /// among these, it belongs to the workspace with the most work in relation to its weight, and is
 /// the one with the most work there, so that a workspace that overloads a pool is held to its
 /// weighted fair share. Jobs that have begun are not deferred.
-fn defer(ranked: &mut [Ranked<'_>], capacity: &Capacity, now_ms: UnixMs) {
+///
+/// The work due may exceed what can be done by the factor `ratio`.
+fn defer(
+    ranked: &mut [Ranked<'_>],
+    capacity: &Capacity,
+    now_ms: UnixMs,
+    ratio: f64,
+) -> Observation {
+    let mut seen = Observation::default();
+    let mut wanted = 0.0;
     let feasible = ranked
         .iter()
         .enumerate()
@@ -202,19 +281,26 @@
     for index in by_due_time {
         let candidate = ranked[index].candidate;
         due += candidate.work_left;
+        wanted += candidate.work_left;
         workspaces
             .entry(candidate.owner)
             .or_default()
             .add(candidate, index);
         let left = as_f64(candidate.objective_ms().saturating_sub(now_ms));
-        while due > capacity.work_within(left) * OVERLOAD_RATIO {
+        let possible = capacity.work_within(left);
+        seen.pressure = seen
+            .pressure
+            .max(wanted / possible.max(capacity.cpu * MIN_SPAN_MS).max(1.0));
+        while due > possible * ratio {
             let Some(deferred) = next_deferred(&mut workspaces) else {
                 break;
             };
             due -= ranked[deferred].candidate.work_left;
             ranked[deferred].feasibility = Feasibility::Deferred;
+            seen.deferred += 1;
         }
     }
+    seen
 }
 
 /// Promotes late jobs that are of no use unless they start now, up to a share of the capacity.
--- a/crates/pomelohitch-sched/tests/cell.rs
+++ b/crates/pomelohitch-sched/tests/cell.rs
@@ -14,6 +14,8 @@
 mod leaders;
 #[path = "cell/links.rs"]
 mod links;
+#[path = "cell/overload.rs"]
+mod overload;
 #[path = "cell/pools.rs"]
 mod pools;
 #[path = "cell/random.rs"]
--- /dev/null
+++ b/crates/pomelohitch-sched/tests/cell/overload.rs
@@ -0,0 +1,126 @@
+//! More work than room, from workspaces that compete for it.
+
+use std::sync::Arc;
+
+use pomelohitch_sched::cell::calls::Verb;
+use pomelohitch_sched::config::{FleetConfig, Workspace};
+
+use super::fleet::{self, Fleet, job, step};
+
+/// Capacity of an instance, thousandths of a core.
+const INSTANCE: usize = 4_000;
+
+/// A fleet with two services and the workspaces `a` and `b`.
+fn fleet(pricing: u16, issuing: u16) -> Fleet {
+    let mut fleet = Fleet::new(pricing);
+    for index in 0..issuing {
+        fleet.add_to("issuing", &format!("i{index}"), 50 + index);
+    }
+    fleet.applies_operations = true;
+    let workspace = |name: &str| Workspace {
+        name: name.into(),
+        keys: vec![name.into()],
+        weight: 1,
+        ..Workspace::default()
+    };
+    fleet.cfg = Arc::new(FleetConfig {
+        workspaces: vec![workspace("a"), workspace("b")],
+        ..fleet::config(2)
+    });
+    fleet.cell.configure(fleet.cfg.clone());
+    fleet.list_endpoints();
+    fleet.advance(400);
+    fleet
+}
+
+fn pool_size(fleet: &Fleet, name: &str) -> usize {
+    let instances = fleet.instances.values();
+    instances.filter(|i| &*i.pool == name).count()
+}
+
+/// Workspace `a` submits work for `pricing` that needs about 60 instances, and `b` work for
+/// `issuing` that needs about six.
+fn press(fleet: &mut Fleet, next_id: &mut u64, seconds: u32) {
+    for tick in 0..seconds * 10 {
+        let mut submit = |prefix: &str, key: &str, tasks: u32| {
+            *next_id += 1;
+            let draft = job(vec![step(tasks, 1000, 1_000)]);
+            fleet.call_with(
+                &format!("/{prefix}/{next_id:016x}"),
+                Some(key),
+                Verb::Submit(Ok(draft)),
+            );
+        };
+        for _ in 0..3 {
+            submit("q", "a", 8);
+        }
+        if tick % 3 == 0 {
+            submit("i", "b", 6);
+        }
+        fleet.advance(10);
+    }
+}
+
+/// Load: a workspace submits several times the work that the whole fleet can do to one service, and
+/// another one submits less than its part to the other service. The pool of the other keeps what it
+/// needs.
+#[test]
+fn a_workspace_that_presses_does_not_take_the_room_of_others() {
+    let mut fleet = fleet(10, 10);
+    let mut next_id = 0;
+    press(&mut fleet, &mut next_id, 8);
+    let shares = fleet.cell.shares();
+    let (pricing, issuing) = (&shares.pools["pricing"], &shares.pools["issuing"]);
+    assert!(pricing.granted < pricing.wanted, "{pricing:?}");
+    assert!(issuing.granted >= issuing.wanted, "{issuing:?}");
+    assert!(pool_size(&fleet, "issuing") >= 6);
+    let b = shares.workspaces[&Some("b".into())];
+    assert!(b.granted >= b.wanted, "{b:?}");
+    fleet.assert_invariants();
+}
+
+/// Guards against pools that swing when a new leader, which has not seen the work arrive, takes over
+/// in the middle of an overload.
+#[test]
+fn pools_do_not_swing_after_a_change_of_leader_in_an_overload() {
+    let mut fleet = fleet(10, 10);
+    let mut next_id = 0;
+    press(&mut fleet, &mut next_id, 8);
+    let before = pool_size(&fleet, "pricing");
+    let moves_before = fleet.operations.len();
+    fleet.change_leader();
+    for _ in 0..6 {
+        press(&mut fleet, &mut next_id, 1);
+        let size = pool_size(&fleet, "pricing");
+        assert!(size.abs_diff(before) <= 1, "{before} to {size}");
+    }
+    let moves = fleet.operations.len() - moves_before;
+    assert!(moves <= 2, "{moves} moves");
+    fleet.assert_invariants();
+}
+
+/// Guards against pools that are held to nothing because the capacity of the fleet is unknown: a new
+/// leader gets the list of endpoints late, or without most of them.
+#[test]
+fn nothing_is_divided_while_no_endpoints_are_listed() {
+    let mut fleet = fleet(10, 10);
+    let mut next_id = 0;
+    press(&mut fleet, &mut next_id, 4);
+    let before = pool_size(&fleet, "issuing");
+    fleet.change_leader();
+    let ids: Vec<_> = fleet.endpoints.keys().cloned().collect();
+    for id in &ids {
+        fleet.cell.endpoint_unlisted(id);
+    }
+    fleet.hides_instances = true;
+    fleet.advance(150);
+    for share in fleet.cell.shares().pools.values() {
+        assert!(share.granted >= share.wanted, "{share:?}");
+    }
+    assert!(pool_size(&fleet, "issuing").abs_diff(before) <= 1);
+    fleet.hides_instances = false;
+    fleet.list_endpoints();
+    press(&mut fleet, &mut next_id, 3);
+    assert!(pool_size(&fleet, "issuing") * INSTANCE >= 6 * INSTANCE);
+    fleet.assert_invariants();
+}
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -36,6 +36,7 @@
 pub mod in_flight;
 pub mod journal;
 pub mod platform_calls;
+mod share_gauges;
 pub mod watch;
 
 /// Timeout of an append during a takeover.
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -26,6 +26,7 @@
 use super::in_flight::InFlight;
 use super::journal::{self, Journal, Sequence};
 use super::platform_calls::PlatformCalls;
+use super::share_gauges::ShareGauges;
 use super::{handover, heartbeats, watch};
 
 /// Interval at which the state is checked for due starts, leases and waves if no event arrives.
@@ -161,6 +162,7 @@
     pending_calls: HashMap<CallId, SyncSender<Reply>>,
     next_call: CallId,
     in_flight: InFlight,
+    share_gauges: ShareGauges,
     last_append_at: Steady,
     pub(super) appends_failing_since: Option<Steady>,
     pub(super) reads_failing_since: Option<Steady>,
@@ -205,6 +207,7 @@
         pending_calls: HashMap::new(),
         next_call: 0,
         in_flight: InFlight::default(),
+        share_gauges: ShareGauges::default(),
         last_append_at: Steady::ZERO,
         appends_failing_since: None,
         reads_failing_since: None,
@@ -280,6 +283,7 @@
                 .record_tick_duration(clock::steady().saturating_sub(now.steady));
             self.execute(actions);
             self.record_losses();
+            self.record_shares();
             self.commit();
             self.check_store();
             self.check_larger_members();
@@ -296,6 +300,12 @@
         metrics::counter!("jobs_given_up").increment(self.cell.take_given_up());
     }
 
+    fn record_shares(&mut self) {
+        if let Some(shares) = self.cell.take_new_shares() {
+            self.share_gauges.record(&shares);
+        }
+    }
+
     pub(super) fn stop(&mut self, reason: &'static str, successor: Option<SocketAddr>) {
         self.end.get_or_insert(End { reason, successor });
     }
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -214,6 +214,48 @@
         "",
         "Availability zones that are being evacuated, at the leader.",
     ),
+    gauge(
+        "pool_wanted_cpu",
+        "cores",
+        "pool",
+        "Processors that a pool needs by forecast and backlog, at the leader.",
+    ),
+    gauge(
+        "pool_granted_cpu",
+        "cores",
+        "pool",
+        "Processors that a pool may have, at the leader; less than wanted while there isn't enough for all pools.",
+    ),
+    gauge(
+        "pool_held_cpu",
+        "cores",
+        "pool",
+        "Processors of a pool's instances, including those on their way, at the leader.",
+    ),
+    gauge(
+        "pool_let_in_ratio",
+        "ratio",
+        "pool",
+        "Multiple of the work that a pool can do in time above which jobs are deferred, at the leader.",
+    ),
+    gauge(
+        "pool_jobs_deferred",
+        "jobs",
+        "pool",
+        "Jobs that wait in favour of others that can be in time, at the leader.",
+    ),
+    gauge(
+        "workspace_wanted_cpu",
+        "cores",
+        "workspace",
+        "Processors that a workspace wants of all pools, at the leader; 0 while there is enough for all pools.",
+    ),
+    gauge(
+        "workspace_granted_cpu",
+        "cores",
+        "workspace",
+        "Its fair share of them, at the leader; 0 while there is enough for all pools.",
+    ),
     counter(
         "requests_not_passed_on",
         "requests",
