--- a/crates/pomelohitch-sched/src/cell/autoscaling.rs
+++ b/crates/pomelohitch-sched/src/cell/autoscaling.rs
@@ -27,9 +27,6 @@
         due_instances: &BTreeSet<InstanceId>,
     ) -> BTreeSet<EndpointId> {
         self.demand.refresh(self.fleet_ms());
-        if !self.may_operate() {
-            return BTreeSet::new();
-        }
         let now = self.now.steady;
         if now < self.autoscaled_at + DECISION_INTERVAL {
             return self.emptying.clone();
@@ -38,6 +35,9 @@
         self.recent_work.prune(self.fleet_ms());
         let candidates = self.move_candidates(due_instances);
         let pools = self.pools(&candidates);
+        if !self.may_operate() {
+            return BTreeSet::new();
+        }
         let plan = pools::plan(&pools, &candidates, &self.settings.policy.margins);
         let mut emptying = BTreeSet::new();
         for Move { instance, to } in plan.moves {
@@ -100,6 +100,8 @@
             name: name.clone(),
             is_spare,
             is_short: self.is_short(name),
+            only_late_wait: shortage.is_some_and(|s| s.is_late)
+                && !self.blocked_services.contains_key(name),
             granted: None,
             label: shortage.and_then(|s| s.requirements.label.clone()),
             backlog: if self.settings.policy.provisions_backlog {
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -14,7 +14,7 @@
 use crate::place::{self, Allowed, PlacementRequest, Slot, Slots};
 use crate::progress::Task;
 use crate::resources::Resources;
-use crate::urgency::{self, Candidate, Capacity, RankedJob, Ranking};
+use crate::urgency::{self, Candidate, Capacity, Feasibility, RankedJob, Ranking};
 
 /// Tasks that fit on no endpoint in this pass of a service.
 #[derive(Debug, Default)]
@@ -23,6 +23,10 @@
     needs: Vec<Resources>,
     /// Requirements of the first task that found no place but would fit on an empty endpoint.
     first_unplaced: Option<Requirements>,
+    /// Whether that task belongs to a late job.
+    is_first_late: bool,
+    /// Whether the job whose tasks are being placed is late.
+    is_late: bool,
 }
 
 /// What a task requires of an instance besides free capacity.
@@ -39,6 +43,8 @@
     pub(super) since: Steady,
     /// Requirements of the first of these tasks in the last pass.
     pub(super) requirements: Requirements,
+    /// Whether only late jobs had such tasks in the last pass.
+    pub(super) is_late: bool,
 }
 
 impl Unplaced {
@@ -50,8 +56,9 @@
     /// Records that a task of `step` found no place. It counts as a shortage if it would fit on
     /// some empty endpoint (`fits`).
     pub(super) fn note_unplaced(&mut self, step: &StepSpec, fits: bool) {
-        if fits {
-            self.first_unplaced.get_or_insert_with(|| Requirements {
+        if fits && self.first_unplaced.is_none() {
+            self.is_first_late = self.is_late;
+            self.first_unplaced = Some(Requirements {
                 label: step.requires.clone(),
             });
         }
@@ -108,9 +115,10 @@
         self.start_suspected(&suspected, &load, &mut slots, &mut unplaced);
         for ranked in others {
             let others_wait = !unplaced.needs.is_empty();
-            if self.waits_for_others(ranked.feasibility, ranked.has_begun, others_wait) {
+            if self.gives_way(&ranked, others_wait) {
                 continue;
             }
+            unplaced.is_late = ranked.feasibility >= Feasibility::Late;
             if self.start_ready(ranked.job, &mut slots, &mut unplaced) > 0 {
                 self.index(ranked.job);
                 if !ranked.has_begun {
@@ -124,6 +132,7 @@
             let shortage = Shortage {
                 since,
                 requirements,
+                is_late: unplaced.is_first_late,
             };
             self.shortages.insert(service.clone(), shortage);
         } else {
--- a/crates/pomelohitch-sched/src/cell/sharing.rs
+++ b/crates/pomelohitch-sched/src/cell/sharing.rs
@@ -11,7 +11,7 @@
 use crate::pools::{Candidate, Pool};
 use crate::progress::JobState;
 use crate::sharing::{self, Claim, Division, Owner, Share};
-use crate::urgency::{Feasibility, Ranking};
+use crate::urgency::{Feasibility, RankedJob, Ranking};
 
 /// What a pool wants, is granted and has, thousandths of a core.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -33,6 +33,8 @@
 pub struct Shares {
     /// Share of each pool.
     pub pools: BTreeMap<ServiceName, PoolShare>,
+    /// Whether work that can be in time wants all room.
+    pub is_full: bool,
     /// Share of each workspace, while there isn't enough for all pools.
     pub workspaces: BTreeMap<Owner, Share>,
 }
@@ -133,9 +135,13 @@
         let division = claims.divide(room);
         let is_short = self.settings.policy.shares_over_pools && capacity > 0.0;
         let division = division.filter(|_| is_short);
-        let mut shares = Shares::default();
+        let in_time: f64 = claims.in_time.iter().map(|c| c.cpu).sum();
+        let mut shares = Shares {
+            is_full: division.is_some() && in_time >= room,
+            ..Shares::default()
+        };
         for (pool, lasting) in pools.iter_mut().zip(lasting).filter(|(p, _)| !p.is_spare) {
-            let wanted = pool.wanted + pool.backlog.min(pool.wanted * margins.max_backlog);
+            let wanted = pool.unheld(&margins);
             let granted = division
                 .as_ref()
                 .map(|d| d.services.get(&pool.name).copied().unwrap_or(0.0) + lasting);
@@ -246,16 +252,14 @@
         self.overload.ended(&service, id, is_in_time, now);
     }
 
-    /// Whether a job that has not begun waits because others that can be in time wait for the same
-    /// room. It would take the room that these need.
-    pub(super) fn waits_for_others(
-        &self,
-        feasibility: Feasibility,
-        has_begun: bool,
-        others_wait: bool,
-    ) -> bool {
-        let is_late = feasibility >= Feasibility::Late;
-        self.settings.policy.finishes_first && is_late && !has_begun && others_wait
+    /// Whether a late job that has not begun waits because others that can be in time need the room
+    /// that it would take: those that wait in the same pool, or those whose pools get the instances
+    /// of this one.
+    pub(super) fn gives_way(&self, ranked: &RankedJob, others_wait: bool) -> bool {
+        let is_late = ranked.feasibility >= Feasibility::Late;
+        let is_full = self.shares.is_full && self.settings.policy.shares_over_pools;
+        let is_needed = others_wait || is_full;
+        self.settings.policy.finishes_first && is_late && !ranked.has_begun && is_needed
     }
 }
 
--- a/crates/pomelohitch-sched/src/overload.rs
+++ b/crates/pomelohitch-sched/src/overload.rs
@@ -97,7 +97,7 @@
     #[must_use]
     pub fn limits(&self, service: &ServiceName, now: Steady) -> Limits {
         let controller = self.services.get(service);
-        controller.map_or_else(Limits::default, |c| Limits::new(c.ratio_at(now)))
+        controller.map_or_else(Limits::default, |c| c.limits(now))
     }
 
     /// Number of jobs deferred in the last pass of a service.
@@ -129,7 +129,7 @@
             controller.ratio = controller.ratio_at(now);
             controller.overloaded_at = Some(now);
         }
-        if seen.deferred > 0 {
+        if seen.deferred > 0 || seen.pressure > controller.ratio {
             controller.deferred_at = Some(now);
         }
     }
@@ -189,6 +189,18 @@
         RATIOS.end() - (RATIOS.end() - self.ratio) * kept
     }
 
+    /// While jobs have to be deferred, those are let in that end in time most certainly.
+    fn limits(&self, now: Steady) -> Limits {
+        let limits = Limits::new(self.ratio_at(now));
+        if is_recent(self.deferred_at, now) {
+            return Limits {
+                strictness: 1.0,
+                ..limits
+            };
+        }
+        limits
+    }
+
     fn count(&mut self, began_at: Steady, is_in_time: bool, now: Steady) {
         if began_at < self.changed_at {
             return;
--- a/crates/pomelohitch-sched/src/pools.rs
+++ b/crates/pomelohitch-sched/src/pools.rs
@@ -40,10 +40,21 @@
     /// Whether a task cannot be placed however many processors are free, because memory is short or
     /// the task has to be isolated.
     pub is_short: bool,
+    /// Whether the tasks that cannot be placed belong to late jobs. Instances that these need are
+    /// still given to other pools.
+    pub only_late_wait: bool,
     /// Label that an instance needs to relieve the shortage, if `is_short`.
     pub label: Option<Box<str>>,
 }
 
+impl Pool {
+    /// Processors for forecast demand and backlog, whatever the pool may have.
+    #[must_use]
+    pub fn unheld(&self, margins: &Margins) -> f64 {
+        self.wanted + self.backlog.min(self.wanted * margins.max_backlog)
+    }
+}
+
 /// An instance that may be moved.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
@@ -172,6 +183,7 @@
 
     fn donor(&self, recipient: usize) -> Option<usize> {
         let label = self.balances[recipient].wanted_label();
+        let may_take_from_late = !self.balances[recipient].pool.only_late_wait;
         let suits = |i: &Candidate| label.is_none_or(|l| i.labels.iter().any(|own| **own == *l));
         let able = self.entries.iter().enumerate().filter(|(_, entry)| {
             let is_other = entry.balance != Some(recipient);
@@ -180,7 +192,7 @@
             is_other
                 && is_usable
                 && suits(entry.candidate)
-                && donor_balance.is_some_and(|b| b.can_give(entry.candidate))
+                && donor_balance.is_some_and(|b| b.can_give(entry.candidate, may_take_from_late))
         });
         able.min_by_key(|(_, entry)| self.donor_rank(entry))
             .map(|(at, _)| at)
@@ -292,9 +304,12 @@
     }
 
     fn wanted(&self) -> f64 {
-        let pool = self.pool;
-        let wanted = pool.wanted + pool.backlog.min(pool.wanted * self.margins.max_backlog);
-        self.held(wanted)
+        self.held(self.pool.unheld(&self.margins))
+    }
+
+    fn is_held(&self) -> bool {
+        let wanted = self.pool.unheld(&self.margins);
+        self.pool.granted.is_some_and(|granted| granted < wanted)
     }
 
     /// An amount of processors, limited to what the pool may have.
@@ -304,12 +319,17 @@
             .map_or(wanted, |granted| wanted.min(granted))
     }
 
-    fn can_give(&self, instance: &Candidate) -> bool {
+    /// Whether the pool can do without an instance. One in which only late tasks wait can, if the
+    /// recipient `may_take_from_late`; and one that is held to less than it wants has tasks that
+    /// wait in any case.
+    fn can_give(&self, instance: &Candidate, may_take_from_late: bool) -> bool {
         let left = self.capacity - as_f64(instance.cpu);
         let band = self.pool.granted.map_or(0.0, |_| HELD_BAND);
         let kept = self.wanted() * (1.0 + band) / self.margins.target_utilization;
         let is_enough = self.count > MIN_INSTANCES && left >= kept;
-        self.pool.is_spare || (is_enough && !self.pool.is_short)
+        let only_late_wait = may_take_from_late && self.pool.only_late_wait;
+        let keeps_all = self.pool.is_short && !only_late_wait && !self.is_held();
+        self.pool.is_spare || (is_enough && !keeps_all)
     }
 
     /// Thousandths of a core beyond the demand that is expected soon; negative for a shortfall.
@@ -323,7 +343,7 @@
         let has_enough = self
             .surplus()
             .is_some_and(|surplus| surplus >= as_f64(instance.cpu));
-        has_enough && self.can_give(instance)
+        has_enough && self.can_give(instance, false)
     }
 }
 
