--- a/crates/pomelohitch-sched/src/cell/autoscaling.rs
+++ b/crates/pomelohitch-sched/src/cell/autoscaling.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::Cell;
-use super::sharing::Backlog;
+use super::sharing::WaitingCpu;
 use crate::id::{EndpointId, InstanceId, ServiceName};
 use crate::instances::{Instance, InstanceState};
 use crate::order::Operation;
@@ -81,7 +81,7 @@
         let lasting_cpu = self.lasting_cpu();
         let lasting = |name: &ServiceName| lasting_cpu.get(name).copied().unwrap_or(0.0);
         let lasting: Vec<f64> = cfg.services.keys().map(lasting).collect();
-        let backlogs: Vec<Backlog> = cfg.services.keys().map(|n| self.backlog(n)).collect();
+        let backlogs: Vec<WaitingCpu> = cfg.services.keys().map(|n| self.backlog(n)).collect();
         let services = cfg.services.iter().zip(&lasting).zip(&backlogs);
         let mut pools: Vec<Pool> = services
             .map(|(((name, service), lasting), backlog)| {
@@ -92,7 +92,7 @@
         pools
     }
 
-    fn pool(&self, name: &ServiceName, is_spare: bool, lasting: f64, backlog: &Backlog) -> Pool {
+    fn pool(&self, name: &ServiceName, is_spare: bool, lasting: f64, backlog: &WaitingCpu) -> Pool {
         let now_ms = self.fleet_ms();
         let keep_within = self.settings.policy.margins.keep_within;
         let shortage = self.shortages.get(name);
--- a/crates/pomelohitch-sched/src/cell/sharing.rs
+++ b/crates/pomelohitch-sched/src/cell/sharing.rs
@@ -41,14 +41,14 @@
 
 /// CPU that waiting tasks of ready steps need, thousandths of a core.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Backlog {
+pub(super) struct WaitingCpu {
     /// Of jobs that can still be in time, by owner.
     in_time: BTreeMap<Owner, f64>,
     /// Of late jobs, by owner.
     late: BTreeMap<Owner, f64>,
 }
 
-impl Backlog {
+impl WaitingCpu {
     pub(super) fn total(&self) -> f64 {
         self.in_time.values().chain(self.late.values()).sum()
     }
@@ -70,7 +70,7 @@
     pub(super) fn record_arrival(&mut self, service: &ServiceName, spec: &JobSpec) {
         let work = |step: &StepSpec| {
             let cpu = as_f64(step.task_resources().cpu) * f64::from(step.count);
-            cpu * step.estimate.as_secs_f64() * 1000.0
+            cpu * self.estimates.expect(&spec.queue, step).time.as_secs_f64() * 1000.0
         };
         let ending = spec.steps.iter().filter(|step| !step.is_lasting);
         let work = ending.map(work).sum();
@@ -79,8 +79,8 @@
     }
 
     /// CPU that waiting tasks of ready steps need, in thousandths of a core.
-    pub(super) fn backlog(&self, service: &ServiceName) -> Backlog {
-        let mut backlog = Backlog::default();
+    pub(super) fn backlog(&self, service: &ServiceName) -> WaitingCpu {
+        let mut backlog = WaitingCpu::default();
         let limits = self.limits(service);
         let (now_ms, policy) = (self.fleet_ms(), &self.settings.policy);
         let jobs = self.ready_jobs.get(service).into_iter().flatten();
@@ -117,7 +117,7 @@
         &mut self,
         pools: &mut [Pool],
         instances: &[Candidate],
-        backlogs: &[Backlog],
+        backlogs: &[WaitingCpu],
         lasting: &[f64],
     ) {
         let margins = self.settings.policy.margins;
@@ -169,7 +169,7 @@
         claims: &mut Claims,
         service: &ServiceName,
         forecast: f64,
-        backlog: &Backlog,
+        backlog: &WaitingCpu,
         max_backlog: f64,
     ) {
         let mut in_time: BTreeMap<Owner, f64> = BTreeMap::new();
--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -15,7 +15,7 @@
 use crate::policy::Policy;
 
 /// A job's result is useful until this multiple of its objective.
-const USEFUL_MULTIPLE: f64 = 3.0;
+pub const USEFUL_MULTIPLE: f64 = 3.0;
 /// A late job is about to expire if its latest useful start time is within this time.
 const EXPIRING_WITHIN: Duration = Duration::from_millis(500);
 /// Largest share of a pool's capacity for promoted jobs.
@@ -24,7 +24,7 @@
 const MIN_SPAN_MS: f64 = 500.0;
 /// Time that a step takes beyond its work: recording and sending starts, polling and recording
 /// completions.
-const STEP_OVERHEAD: Duration = Duration::from_millis(80);
+pub(crate) const STEP_OVERHEAD: Duration = Duration::from_millis(80);
 
 /// A job as input to the ordering, among the jobs that wait for the same service.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -73,7 +73,7 @@
 
 impl Capacity {
     /// Average time until an instance being moved arrives; a move takes 1.5 s.
-    const ARRIVAL_MS: f64 = 900.0;
+    pub(crate) const ARRIVAL_MS: f64 = 900.0;
 
     /// Work that can be done within `millis`.
     fn work_within(&self, millis: f64) -> f64 {
@@ -115,18 +115,22 @@
     pub fn is_feasible(&self, now_ms: UnixMs, policy: &Policy, limits: &Limits) -> bool {
         let late_factor = policy.late_factor.min(1.0)
             + (policy.late_factor - 1.0).max(0.0) * (1.0 - limits.strictness);
-        now_ms <= self.start_by_ms(late_factor, limits.strictness)
+        now_ms <= self.start_surely_by_ms(late_factor, limits.strictness)
     }
 
     /// Whether the job can't meet its objective any more even if its estimates are exact.
     #[must_use]
     pub fn is_missed(&self, now_ms: UnixMs) -> bool {
-        now_ms > self.start_by_ms(1.0, 0.0)
+        now_ms > self.start_by_ms(1.0)
     }
 
-    /// Latest start time of the next step for the job to be done within `multiple` its objective,
-    /// with a margin in standard deviations of the remaining time.
-    fn start_by_ms(&self, multiple: f64, deviations: f64) -> UnixMs {
+    /// Latest start time of the next step for the job to be done within `multiple` its objective.
+    pub(crate) fn start_by_ms(&self, multiple: f64) -> UnixMs {
+        self.start_surely_by_ms(multiple, 0.0)
+    }
+
+    /// The same with a margin in standard deviations of the remaining time.
+    fn start_surely_by_ms(&self, multiple: f64, deviations: f64) -> UnixMs {
         let allowed = millis(self.allowed().mul_f64(multiple));
         let takes = self.remaining_critical_path
             + self.deviation.mul_f64(deviations)
@@ -226,8 +230,8 @@
     policy: &Policy,
     limits: &Limits,
 ) -> Ranked<'a> {
-    let start_by_ms_in_time = candidate.start_by_ms(1.0, 0.0);
-    let useful_start_by_ms = candidate.start_by_ms(USEFUL_MULTIPLE, 0.0);
+    let start_by_ms_in_time = candidate.start_by_ms(1.0);
+    let useful_start_by_ms = candidate.start_by_ms(USEFUL_MULTIPLE);
     let is_feasible = candidate.is_feasible(now_ms, policy, limits);
     let (feasibility, start_by_ms) = if candidate.is_lasting {
         (Feasibility::Lasting, candidate.from_ms)
--- a/crates/pomelohitch-sched/tests/cell.rs
+++ b/crates/pomelohitch-sched/tests/cell.rs
@@ -20,6 +20,8 @@
 mod pools;
 #[path = "cell/random.rs"]
 mod random;
+#[path = "cell/refusing.rs"]
+mod refusing;
 #[path = "cell/runs.rs"]
 mod runs;
 #[path = "cell/size.rs"]
