--- a/crates/pomelohitch-emulator/tests/loads.rs
+++ b/crates/pomelohitch-emulator/tests/loads.rs
@@ -39,6 +39,7 @@
 fn no_load_violates_an_invariant() {
     for name in [
         "turns.toml",
+        "competing.toml",
         "orders-lost.toml",
         "one-presses.toml",
         "log-away.toml",
@@ -107,6 +108,34 @@
     assert!(mean(&with_deferral, "of no use") < 0.005);
 }
 
+/// Load: two workspaces in turn submit seven times their usual number of jobs, which fills all pools
+/// for most of the play. More jobs have to be in time than without the decisions for this load, and
+/// no queue may be served at the cost of another: none has less than a third of its jobs in time
+/// while another one of the same weight has more than two thirds.
+#[test]
+fn competing_workspaces_are_served_alike() {
+    let competing = load("competing.toml");
+    let seeds: Vec<u64> = (1..=12).collect();
+    let before = play_all(
+        &competing,
+        &without("sharing,adaptation,finish-first"),
+        &seeds,
+    );
+    let after = play_all(&competing, &Settings::default(), &seeds);
+    let gains = differences(&before, &after);
+    let in_time = gains.iter().find(|d| d.figure == "in time");
+    assert!(
+        in_time.is_some_and(|d| d.is_significant() && d.difference > 0.0),
+        "{in_time:?}"
+    );
+    for outcome in &after {
+        let queues = &outcome.in_time_by_queue;
+        let worst = queues.iter().copied().fold(1.0, f64::min);
+        let best = queues.iter().copied().fold(0.0, f64::max);
+        assert!(worst >= 1.0 / 3.0 || best <= 2.0 / 3.0, "{queues:?}");
+    }
+}
+
 #[test]
 fn the_same_seed_gives_the_same_outcome() {
     let load = load("steady.toml");
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -263,8 +263,6 @@
     overload: Overload,
     /// Room and claims of all pools as of the last decision about moves.
     shares: sharing::Shares,
-    /// Whether `shares` have changed since the last call of [`Cell::take_new_shares`].
-    has_new_shares: bool,
     /// Pools that are held to less than they want.
     held_pools: BTreeSet<ServiceName>,
     /// Expected run times of tasks.
@@ -385,7 +383,6 @@
             recent_work: RecentWork::default(),
             overload: Overload::default(),
             shares: sharing::Shares::default(),
-            has_new_shares: false,
             held_pools: BTreeSet::new(),
             estimates: Estimates::default(),
             backlogs: admit::Backlogs::new(),
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -21,7 +21,7 @@
     /// Resources that no endpoint has free. Tasks that need as much or more are skipped.
     needs: Vec<Resources>,
     /// Requirements of the first task that found no place but would fit on an empty endpoint.
-    first_unplaced: Option<Requirements>,
+    first: Option<Requirements>,
     /// Whether that task belongs to a late job.
     is_first_late: bool,
     /// Whether the job whose tasks are being placed is late.
@@ -55,9 +55,9 @@
     /// Records that a task of `step` found no place. It counts as a shortage if it would fit on
     /// some empty endpoint (`fits`).
     pub(super) fn note_unplaced(&mut self, step: &StepSpec, fits: bool) {
-        if fits && self.first_unplaced.is_none() {
+        if fits && self.first.is_none() {
             self.is_first_late = self.is_late;
-            self.first_unplaced = Some(Requirements {
+            self.first = Some(Requirements {
                 label: step.requires.clone(),
             });
         }
@@ -126,7 +126,7 @@
                 }
             }
         }
-        if let Some(requirements) = unplaced.first_unplaced {
+        if let Some(requirements) = unplaced.first {
             let since = self.shortages.get(service).map(|s| s.since);
             let since = since.unwrap_or(self.now.steady);
             let shortage = Shortage {
--- a/crates/pomelohitch-sched/src/cell/sharing.rs
+++ b/crates/pomelohitch-sched/src/cell/sharing.rs
@@ -61,11 +61,6 @@
         &self.shares
     }
 
-    /// The same, if moves were decided since the last call.
-    pub fn take_new_shares(&mut self) -> Option<Shares> {
-        std::mem::take(&mut self.has_new_shares).then(|| self.shares.clone())
-    }
-
     /// Records the work of a job that arrived, for the division of forecast demand.
     pub(super) fn record_arrival(&mut self, service: &ServiceName, spec: &JobSpec) {
         let work = |step: &StepSpec| {
@@ -159,7 +154,6 @@
         shares.workspaces = division.map(|d| d.workspaces).unwrap_or_default();
         self.log_held_pools(&shares);
         self.shares = shares;
-        self.has_new_shares = true;
     }
 
     /// Adds what each workspace wants of a pool: its part of the forecast demand, which follows
--- a/crates/pomelohitch-sched/tests/overload.rs
+++ b/crates/pomelohitch-sched/tests/overload.rs
@@ -53,7 +53,7 @@
         deferred: 0,
     };
     play(&mut overload, 100..120, calm, |_| false);
-    let limits = overload.limits(&service("desk"), Duration::from_secs(120));
+    let limits = overload.limits(&service("desk"), Duration::from_mins(2));
     assert_eq!(limits, Limits::default());
 }
 
@@ -109,7 +109,7 @@
 fn a_service_starts_from_what_others_have_learned() {
     let mut overload = Overload::default();
     play(&mut overload, 100..120, OVERLOADED, |_| false);
-    let now = Duration::from_secs(120);
+    let now = Duration::from_mins(2);
     overload.observe(&service("lab"), OVERLOADED, now);
     assert!(ratio(&overload, "lab", 120) < 0.7);
     assert!(ratio(&overload, "gate", 120) > 1.55);
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -287,8 +287,7 @@
                 .record_tick_duration(clock::steady().saturating_sub(now.steady));
             self.execute(actions);
             self.record_losses();
-            self.record_shares();
-            self.update_run_time_gauges();
+            self.update_gauges();
             self.commit();
             self.check_store();
             self.check_larger_members();
@@ -298,8 +297,8 @@
         }
     }
 
-    /// Updates the gauges of learned run times, once a second.
-    fn update_run_time_gauges(&mut self) {
+    /// Updates the gauges of learned run times and of shares, once a second.
+    fn update_gauges(&mut self) {
         let now = clock::steady();
         if now < self.gauges_updated_at + GAUGE_INTERVAL {
             return;
@@ -310,6 +309,7 @@
             metrics::gauge!("run_time_factor", "queue" => queue.clone()).set(learned.factor);
             metrics::gauge!("run_time_deviation", "queue" => queue).set(learned.deviation);
         }
+        self.share_gauges.record(self.cell.shares());
     }
 
     fn record_losses(&mut self) {
@@ -319,12 +319,6 @@
         metrics::counter!("jobs_given_up").increment(self.cell.take_given_up());
     }
 
-    fn record_shares(&mut self) {
-        if let Some(shares) = self.cell.take_new_shares() {
-            self.share_gauges.record(&shares);
-        }
-    }
-
     pub(super) fn stop(&mut self, reason: &'static str, successor: Option<SocketAddr>) {
         self.end.get_or_insert(End { reason, successor });
     }
