--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -19,6 +19,7 @@
 //! * [`evacuate`]: evacuation of availability zones.
 //! * [`evict`]: moving lasting tasks to other endpoints, and pacing of fillers.
 //! * [`autoscaling`]: moving instances between pools by demand.
+//! * [`sharing`]: sharing of room among workspaces over all pools.
 //! * [`operations`]: the list of instances, and operations on them.
 //! * [`waves`]: maintenance in waves.
 //!
@@ -42,10 +43,12 @@
 use crate::job::JobSpec;
 use crate::loss::LossCounts;
 use crate::order::{Action, Due, Target};
+use crate::overload::Overload;
 use crate::policy::Policy;
 use crate::progress::{self, Entry, JobState, Progress, Record};
 use crate::rate::RateLimiter;
 use crate::resources::Resources;
+use crate::sharing::RecentWork;
 use crate::urgency::Candidate;
 use crate::{Now, Steady, UnixMs};
 
@@ -68,6 +71,7 @@
 pub mod polls;
 mod run_times;
 pub mod schedule;
+pub mod sharing;
 pub mod stalled;
 pub mod waves;
 
@@ -253,6 +257,14 @@
     /// Time from which the former leader sends no more operations on instances.
     operations_allowed_from: Steady,
     demand: Demand,
+    /// Recent work of each workspace, by service.
+    recent_work: RecentWork,
+    /// How much is let in where there is more work than can be done.
+    overload: Overload,
+    /// Room and claims of all pools as of the last decision about moves.
+    shares: sharing::Shares,
+    /// Pools that are held to less than they want.
+    held_pools: BTreeSet<ServiceName>,
     /// Expected run times of tasks.
     estimates: Estimates,
     /// Work that waits for each service.
@@ -368,6 +380,10 @@
             operation_limiter: RateLimiter::new(settings.operations_per_s),
             operations_allowed_from: now.steady + settings.former_leader_timeout,
             demand: Demand::new(settings.policy.demand, settings.policy.margins),
+            recent_work: RecentWork::default(),
+            overload: Overload::default(),
+            shares: sharing::Shares::default(),
+            held_pools: BTreeSet::new(),
             estimates: Estimates::default(),
             backlogs: admit::Backlogs::new(),
             epoch,
--- a/crates/pomelohitch-sched/src/cell/accounting.rs
+++ b/crates/pomelohitch-sched/src/cell/accounting.rs
@@ -43,6 +43,7 @@
             };
             self.demand
                 .add(&service, &spec.steps, spec.accepted_ms, times);
+            self.record_arrival(&service, &spec);
         }
         self.jobs.insert(
             id,
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -13,7 +13,7 @@
 use crate::place::{self, Allowed, PlacementRequest, Slot, Slots};
 use crate::progress::Task;
 use crate::resources::Resources;
-use crate::urgency::{self, Candidate, Capacity};
+use crate::urgency::{self, Candidate, Capacity, Feasibility, RankedJob, Ranking};
 
 /// Tasks that fit on no endpoint in this pass of a service.
 #[derive(Debug, Default)]
@@ -21,7 +21,11 @@
     /// Resources that no endpoint has free. Tasks that need as much or more are skipped.
     needs: Vec<Resources>,
     /// Requirements of the first task that found no place but would fit on an empty endpoint.
-    first_unplaced: Option<Requirements>,
+    first: Option<Requirements>,
+    /// Whether that task belongs to a late job.
+    is_first_late: bool,
+    /// Whether the job whose tasks are being placed is late.
+    is_late: bool,
 }
 
 /// What a task requires of an instance besides free capacity.
@@ -38,6 +42,8 @@
     pub(super) since: Steady,
     /// Requirements of the first of these tasks in the last pass.
     pub(super) requirements: Requirements,
+    /// Whether only late jobs had such tasks in the last pass.
+    pub(super) is_late: bool,
 }
 
 impl Unplaced {
@@ -49,8 +55,9 @@
     /// Records that a task of `step` found no place. It counts as a shortage if it would fit on
     /// some empty endpoint (`fits`).
     pub(super) fn note_unplaced(&mut self, step: &StepSpec, fits: bool) {
-        if fits {
-            self.first_unplaced.get_or_insert_with(|| Requirements {
+        if fits && self.first.is_none() {
+            self.is_first_late = self.is_late;
+            self.first = Some(Requirements {
                 label: step.requires.clone(),
             });
         }
@@ -94,25 +101,38 @@
 
     fn schedule_service(&mut self, service: &ServiceName, mut slots: Slots) {
         let mut unplaced = Unplaced::default();
-        let ids = self.by_urgency(service, &slots).into_iter();
-        let (suspected, others): (Vec<JobId>, Vec<JobId>) =
-            ids.partition(|id| self.suspected.contains_key(id));
+        let ranking = self.ranking(service, &slots);
+        self.observe_overload(service, &ranking);
+        let (suspected, others): (Vec<RankedJob>, Vec<RankedJob>) = ranking
+            .jobs
+            .into_iter()
+            .partition(|ranked| self.suspected.contains_key(&ranked.job));
+        let suspected: Vec<JobId> = suspected.into_iter().map(|r| r.job).collect();
         let load = isolation::ServiceLoad {
             service,
             others_wait: !others.is_empty(),
         };
         self.start_suspected(&suspected, &load, &mut slots, &mut unplaced);
-        for id in others {
-            if self.start_ready(id, &mut slots, &mut unplaced) > 0 {
-                self.index(id);
+        for ranked in others {
+            let others_wait = !unplaced.needs.is_empty();
+            if self.gives_way(&ranked, others_wait) {
+                continue;
+            }
+            unplaced.is_late = ranked.feasibility >= Feasibility::Late;
+            if self.start_ready(ranked.job, &mut slots, &mut unplaced) > 0 {
+                self.index(ranked.job);
+                if !ranked.has_begun {
+                    self.observe_begin(ranked.job, ranked.feasibility);
+                }
             }
         }
-        if let Some(requirements) = unplaced.first_unplaced {
+        if let Some(requirements) = unplaced.first {
             let since = self.shortages.get(service).map(|s| s.since);
             let since = since.unwrap_or(self.now.steady);
             let shortage = Shortage {
                 since,
                 requirements,
+                is_late: unplaced.is_first_late,
             };
             self.shortages.insert(service.clone(), shortage);
         } else {
@@ -186,9 +206,9 @@
             && report.is_some_and(|r| r.service == *service && !r.is_draining)
     }
 
-    fn by_urgency(&mut self, service: &ServiceName, slots: &Slots) -> Vec<JobId> {
+    fn ranking(&mut self, service: &ServiceName, slots: &Slots) -> Ranking {
         let Some(ids) = self.ready_jobs.get(service) else {
-            return Vec::new();
+            return Ranking::default();
         };
         let candidates: Vec<Candidate> = ids
             .iter()
@@ -196,11 +216,12 @@
             .collect();
         let capacity = self.capacity_of(service, slots);
         self.note_backlog(service, &candidates, capacity);
-        urgency::order(
+        urgency::rank(
             &candidates,
             &capacity,
             self.fleet_ms(),
             &self.settings.policy,
+            &self.limits(service),
         )
     }
 
--- a/crates/pomelohitch-sched/src/pools.rs
+++ b/crates/pomelohitch-sched/src/pools.rs
@@ -16,6 +16,10 @@
 /// one instance at a time.
 const MIN_SHORTFALL: f64 = 1.0;
 
+/// A pool that is held to less than it wants keeps this part more, because grants vary with the
+/// demand of all other pools.
+const HELD_BAND: f64 = 0.05;
+
 /// Demand of a pool.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Pool {
@@ -30,13 +34,27 @@
     pub peak_soon: Option<f64>,
     /// Processors of the tasks that wait for capacity now, thousandths of a core.
     pub backlog: f64,
+    /// Processors that the pool may have at most, thousandths of a core, because there isn't enough
+    /// for all pools; `None` if there is.
+    pub granted: Option<f64>,
     /// Whether a task cannot be placed however many processors are free, because memory is short or
     /// the task has to be isolated.
     pub is_short: bool,
+    /// Whether the tasks that cannot be placed belong to late jobs. Instances that these need are
+    /// still given to other pools.
+    pub only_late_wait: bool,
     /// Label that an instance needs to relieve the shortage, if `is_short`.
     pub label: Option<Box<str>>,
 }
 
+impl Pool {
+    /// Processors for forecast demand and backlog, whatever the pool may have.
+    #[must_use]
+    pub fn unheld(&self, margins: &Margins) -> f64 {
+        self.wanted + self.backlog.min(self.wanted * margins.max_backlog)
+    }
+}
+
 /// An instance that may be moved.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
@@ -165,6 +183,7 @@
 
     fn donor(&self, recipient: usize) -> Option<usize> {
         let label = self.balances[recipient].wanted_label();
+        let may_take_from_late = !self.balances[recipient].pool.only_late_wait;
         let suits = |i: &Candidate| label.is_none_or(|l| i.labels.iter().any(|own| **own == *l));
         let able = self.entries.iter().enumerate().filter(|(_, entry)| {
             let is_other = entry.balance != Some(recipient);
@@ -173,7 +192,7 @@
             is_other
                 && is_usable
                 && suits(entry.candidate)
-                && donor_balance.is_some_and(|b| b.can_give(entry.candidate))
+                && donor_balance.is_some_and(|b| b.can_give(entry.candidate, may_take_from_late))
         });
         able.min_by_key(|(_, entry)| self.donor_rank(entry))
             .map(|(at, _)| at)
@@ -285,32 +304,46 @@
     }
 
     fn wanted(&self) -> f64 {
-        self.pool.wanted
-            + self
-                .pool
-                .backlog
-                .min(self.pool.wanted * self.margins.max_backlog)
+        self.held(self.pool.unheld(&self.margins))
+    }
+
+    fn is_held(&self) -> bool {
+        let wanted = self.pool.unheld(&self.margins);
+        self.pool.granted.is_some_and(|granted| granted < wanted)
+    }
+
+    /// An amount of processors, limited to what the pool may have.
+    fn held(&self, wanted: f64) -> f64 {
+        self.pool
+            .granted
+            .map_or(wanted, |granted| wanted.min(granted))
     }
 
-    fn can_give(&self, instance: &Candidate) -> bool {
+    /// Whether the pool can do without an instance. One in which only late tasks wait can, if the
+    /// recipient `may_take_from_late`; and one that is held to less than it wants has tasks that
+    /// wait in any case.
+    fn can_give(&self, instance: &Candidate, may_take_from_late: bool) -> bool {
         let left = self.capacity - as_f64(instance.cpu);
-        let is_enough =
-            self.count > MIN_INSTANCES && left >= self.wanted() / self.margins.target_utilization;
-        self.pool.is_spare || (is_enough && !self.pool.is_short)
+        let band = self.pool.granted.map_or(0.0, |_| HELD_BAND);
+        let kept = self.wanted() * (1.0 + band) / self.margins.target_utilization;
+        let is_enough = self.count > MIN_INSTANCES && left >= kept;
+        let only_late_wait = may_take_from_late && self.pool.only_late_wait;
+        let keeps_all = self.pool.is_short && !only_late_wait && !self.is_held();
+        self.pool.is_spare || (is_enough && !keeps_all)
     }
 
     /// Thousandths of a core beyond the demand that is expected soon; negative for a shortfall.
     /// `None` if that demand is unknown, and for the spare pool.
     fn surplus(&self) -> Option<f64> {
         let soon = self.pool.peak_soon.filter(|_| !self.pool.is_spare)?;
-        Some(self.capacity - soon.max(self.wanted()) / self.margins.target_utilization)
+        Some(self.capacity - self.held(soon).max(self.wanted()) / self.margins.target_utilization)
     }
 
     fn has_surplus_for(&self, instance: &Candidate) -> bool {
         let has_enough = self
             .surplus()
             .is_some_and(|surplus| surplus >= as_f64(instance.cpu));
-        has_enough && self.can_give(instance)
+        has_enough && self.can_give(instance, false)
     }
 }
 
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -26,6 +26,7 @@
 use super::in_flight::InFlight;
 use super::journal::{self, Journal, Sequence};
 use super::platform_calls::PlatformCalls;
+use super::share_gauges::ShareGauges;
 use super::{handover, heartbeats, watch};
 
 /// Interval at which the state is checked for due starts, leases and waves if no event arrives.
@@ -164,6 +165,7 @@
     next_call: CallId,
     gauges_updated_at: Steady,
     in_flight: InFlight,
+    share_gauges: ShareGauges,
     last_append_at: Steady,
     pub(super) appends_failing_since: Option<Steady>,
     pub(super) reads_failing_since: Option<Steady>,
@@ -209,6 +211,7 @@
         next_call: 0,
         gauges_updated_at: Steady::ZERO,
         in_flight: InFlight::default(),
+        share_gauges: ShareGauges::default(),
         last_append_at: Steady::ZERO,
         appends_failing_since: None,
         reads_failing_since: None,
@@ -284,7 +287,7 @@
                 .record_tick_duration(clock::steady().saturating_sub(now.steady));
             self.execute(actions);
             self.record_losses();
-            self.update_run_time_gauges();
+            self.update_gauges();
             self.commit();
             self.check_store();
             self.check_larger_members();
@@ -294,8 +297,8 @@
         }
     }
 
-    /// Updates the gauges of learned run times, once a second.
-    fn update_run_time_gauges(&mut self) {
+    /// Updates the gauges of learned run times and of shares, once a second.
+    fn update_gauges(&mut self) {
         let now = clock::steady();
         if now < self.gauges_updated_at + GAUGE_INTERVAL {
             return;
@@ -306,6 +309,7 @@
             metrics::gauge!("run_time_factor", "queue" => queue.clone()).set(learned.factor);
             metrics::gauge!("run_time_deviation", "queue" => queue).set(learned.deviation);
         }
+        self.share_gauges.record(self.cell.shares());
     }
 
     fn record_losses(&mut self) {
