feat: endpoint speeds learned from runs, and copies of stragglers

Cause: may_copy was read and never used, and only runs without any progress counted against an endpoint. Change: speeds.rs and copies.rs decide, cell/speeds.rs and cell/copies.rs wire them in.

--- a/crates/pomelohitch-emulator/src/arrivals.rs
+++ b/crates/pomelohitch-emulator/src/arrivals.rs
@@ -126,6 +126,8 @@
                 .map(|p| u16::try_from(p).unwrap_or(u16::MAX))
                 .into_iter()
                 .collect(),
+            // Loads without copies draw the same jobs as before there were any.
+            may_copy: queue.copyable > 0.0 && rng.random_bool(queue.copyable),
             ..StepSpec::default()
         }
     });
--- a/crates/pomelohitch-emulator/src/compare.rs
+++ b/crates/pomelohitch-emulator/src/compare.rs
@@ -13,7 +13,7 @@
 pub type Figure = (&'static str, fn(&Outcome) -> f64);
 
 /// The figures that are compared.
-pub const FIGURES: [Figure; 12] = [
+pub const FIGURES: [Figure; 14] = [
     ("worth", |o| o.worth),
     ("worst windows", |o| o.worst_windows),
     ("worst queue", |o| o.worst_queue),
@@ -25,6 +25,8 @@
     ("pool seconds", |o| o.pool_s),
     ("moves", |o| as_f64(o.moves)),
     ("crashes", |o| f64::from(o.crashes)),
+    ("copies", |o| as_f64(o.copies)),
+    ("copies won", |o| as_f64(o.copies_won)),
     ("given up", |o| as_f64(o.given_up)),
 ];
 
--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -1,7 +1,8 @@
 //! Endpoints, instances, a log and callers around one scheduler in virtual time, with faults.
 //!
 //! Each start is checked against the scheduler's invariants: it fits the endpoint's capacity, a
-//! task has one run at a time and none after its acknowledged completion, steps run in order,
+//! task has one run at a time (two if its step allows copies) and none after its acknowledged
+//! completion, steps run in order,
 //! nothing starts in an evacuated zone, and a task that crashes its endpoints is started only a few
 //! times.
 
@@ -45,6 +46,9 @@
 const EVACUATION_GRACE: Duration = Duration::from_secs(1);
 /// A start that fits only the capacity before a change is allowed for this long after the change.
 const SHRINK_GRACE: Duration = Duration::from_millis(4_500);
+/// A copy whose start was sent before may take effect for this long after the completion of its
+/// task was acknowledged.
+const COPY_GRACE: Duration = Duration::from_secs(1);
 /// Timeout of a poll beyond its wait.
 const POLL_MARGIN: Duration = Duration::from_millis(250);
 
@@ -134,8 +138,8 @@
     /// Batches being appended to the log, with the time when each becomes durable.
     pending: VecDeque<(Steady, Batch)>,
     last_append_at: Steady,
-    /// Tasks whose successful completion was acknowledged to an endpoint.
-    acknowledged: BTreeSet<TaskId>,
+    /// Tasks whose successful completion was acknowledged to an endpoint, and when first.
+    acknowledged: BTreeMap<TaskId, Steady>,
     /// Number of the last API call.
     last_call: u64,
 }
@@ -275,7 +279,7 @@
             fault_rng: FaultRng::new(0),
             pending: VecDeque::new(),
             last_append_at: Steady::ZERO,
-            acknowledged: BTreeSet::new(),
+            acknowledged: BTreeMap::new(),
             last_call: 0,
         };
         for index in 0..endpoints {
--- a/crates/pomelohitch-emulator/src/fleet/orders.rs
+++ b/crates/pomelohitch-emulator/src/fleet/orders.rs
@@ -7,7 +7,7 @@
 use pomelohitch_sched::{EndpointId, Resources, TaskId};
 
 use super::faults::{Delayed, FaultRng};
-use super::{EVACUATION_GRACE, Fleet, ORDER_TIMEOUT, SHRINK_GRACE};
+use super::{COPY_GRACE, EVACUATION_GRACE, Fleet, ORDER_TIMEOUT, SHRINK_GRACE};
 
 impl Fleet {
     pub(super) fn execute_actions(&mut self, actions: Vec<Action>) {
@@ -149,11 +149,18 @@
             .flat_map(|e| e.runs.keys())
             .filter(|(t, _)| *t == task)
             .count();
-        if runs > 1 {
+        let max_runs = if step.may_copy { 2 } else { 1 };
+        if runs > max_runs {
             self.violations
                 .push(format!("{task} has {runs} runs at a time"));
         }
-        if self.acknowledged.contains(&task) {
+        let grace = if step.may_copy {
+            COPY_GRACE
+        } else {
+            Duration::ZERO
+        };
+        let acknowledged = self.acknowledged.get(&task);
+        if acknowledged.is_some_and(|&at| now >= at + grace) {
             self.violations
                 .push(format!("{task} starts after its acknowledged completion"));
         }
--- a/crates/pomelohitch-emulator/src/fleet/polls.rs
+++ b/crates/pomelohitch-emulator/src/fleet/polls.rs
@@ -72,7 +72,9 @@
         // answered.
         if poll.arrived_at.is_none() && order.epoch >= endpoint.epoch {
             endpoint.lease = endpoint.lease.max(order.lease.unwrap_or_default());
-            self.acknowledged.extend(endpoint.acknowledge(order.noted));
+            for task in endpoint.acknowledge(order.noted) {
+                self.acknowledged.entry(task).or_insert(now);
+            }
         }
         let arrived_at = *poll.arrived_at.get_or_insert(now);
         if !endpoint.ended.is_empty() || now >= arrived_at + order.wait {
--- a/crates/pomelohitch-emulator/src/load.rs
+++ b/crates/pomelohitch-emulator/src/load.rs
@@ -119,6 +119,9 @@
     /// Spread around these means: the standard deviation of the logarithm.
     #[serde(default = "spread")]
     pub spread: f64,
+    /// Fraction of its steps that allow copies of their tasks.
+    #[serde(default)]
+    pub copyable: f64,
     /// Priority of its jobs; 0 is the highest.
     #[serde(default)]
     pub priority: u32,
@@ -196,7 +199,7 @@
     /// An append to the log takes `strength` seconds.
     #[serde(default)]
     pub log_slow: Vec<Span>,
-    /// Every tenth endpoint is slower by the factor `strength`.
+    /// One endpoint in ten is slower by the factor `strength`.
     #[serde(default)]
     pub slow: Vec<Span>,
     /// A fraction `strength` of the jobs has a task that crashes each endpoint that starts it.
@@ -304,6 +307,11 @@
             "queues.spread",
             "0 to 2",
         )?;
+        require(
+            (0.0..=1.0).contains(&queue.copyable),
+            "queues.copyable",
+            "0 to 1",
+        )?;
     }
     let parts: f64 = load.workspaces.iter().map(|w| w.part).sum();
     let has_shares = load.workspaces.is_empty() || parts > 0.0;
--- a/crates/pomelohitch-emulator/src/play.rs
+++ b/crates/pomelohitch-emulator/src/play.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
+use pomelohitch_sched::cell::CopyCounts;
 use pomelohitch_sched::cell::calls::{Draft, Verb};
 use pomelohitch_sched::config::{FleetConfig, Queue, Service, Workspace};
 use pomelohitch_sched::id::job_text;
@@ -38,6 +39,8 @@
 const INCOMPLETE_MS: u128 = 600_000;
 /// Downtime of an instance after a random crash.
 const CRASH_DOWNTIME: Duration = Duration::from_secs(3);
+/// One endpoint in this many can be slow, by its port, which it keeps while it runs.
+const SLOW_ONE_IN: u16 = 10;
 /// Network round-trip time of a caller.
 const ROUND_TRIP_TIME: Duration = Duration::from_millis(10);
 
@@ -75,6 +78,10 @@
     /// Number of crashes of endpoints that ran a task that crashes endpoints, counted for each such
     /// task.
     pub crashes: u32,
+    /// Number of copies of runs.
+    pub copies: usize,
+    /// Number of copies that ended before the first run.
+    pub copies_won: usize,
     /// Number of jobs that were given up although their tasks don't crash endpoints.
     pub given_up: usize,
     /// Descriptions of violated invariants.
@@ -120,6 +127,7 @@
     pool_time: Duration,
     rng: ChaCha8Rng,
     is_shrunk: bool,
+    copies: CopyCounts,
 }
 
 impl<'a> Playback<'a> {
@@ -158,6 +166,7 @@
             finished: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(!seed),
             is_shrunk: false,
+            copies: CopyCounts::default(),
             leader_changes: 0,
             pool_time: Duration::ZERO,
         }
@@ -204,6 +213,10 @@
             .count();
         self.pool_time += STEP * u32::try_from(billed).unwrap_or(u32::MAX);
         self.process_answers();
+        let copies = self.fleet.cell.take_copies();
+        self.copies.started += copies.started;
+        self.copies.won += copies.won;
+        self.copies.lost += copies.lost;
     }
 
     /// Starts and ends the faults that are due now.
@@ -222,8 +235,9 @@
         self.fleet.log_delay = Duration::from_secs_f64(delay);
         let slow = faults.slow.iter().find(|span| span.contains(now));
         let slowness = slow.map_or(1.0, |span| span.strength.max(1.0));
-        for (index, endpoint) in self.fleet.endpoints.values_mut().enumerate() {
-            endpoint.slowness = if index % 10 == 0 { slowness } else { 1.0 };
+        for endpoint in self.fleet.endpoints.values_mut() {
+            let is_slow = endpoint.report.addr.port() % SLOW_ONE_IN == 0;
+            endpoint.slowness = if is_slow { slowness } else { 1.0 };
         }
         self.crash_at_random();
         self.update_capacities();
@@ -392,6 +406,8 @@
             starts_lost: self.fleet.starts_lost,
             polls: self.fleet.polls_sent,
             crashes: crashes.count(),
+            copies: usize::try_from(self.copies.started).unwrap_or(usize::MAX),
+            copies_won: usize::try_from(self.copies.won).unwrap_or(usize::MAX),
             given_up: all.iter().filter(|sent| self.is_given_up(sent)).count(),
             violations: self.fleet.violations,
         }
--- a/crates/pomelohitch-emulator/src/policies.rs
+++ b/crates/pomelohitch-emulator/src/policies.rs
@@ -8,7 +8,7 @@
 pub type Switch = (&'static str, fn(&mut Policy));
 
 /// Every mechanism that can be switched off.
-pub const SWITCHES: [Switch; 13] = [
+pub const SWITCHES: [Switch; 15] = [
     ("late-last", |p| p.ranks_late_last = false),
     ("latest-start", |p| p.by_latest_start = false),
     ("deferral", |p| p.defers_on_overload = false),
@@ -24,6 +24,8 @@
     ("packing", |p| p.packs = false),
     ("doubt", |p| p.avoids_unresponsive = false),
     ("isolation", |p| p.crashes.isolates = false),
+    ("speeds", |p| p.avoids_slow = false),
+    ("copies", |p| p.copies_stragglers = false),
 ];
 
 /// Name of a numeric parameter, and the function that sets it.
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -14,6 +14,8 @@
 //! * [`gangs`]: gangs and rack-local steps.
 //! * [`advice`]: which endpoints a queue's placement policy allows.
 //! * [`stalled`]: runs that make no progress.
+//! * `speeds`: endpoints on which runs are slow.
+//! * `copies`: copies of runs that end too late.
 //! * [`evacuate`]: evacuation of availability zones.
 //! * [`evict`]: moving lasting tasks to other endpoints, and pacing of fillers.
 //! * [`autoscaling`]: moving instances between pools by demand.
@@ -47,6 +49,11 @@
 use crate::urgency::Candidate;
 use crate::{Now, Steady, UnixMs};
 
+use self::copies::Copies;
+pub use self::copies::CopyCounts;
+pub use self::speeds::RunTimes;
+use self::speeds::SlowEndpoints;
+
 pub mod accounting;
 pub mod advice;
 mod archive;
@@ -54,6 +61,7 @@
 pub mod calls;
 pub mod commits;
 pub mod completions;
+mod copies;
 pub mod evacuate;
 pub mod evict;
 pub mod gangs;
@@ -64,6 +72,7 @@
 pub mod orders;
 pub mod polls;
 pub mod schedule;
+mod speeds;
 pub mod stalled;
 pub mod waves;
 
@@ -184,6 +193,8 @@
     pub durable_state: JobState,
     /// Inputs of the urgency ranking, while an occurrence is open.
     pub candidate: Option<Candidate>,
+    /// Times that runs of its steps took.
+    pub run_times: RunTimes,
     /// Whether its records were replaced by the short one of an ended job.
     pub is_archived: bool,
 }
@@ -244,6 +255,8 @@
     instances: Instances,
     evacuations: Evacuations,
     avoidance: Avoidance,
+    slow_endpoints: SlowEndpoints,
+    copies: Copies,
     /// Rate limiter of operations on instances.
     operation_limiter: RateLimiter,
     /// Time from which the former leader sends no more operations on instances.
@@ -383,6 +396,8 @@
             instances: Instances::default(),
             evacuations: Evacuations::default(),
             avoidance: Avoidance::default(),
+            slow_endpoints: SlowEndpoints::default(),
+            copies: Copies::default(),
             start_window: settings
                 .link_bytes_per_s
                 .map_or_else(StartWindow::default, StartWindow::for_link),
@@ -468,6 +483,7 @@
             self.drop_expired_jobs();
             self.release_expired_leases();
             self.prune_presumed_lost();
+            self.forget_slow_endpoints();
             self.manage_instances();
             self.evict_lasting();
         }
@@ -476,6 +492,7 @@
             self.update_held_back();
             if self.start_window.has_capacity() && self.held_back_since.is_none() {
                 self.schedule();
+                self.copy_stragglers();
             }
             self.start_window.pass_ended(now.steady);
         }
--- a/crates/pomelohitch-sched/src/cell/accounting.rs
+++ b/crates/pomelohitch-sched/src/cell/accounting.rs
@@ -5,7 +5,7 @@
 
 use tracing::info;
 
-use super::{Cell, Job};
+use super::{Cell, Job, RunTimes};
 use crate::endpoint::{Allocation, Endpoint};
 use crate::id::{EndpointId, JobId, RunNumber, ServiceName, TaskId};
 use crate::job::{JobSpec, StepSpec};
@@ -42,6 +42,7 @@
                 progress,
                 durable_state,
                 candidate: None,
+                run_times: RunTimes::default(),
                 is_archived: false,
             },
         );
@@ -139,6 +140,7 @@
             waiting.remove(&id);
         }
         let has_waiting = !job.progress.state.is_final() && has_waiting_task(job);
+        self.copies.index(job);
         let ready = self.ready_jobs.entry(service).or_default();
         if has_waiting {
             ready.insert(id);
--- a/crates/pomelohitch-sched/src/cell/commits.rs
+++ b/crates/pomelohitch-sched/src/cell/commits.rs
@@ -4,8 +4,9 @@
 
 use super::{Batch, Cell};
 use crate::Steady;
-use crate::id::TaskId;
+use crate::id::{RunNumber, TaskId};
 use crate::order::{Action, Order, Outcome, Refusal};
+use crate::progress::Task;
 
 impl Cell {
     /// Handles that `batch` is durable, and returns those of its actions that are still valid.
@@ -139,8 +140,8 @@
 
     /// Whether an action is no longer valid. An operation is void if it waited too long for its
     /// record, since work may have started on the instance meanwhile. A start is void if it waited
-    /// too long, its run was given up, its zone is evacuated, or the capacity of its endpoint has
-    /// shrunk or isn't known to be current.
+    /// too long, its run was given up or stopped, another run of its task is done, its zone is
+    /// evacuated, or the capacity of its endpoint has shrunk or isn't known to be current.
     fn is_void(&self, action: &Action) -> bool {
         let is_old =
             |at: Steady| self.now.steady.saturating_sub(at) > self.settings.start_send_timeout;
@@ -157,12 +158,20 @@
                 is_old(*at)
                     || is_unavailable
                     || !self.has_current_entries()
-                    || self.run(*task, *run).is_none()
+                    || self.is_superfluous(*task, *run)
             }
             Action::Operate { at, .. } => is_old(*at),
             _ => false,
         }
     }
+
+    /// Whether a run whose start isn't sent yet is no longer wanted.
+    fn is_superfluous(&self, task: TaskId, run: RunNumber) -> bool {
+        let is_done = |t: &Task| t.is_done;
+        let job = self.jobs.get(&task.job);
+        job.and_then(|j| j.progress.task(task)).is_none_or(is_done)
+            || self.run(task, run).is_none_or(|r| r.view.is_stopping())
+    }
 }
 
 /// The task that an action starts, if it is a start.
--- a/crates/pomelohitch-sched/src/cell/completions.rs
+++ b/crates/pomelohitch-sched/src/cell/completions.rs
@@ -22,6 +22,8 @@
         checkpoint: &str,
         endpoint: &EndpointId,
     ) {
+        self.count_copy_end(task, run, how == EndReason::Done);
+        self.sample_end(task, run, how);
         if !self.remove_run(task, run) {
             return;
         }
@@ -156,7 +158,7 @@
     }
 
     /// Number of failed runs after which a task of the job fails permanently.
-    fn attempts(&self, id: JobId) -> u32 {
+    pub(super) fn attempts(&self, id: JobId) -> u32 {
         /// For jobs whose queue was removed: the lowest value in use among existing queues.
         const DEFAULT_ATTEMPTS: u32 = 3;
         let job = self.jobs.get(&id);
--- a/crates/pomelohitch-sched/src/cell/losses.rs
+++ b/crates/pomelohitch-sched/src/cell/losses.rs
@@ -20,6 +20,7 @@
         let Some(endpoint) = self.run(task, run).map(|r| r.endpoint.clone()) else {
             return;
         };
+        self.count_copy_end(task, run, false);
         if !self.remove_run(task, run) {
             return;
         }
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -271,20 +271,30 @@
         run.view.loss = None;
         let is_first = run.view.seen_at.is_none();
         let seen_at = *run.view.seen_at.get_or_insert(at);
+        if is_first {
+            run.view.first_percent = running.percent;
+        }
         if is_first || run.view.percent != running.percent {
             run.view.percent = running.percent;
             run.view.progressed_at = at;
         }
         let is_stopping = run.view.is_stopping();
-        let job = self.jobs.get_mut(&task.job);
-        if let Some(t) = job.and_then(|j| j.progress.task_mut(task))
-            && !running.checkpoint.is_empty()
-        {
-            t.checkpoint = running.checkpoint.clone();
+        let is_gang = self.step(task).is_some_and(|s| s.is_gang);
+        let mut is_done = false;
+        if let Some(t) = self.task_mut(task) {
+            is_done = t.is_done && !is_gang;
+            // Of two runs, the one that is further on has the better checkpoint.
+            let is_ahead = t.runs.iter().all(|r| r.view.percent <= running.percent);
+            if !running.checkpoint.is_empty() && is_ahead {
+                t.checkpoint = running.checkpoint.clone();
+            }
         }
+        self.sample_progress(task, number, at);
         self.clear_suspicion(task, at.saturating_sub(seen_at));
         if is_over {
             self.stop(task, number, "its job has ended");
+        } else if is_done {
+            self.stop(task, number, "another run of its task is done");
         } else if is_stopping {
             self.stop(task, number, "it still runs after an earlier stop");
         }
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -309,7 +309,12 @@
             if !self.is_within_limit(spec, &step.need) || !self.start_window.has_capacity() {
                 return;
             }
-            let place = self.place(step, task, &allowed, slots, &siblings);
+            let place = self.place(step, task, &allowed, slots, &siblings, None);
+            let is_slow = place.is_some_and(|at| slots.list[at].is_slow);
+            if is_slow && self.waits_for_sound(first.job) {
+                unplaced.note_unplaced(step, true);
+                return;
+            }
             let Some(place) = place else {
                 unplaced.add(step);
                 unplaced.note_unplaced(step, self.fits_somewhere(step));
@@ -324,14 +329,16 @@
         }
     }
 
-    /// The index in `slots` of the best endpoint for a task, if there is one.
-    fn place(
+    /// The index in `slots` of the best endpoint for a task, or for a copy of its run at
+    /// `copied_from`, if there is one.
+    pub(super) fn place(
         &self,
         step: &StepSpec,
         task: TaskId,
         allowed: &Allowed,
         slots: &Slots,
         siblings: &[u32],
+        copied_from: Option<&Slot>,
     ) -> Option<usize> {
         let t = self.jobs.get(&task.job)?.progress.task(task)?;
         let request = PlacementRequest {
@@ -339,6 +346,7 @@
             allowed,
             siblings,
             failed_at: &t.failed_at,
+            copied_from,
             packs: self.settings.policy.packs,
         };
         place::choose(&slots.list, &request)
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -9,6 +9,7 @@
 use crate::Steady;
 use crate::id::{EndpointId, RunNumber, ServiceName, TaskId, ZoneName};
 use crate::resources::Resources;
+use crate::speeds::Speed;
 
 /// Largest fraction by which an endpoint's clock may run slower than ours, as specified by the
 /// platform.
@@ -181,6 +182,8 @@
     pub failures: f64,
     /// Successful runs, decaying over time.
     pub successes: f64,
+    /// What is known of its speed.
+    pub speed: Speed,
     /// Gets no new work because its instance is to be moved or maintained.
     pub is_reserved: bool,
     /// Whether its instance is due for maintenance, so that lasting tasks should be placed
@@ -218,6 +221,7 @@
             is_unresponsive: false,
             failures: 0.0,
             successes: 0.0,
+            speed: Speed::default(),
             is_reserved: false,
             is_maintenance_due: false,
             filler_pace: 100,
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`acks`]: acknowledgements of the leader's heartbeats.
 //! * [`attempts`]: what a caller may be told after several attempts at its request.
 //! * [`avoidance`]: limit on the endpoints avoided because runs stall there.
+//! * [`copies`]: choice of the runs that get a copy on another endpoint.
 //! * [`demand`]: forecast of the processors that each service needs.
 //! * [`endpoint`]: state of an endpoint, its clock and its lease.
 //! * [`estimates`]: run times that tasks are expected to take.
@@ -22,6 +23,7 @@
 //! * [`loss`]: causes of lost runs.
 //! * [`order`]: orders, operations and answers, and their outcomes.
 //! * [`place`]: choice of the endpoint for a task.
+//! * [`speeds`]: speed of endpoints, learned from the progress of runs.
 //! * [`suspicion`]: detection of tasks that crash their endpoints.
 //! * [`urgency`]: ordering of waiting jobs.
 //! * [`instances`]: moves of instances, and maintenance in waves.
@@ -37,6 +39,7 @@
 pub mod avoidance;
 pub mod cell;
 pub mod config;
+pub mod copies;
 pub mod demand;
 pub mod endpoint;
 pub mod estimates;
@@ -56,6 +59,7 @@
 pub mod relaying;
 pub mod resources;
 pub mod rto;
+pub mod speeds;
 pub mod suspicion;
 pub mod urgency;
 
--- a/crates/pomelohitch-sched/src/place.rs
+++ b/crates/pomelohitch-sched/src/place.rs
@@ -21,6 +21,8 @@
     pub is_maintenance_due: bool,
     /// Whether most runs fail there, see [`is_doubtful`].
     pub is_doubtful: bool,
+    /// Whether runs there are slow, see [`crate::speeds`].
+    pub is_slow: bool,
     /// Machine kind and rack, in this order.
     pub labels: Arc<[Box<str>]>,
 }
@@ -36,6 +38,7 @@
             lasting_runs: endpoint.lasting_runs,
             is_maintenance_due: endpoint.is_maintenance_due,
             is_doubtful: is_doubtful(endpoint),
+            is_slow: endpoint.speed.is_slow(),
             labels: labels.unwrap_or_default(),
         }
     }
@@ -143,6 +146,9 @@
     pub siblings: &'a [u32],
     /// Endpoints where the task failed before.
     pub failed_at: &'a [EndpointId],
+    /// Endpoint of the task's other run, if this is a copy. The copy starts elsewhere, on another
+    /// rack if possible, and on no slow endpoint.
+    pub copied_from: Option<&'a Slot>,
     /// Whether to choose the fullest endpoint that can take the task, instead of the emptiest.
     pub packs: bool,
 }
@@ -152,6 +158,7 @@
 struct Cost {
     risk: u8,
     is_far: bool,
+    is_near_copied: bool,
     lasting_penalty: u8,
     free: u64,
     siblings: u32,
@@ -169,18 +176,29 @@
         .zip(request.siblings)
         .enumerate()
         .filter(|(_, (slot, siblings))| {
-            slot.may_take(request.step, **siblings) && request.allowed.has(&slot.id)
+            slot.may_take(request.step, **siblings)
+                && request.allowed.has(&slot.id)
+                && may_take_copy(request, slot)
         })
         .min_by_key(|(_, (slot, siblings))| cost(request, slot, **siblings))
         .map(|(at, _)| at)
 }
 
+/// Whether the slot can take the task as far as it is a copy.
+fn may_take_copy(request: &PlacementRequest<'_>, slot: &Slot) -> bool {
+    let is_sound_other = |first: &Slot| first.id != slot.id && !slot.is_slow;
+    request.copied_from.is_none_or(is_sound_other)
+}
+
 fn cost(request: &PlacementRequest<'_>, slot: &Slot, siblings: u32) -> Cost {
     let near = request.step.near.as_deref();
     let has_failed_there = request.failed_at.contains(&slot.id);
     Cost {
-        risk: 2 * u8::from(has_failed_there) + u8::from(slot.is_doubtful),
+        risk: 4 * u8::from(has_failed_there)
+            + 2 * u8::from(slot.is_slow)
+            + u8::from(slot.is_doubtful),
         is_far: near.is_some_and(|rack| slot.rack() != Some(rack)),
+        is_near_copied: request.copied_from.is_some_and(|s| s.rack() == slot.rack()),
         lasting_penalty: lasting_penalty(request.step, slot, siblings),
         free: if request.packs {
             slot.free.cpu
--- a/crates/pomelohitch-sched/src/policy.rs
+++ b/crates/pomelohitch-sched/src/policy.rs
@@ -33,6 +33,10 @@
     pub packs: bool,
     /// An endpoint that left a start unanswered gets no new work until it answers a call.
     pub avoids_unresponsive: bool,
+    /// Endpoints on which runs are slow get work only where that isn't worse than to wait.
+    pub avoids_slow: bool,
+    /// Stragglers of steps that allow copies get one.
+    pub copies_stragglers: bool,
     /// Limits for tasks whose endpoints crash.
     pub crashes: CrashLimits,
 }
@@ -96,6 +100,8 @@
             switches_off: true,
             packs: true,
             avoids_unresponsive: true,
+            avoids_slow: true,
+            copies_stragglers: true,
             crashes: CrashLimits::default(),
         }
     }
--- a/crates/pomelohitch-sched/src/progress.rs
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -147,10 +147,16 @@
     pub sent_at: Option<Steady>,
     /// When a poll first listed it as running.
     pub seen_at: Option<Steady>,
+    /// Percentage that the endpoint reported then.
+    pub first_percent: u32,
     /// Last percentage that the endpoint reported.
     pub percent: u32,
     /// When that percentage last changed.
     pub progressed_at: Steady,
+    /// When a sample of the endpoint's speed was last taken from it.
+    pub sampled_at: Option<Steady>,
+    /// Whether it is a copy, started beside another run of its task.
+    pub is_copy: bool,
     /// When a stop was last ordered.
     pub stop_sent_at: Option<Steady>,
     /// When a stop was last acknowledged.
--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -24,7 +24,7 @@
 const PROMOTED_SHARE: f64 = 0.2;
 /// Time that a step takes beyond its work: recording and sending starts, polling and recording
 /// completions.
-const STEP_OVERHEAD: Duration = Duration::from_millis(80);
+pub(crate) const STEP_OVERHEAD: Duration = Duration::from_millis(80);
 
 /// A job as input to the ordering, among the jobs that wait for the same service.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/pomelohitch-sched/tests/cell.rs
+++ b/crates/pomelohitch-sched/tests/cell.rs
@@ -6,6 +6,8 @@
 mod calls;
 #[path = "cell/capacity.rs"]
 mod capacity;
+#[path = "cell/copies.rs"]
+mod copies;
 #[path = "cell/crashes.rs"]
 mod crashes;
 #[path = "cell/evacuation.rs"]
@@ -22,5 +24,7 @@
 mod runs;
 #[path = "cell/size.rs"]
 mod size;
+#[path = "cell/speeds.rs"]
+mod speeds;
 #[path = "cell/waves.rs"]
 mod waves;
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -279,7 +279,7 @@
             self.cell
                 .record_tick_duration(clock::steady().saturating_sub(now.steady));
             self.execute(actions);
-            self.record_losses();
+            self.record_counts();
             self.commit();
             self.check_store();
             self.check_larger_members();
@@ -289,11 +289,17 @@
         }
     }
 
-    fn record_losses(&mut self) {
+    fn record_counts(&mut self) {
         for (cause, count) in self.cell.take_losses() {
             metrics::counter!("runs_lost", "cause" => cause.label()).increment(count);
         }
         metrics::counter!("jobs_given_up").increment(self.cell.take_given_up());
+        let copies = self.cell.take_copies();
+        metrics::counter!("copies_started").increment(copies.started);
+        metrics::counter!("copies_won").increment(copies.won);
+        metrics::counter!("copies_lost").increment(copies.lost);
+        let slow = u32::try_from(self.cell.slow_endpoint_count()).unwrap_or(u32::MAX);
+        metrics::gauge!("slow_endpoints").set(f64::from(slow));
     }
 
     pub(super) fn stop(&mut self, reason: &'static str, successor: Option<SocketAddr>) {
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -208,6 +208,27 @@
         "jobs",
         "Jobs that failed because endpoints crash under one of their tasks, at the leader.",
     ),
+    counter(
+        "copies_started",
+        "runs",
+        "Second runs of a task that were started because the first would end too late, at the leader.",
+    ),
+    counter(
+        "copies_won",
+        "runs",
+        "Copies that ended before the first run.",
+    ),
+    counter(
+        "copies_lost",
+        "runs",
+        "Copies that were in vain: the first run ended before, or the copy failed or was lost.",
+    ),
+    gauge(
+        "slow_endpoints",
+        "endpoints",
+        "",
+        "Endpoints on which runs take much longer than elsewhere, at the leader.",
+    ),
     gauge(
         "evacuated_zones",
         "zones",
