--- a/crates/pomelohitch-emulator/tests/loads.rs
+++ b/crates/pomelohitch-emulator/tests/loads.rs
@@ -45,6 +45,7 @@
         "log-slow.toml",
         "steady.toml",
         "crashes.toml",
+        "uneven-endpoints.toml",
     ] {
         for outcome in play_all(&load(name), &Settings::default(), &SEEDS) {
             assert!(
@@ -82,6 +83,40 @@
     );
 }
 
+/// Difference in the worth on uneven endpoints between two policies.
+fn gain_on_uneven_endpoints(before: &str, after: &str) -> Difference {
+    let seeds: Vec<u64> = (1..=6).collect();
+    let uneven = load("uneven-endpoints.toml");
+    let before = play_all(&uneven, &without(before), &seeds);
+    let after = play_all(&uneven, &without(after), &seeds);
+    let gains = differences(&before, &after);
+    let worth = gains.into_iter().find(|d| d.figure == "worth");
+    worth.expect("worth is listed in FIGURES")
+}
+
+/// One endpoint in ten is six times slower. The worth has to be significantly higher if slow
+/// endpoints are avoided.
+#[test]
+fn slow_endpoints_degrade_few_jobs() {
+    let worth = gain_on_uneven_endpoints("speeds", "shipped");
+    assert!(
+        worth.is_significant() && worth.difference > 0.0,
+        "{worth:?}"
+    );
+    assert!(worth.after > 0.9, "{worth:?}");
+}
+
+/// The same load, without avoiding slow endpoints. The worth has to be significantly higher with
+/// copies, although only a part of the steps allows them.
+#[test]
+fn copies_of_stragglers_let_more_jobs_complete_in_time() {
+    let worth = gain_on_uneven_endpoints("speeds,copies", "speeds");
+    assert!(
+        worth.is_significant() && worth.difference > 0.0,
+        "{worth:?}"
+    );
+}
+
 /// One order in eighteen gets no answer. With eleven tasks per job, half of all jobs lose one.
 #[test]
 fn jobs_complete_in_time_while_orders_are_lost() {
