--- a/crates/pomelohitch-sched/src/cell/speeds.rs
+++ b/crates/pomelohitch-sched/src/cell/speeds.rs
@@ -91,13 +91,12 @@
         if let Some(run) = self.run_mut(task, number) {
             run.view.sampled_at = Some(at);
         }
-        let ratio = speeds::ratio(run_time, expected.time);
         let sample = Sample {
             task,
             run: number,
             since,
             at,
-            ratio,
+            ratio: ratio_to(expected, is_compared, run_time),
             is_compared,
         };
         self.record_sample(&endpoint, sample);
@@ -123,7 +122,7 @@
             run: number,
             since: sent_at,
             at: now,
-            ratio: speeds::ratio(run_time, expected.time),
+            ratio: ratio_to(expected, is_compared, run_time),
             is_compared,
         };
         self.record_sample(&endpoint, sample);
@@ -315,6 +314,16 @@
     }
 }
 
+/// Ratio of a run's time to the expected one. An estimate may be off by its deviation.
+fn ratio_to(expected: Expected, is_compared: bool, run_time: Duration) -> f64 {
+    let bound = if is_compared {
+        expected.time
+    } else {
+        expected.time + expected.deviation
+    };
+    speeds::ratio(run_time, bound)
+}
+
 /// Whether another sample of a run is due.
 fn is_due(view: &RunView, at: Steady) -> bool {
     let is_recent = |sampled_at: Steady| at.saturating_sub(sampled_at) < SAMPLE_INTERVAL;
--- a/crates/pomelohitch-sched/tests/cell/copies.rs
+++ b/crates/pomelohitch-sched/tests/cell/copies.rs
@@ -8,7 +8,7 @@
 use pomelohitch_sched::order::Answer;
 use pomelohitch_sched::progress::{JobState, Task};
 
-use super::fleet::{Fleet, job, step};
+use super::fleet::{self, Fleet, job, step};
 
 const ID: &str = "00000000000000a1";
 
@@ -244,6 +244,21 @@
     fleet.assert_invariants();
 }
 
+/// Guards against a second run that fails after the only attempt has.
+#[test]
+fn a_task_with_one_attempt_has_no_copy() {
+    let mut fleet = Fleet::new(4);
+    let mut cfg = fleet::config(2);
+    cfg.queues[0].attempts = 1;
+    fleet.cell.configure(cfg.into());
+    fleet.endpoint("e0").slowness = 8.0;
+    fleet.advance(20);
+    fleet.submit(ID, job(vec![copyable(1, 400)]));
+    fleet.advance(340);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    assert_eq!(fleet.starts.len(), 1);
+}
+
 /// Guards against a run that a cancellation leaves behind.
 #[test]
 fn a_cancelled_job_stops_both_runs() {
@@ -255,8 +270,15 @@
     assert_eq!(fleet.starts.len(), 2);
 }
 
-/// The record of a copy takes long, and its task is done before it is durable. Guards against a
-/// start long after the task was done.
+/// Sets whether all endpoints but `e0` are silent.
+fn set_silent(fleet: &mut Fleet, is_silent: bool) {
+    for id in ["e1", "e2", "e3"] {
+        fleet.endpoint(id).is_silent = is_silent;
+    }
+}
+
+/// The record of a copy takes long, its task is done before it is durable, and the stop of the copy
+/// is lost. Guards against a start long after the task was done.
 #[test]
 fn a_copy_whose_record_comes_late_is_not_started() {
     let mut fleet = uneven_fleet(vec![copyable(1, 400)]);
@@ -266,6 +288,9 @@
         first_task(fleet).is_some_and(|t| t.runs.len() == 2)
     });
     fleet.endpoint("e0").slowness = 0.01;
+    set_silent(&mut fleet, true);
+    fleet.advance(40);
+    set_silent(&mut fleet, false);
     fleet.advance(200);
     assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
     assert_eq!(fleet.starts.len(), 1);
