--- a/crates/pomelohitch-emulator/src/policies.rs
+++ b/crates/pomelohitch-emulator/src/policies.rs
@@ -8,7 +8,7 @@
 pub type Switch = (&'static str, fn(&mut Policy));
 
 /// Every mechanism that can be switched off.
-pub const SWITCHES: [Switch; 18] = [
+pub const SWITCHES: [Switch; 20] = [
     ("late-last", |p| p.ranks_late_last = false),
     ("latest-start", |p| p.by_latest_start = false),
     ("deferral", |p| p.defers_on_overload = false),
@@ -29,6 +29,8 @@
     ("packing", |p| p.packs = false),
     ("doubt", |p| p.avoids_unresponsive = false),
     ("isolation", |p| p.crashes.isolates = false),
+    ("speeds", |p| p.avoids_slow = false),
+    ("copies", |p| p.copies_stragglers = false),
 ];
 
 /// Name of a numeric parameter, and the function that sets it.
--- a/crates/pomelohitch-emulator/tests/loads.rs
+++ b/crates/pomelohitch-emulator/tests/loads.rs
@@ -48,6 +48,7 @@
         "crashes.toml",
         "estimates-off.toml",
         "full-pools.toml",
+        "uneven-endpoints.toml",
     ] {
         for outcome in play_all(&load(name), &Settings::default(), &SEEDS) {
             assert!(
@@ -85,6 +86,43 @@
     );
 }
 
+/// Difference in the worth of a load between two policies.
+fn gain(load: &Load, before: &str, after: &str) -> Difference {
+    let seeds: Vec<u64> = (1..=6).collect();
+    let before = play_all(load, &without(before), &seeds);
+    let after = play_all(load, &without(after), &seeds);
+    let gains = differences(&before, &after);
+    let worth = gains.into_iter().find(|d| d.figure == "worth");
+    worth.expect("worth is listed in FIGURES")
+}
+
+/// One endpoint in ten is six times slower. The worth has to be significantly higher if slow
+/// endpoints are avoided.
+#[test]
+fn slow_endpoints_degrade_few_jobs() {
+    let worth = gain(&load("uneven-endpoints.toml"), "speeds", "shipped");
+    assert!(
+        worth.is_significant() && worth.difference > 0.0,
+        "{worth:?}"
+    );
+    assert!(worth.after > 0.9, "{worth:?}");
+}
+
+/// The same load, without avoiding slow endpoints, and with steps that all allow copies. The worth
+/// has to be significantly higher with copies.
+#[test]
+fn copies_of_stragglers_let_more_jobs_complete_in_time() {
+    let mut uneven = load("uneven-endpoints.toml");
+    for queue in &mut uneven.queues {
+        queue.copyable = 1.0;
+    }
+    let worth = gain(&uneven, "speeds,copies", "speeds");
+    assert!(
+        worth.is_significant() && worth.difference > 0.0,
+        "{worth:?}"
+    );
+}
+
 /// One order in eighteen gets no answer. With eleven tasks per job, half of all jobs lose one.
 #[test]
 fn jobs_complete_in_time_while_orders_are_lost() {
