test: what was sent before a drain isn't taken for new work

Cause: the test took a runner without a running request for idle, though a request that was sent before the entry instance had read the drain may not have been started yet.

Change: the entry instances count requests under way at instances that take no new work (requests_draining), and the test waits until none is before it begins to compare. The comparison is the same. A request is counted from the time its runner is chosen, and the state is loaded before.

--- a/crates/pomelohitch-route/src/dispatch.rs
+++ b/crates/pomelohitch-route/src/dispatch.rs
@@ -219,6 +219,13 @@
         demand
     }
 
+    /// Number of requests of this entry instance under way at runners for which `is_counted`.
+    pub fn running_at(&self, is_counted: impl Fn(&InstanceId) -> bool) -> u32 {
+        let running_at = self.running_at.iter();
+        let counted = running_at.filter(|(id, _)| is_counted(id));
+        counted.map(|(_, count)| count).sum()
+    }
+
     /// The load of this entry instance, to be reported to its peers.
     #[must_use]
     pub fn loads(&self) -> Vec<Load> {
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -4,9 +4,12 @@
 
 use std::sync::atomic::Ordering;
 
+use pomelohitch_core::id::InstanceId;
+use pomelohitch_core::state::Phase;
 use pomelohitch_core::status::Status;
 
 use crate::node::Node;
+use crate::permits;
 
 /// Type of a metric.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -289,6 +292,12 @@
         "requests",
         "Further tries of idempotent requests.",
     ),
+    gauge(
+        "requests_draining",
+        "requests",
+        "",
+        "Requests of this entry instance under way at instances that take no new work.",
+    ),
     counter(
         "requests_withheld",
         "requests",
@@ -352,6 +361,13 @@
     );
     set(metrics::gauge!("offset_next"), state.next);
     set(metrics::gauge!("ready"), u64::from(node.is_ready()));
+    // Counted by a state that was loaded before: no request is sent by an older one any more.
+    let takes_work = |id: &InstanceId| {
+        let instance = state.fleet.instances.get(id);
+        instance.is_some_and(|instance| instance.phase == Phase::Active)
+    };
+    let draining = permits::running_at(node, |id| !takes_work(id));
+    set(metrics::gauge!("requests_draining"), draining.into());
     set(metrics::gauge!("term"), status.term);
     set(metrics::gauge!("waiting"), status.waiting.len() as u64);
     for pool in status.pools {
--- a/pomelohitchd/src/permits.rs
+++ b/pomelohitchd/src/permits.rs
@@ -278,6 +278,11 @@
     node.permits.lock().dispatcher.expected_wait(service, team)
 }
 
+/// Number of requests under way at instances for which `is_counted`.
+pub fn running_at(node: &Node, is_counted: impl Fn(&InstanceId) -> bool) -> u32 {
+    node.permits.lock().dispatcher.running_at(is_counted)
+}
+
 /// The number of permits of `resource` held here, and how many of them are in use.
 #[must_use]
 pub fn permit_counts(node: &Node, resource: &Resource) -> (u32, u32) {
--- a/pomelohitchd/tests/processes/runners.rs
+++ b/pomelohitchd/tests/processes/runners.rs
@@ -6,6 +6,7 @@
 use pomelohitch_core::record::{Body, DrainPurpose, FleetDecision, FleetStep};
 use pomelohitch_core::state::Phase;
 use pomelohitch_standin::caller::{self, Call, FinishedCall};
+use pomelohitch_standin::daemon::Daemon;
 use pomelohitch_standin::runner::{Faults, Mode};
 use pomelohitch_standin::{CallFaults, Runner, config, instances, log};
 
@@ -62,7 +63,11 @@
                 state.is_some_and(|state| state.fleet.instances["runner-0"].phase != Phase::Active)
             })
         });
-        wait_until("it is idle", || fleet.runners[0].ledger().running == 0);
+        // A request that was sent before may not have started yet.
+        wait_until("it is idle", || {
+            fleet.entries.iter().all(has_no_draining_requests)
+                && fleet.runners[0].ledger().running == 0
+        });
         let started = started(&fleet.runners[0]);
         fleet.wait_finished(200);
         assert_eq!(self::started(&fleet.runners[0]), started);
@@ -72,6 +77,13 @@
     assert_eq!(tally.unknown, 0, "{tally:?}");
 }
 
+/// Whether an entry instance has no request under way at an instance that takes no new work.
+fn has_no_draining_requests(entry: &Daemon) -> bool {
+    let metrics = entry.metrics().unwrap_or_default();
+    let mut lines = metrics.lines();
+    lines.any(|line| line == "requests_draining 0")
+}
+
 fn started(runner: &Runner) -> u64 {
     runner.ledger().runs.values().map(|runs| runs.started).sum()
 }
