test: connections too many are printed with their calls

the_first_polls_of_a_leader_are_relayed is listed for a single connection to an endpoint too many, and the failure doesn't tell the relay, the leader and other processes apart. It prints now the port, the time and the head of each call to the endpoint with the most connections; the check is the same.

--- a/pomelohitchd/tests/fleet/relays.rs
+++ b/pomelohitchd/tests/fleet/relays.rs
@@ -211,7 +211,13 @@
             std::thread::sleep(Duration::from_millis(600));
         }
         let connections: usize = endpoints.iter().map(Recorder::connection_count).sum();
-        assert_eq!(connections, endpoints.len(), "the leader has made none");
+        let busiest = endpoints.iter().max_by_key(|e| e.connection_count());
+        let origins = busiest.map(Recorder::origins);
+        assert_eq!(
+            connections,
+            endpoints.len(),
+            "the leader has made none: {origins:#?}"
+        );
     }
 }
 
