test: the drained runner is as fast as the others while starts are compared

A runner that takes half a second is avoided while others are free, so that the comparison would miss most requests sent there wrongly.

--- a/pomelohitchd/tests/processes/runners.rs
+++ b/pomelohitchd/tests/processes/runners.rs
@@ -68,6 +68,13 @@
             fleet.entries.iter().all(has_no_draining_requests)
                 && fleet.runners[0].ledger().running == 0
         });
+        // A runner that is slower than the others would be avoided anyway.
+        for runner in &fleet.runners {
+            runner.set_faults(Faults {
+                delay: Duration::from_millis(200),
+                ..Faults::default()
+            });
+        }
         let started = started(&fleet.runners[0]);
         fleet.wait_finished(200);
         assert_eq!(self::started(&fleet.runners[0]), started);
