fix: kept connections outlive a suspension during the shutdown

A caller saw Broken pipe, so that it couldn't know whether its request ran, once in 8 runs of sigterm_under_load_cuts_nothing_and_exits_with_0 under whole stalls; that run wasn't traced.

Cause: the second for which a kept connection is served after the shutdown began went on while the process was suspended, and the connection was closed as soon as it resumed.

Change: after a suspension it is served for another 250 ms.

--- a/pomelohitchd/src/front/connection.rs
+++ b/pomelohitchd/src/front/connection.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use pomelohitch_route::problem::Kind;
+use pomelohitch_route::suspension::MAX_GAP;
 use pomelohitch_route::{Head, Problem, head};
 use rouille::Response;
 use snafu::Snafu;
@@ -118,6 +119,11 @@
                 Ok(()) | Err(Error::Slow) => {}
                 Err(error) => return Err(error),
             }
+            // The caller may have been suspended as well, or may be sending a request just now.
+            let resumed = Instant::now();
+            if resumed.saturating_duration_since(now) > limits.idle_check_interval + MAX_GAP {
+                deadline = deadline.max(resumed + limits.idle_check_interval);
+            }
         }
         Ok(())
     }
