--- a/crates/pomelohitch-emulator/tests/loads.rs
+++ b/crates/pomelohitch-emulator/tests/loads.rs
@@ -46,6 +46,8 @@
         "log-slow.toml",
         "steady.toml",
         "crashes.toml",
+        "estimates-off.toml",
+        "full-pools.toml",
     ] {
         for outcome in play_all(&load(name), &Settings::default(), &SEEDS) {
             assert!(
@@ -136,6 +138,25 @@
     }
 }
 
+/// Declared durations are off by half either way, and one workspace submits seven times its usual
+/// number of jobs into pools that can't be filled. With learned run times significantly more of the
+/// jobs' worth is earned, also by the worst of the other workspaces.
+#[test]
+fn learned_run_times_serve_more_jobs_where_declared_ones_are_off() {
+    let seeds: Vec<u64> = (1..=8).collect();
+    let full_pools = load("full-pools.toml");
+    let declared = play_all(&full_pools, &without("estimates"), &seeds);
+    let learned = play_all(&full_pools, &Settings::default(), &seeds);
+    let gains = differences(&declared, &learned);
+    for figure in ["worth", "worst workspace"] {
+        let gain = gains.iter().find(|d| d.figure == figure);
+        assert!(
+            gain.is_some_and(|d| d.is_significant() && d.difference > 0.0),
+            "{gain:?}"
+        );
+    }
+}
+
 #[test]
 fn the_same_seed_gives_the_same_outcome() {
     let load = load("steady.toml");
--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -39,6 +39,9 @@
     pub remaining_critical_path: Duration,
     /// Standard deviation of that length.
     pub deviation: Duration,
+    /// Whether these lengths are learned from runs; otherwise they are the declared ones, which are
+    /// rough.
+    pub is_learned: bool,
     /// Number of remaining steps, an upper bound on the steps in sequence.
     pub steps_left: u32,
     /// Expected work of its tasks that have not begun: thousandths of a core times milliseconds.
@@ -106,6 +109,15 @@
         self.from_ms.saturating_add(millis(self.allowed()))
     }
 
+    /// Multiple of the objective beyond which the job counts as late.
+    fn late_factor(&self, policy: &Policy) -> f64 {
+        if self.is_learned {
+            policy.learned_late_factor
+        } else {
+            policy.late_factor
+        }
+    }
+
     fn allowed(&self) -> Duration {
         self.critical_path.mul_f64(self.stretch.max(0.0)) + self.slack
     }
@@ -113,8 +125,8 @@
     /// Whether the job can still meet its objective.
     #[must_use]
     pub fn is_feasible(&self, now_ms: UnixMs, policy: &Policy, limits: &Limits) -> bool {
-        let late_factor = policy.late_factor.min(1.0)
-            + (policy.late_factor - 1.0).max(0.0) * (1.0 - limits.strictness);
+        let usual = self.late_factor(policy);
+        let late_factor = usual - (usual - 1.0).max(0.0) * limits.strictness;
         now_ms <= self.start_surely_by_ms(late_factor, limits.strictness)
     }
 
