fix: late jobs wait only in pools whose instances leave

Cause: all late work waited while work that can be in time wanted all room, also in pools that are under their grant: these stayed empty, and then began more than their link carries (an_initial_burst_of_starts_fits_the_link, 3 starts lost). Change: late jobs wait where the pool has more than its grant; in an overload one begins in a pass.

--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use super::sharing::PassState;
 use super::{Cell, Job, isolation};
 use crate::Steady;
 use crate::UnixMs;
@@ -113,15 +114,17 @@
             others_wait: !others.is_empty(),
         };
         self.start_suspected(&suspected, &load, &mut slots, &mut unplaced);
+        let mut pass = PassState::default();
         for ranked in others {
-            let others_wait = !unplaced.needs.is_empty();
-            if self.gives_way(&ranked, others_wait) {
+            pass.others_wait = !unplaced.needs.is_empty();
+            if self.gives_way(service, &ranked, &pass) {
                 continue;
             }
             unplaced.is_late = ranked.feasibility >= Feasibility::Late;
             if self.start_ready(ranked.job, &mut slots, &mut unplaced) > 0 {
                 self.index(ranked.job);
                 if !ranked.has_begun {
+                    pass.has_begun_late |= unplaced.is_late;
                     self.observe_begin(ranked.job, ranked.feasibility);
                 }
             }
--- a/crates/pomelohitch-sched/src/cell/sharing.rs
+++ b/crates/pomelohitch-sched/src/cell/sharing.rs
@@ -246,17 +246,41 @@
         self.overload.ended(&service, id, is_in_time, now);
     }
 
+    /// Whether a pool has more than its grant while work that can be in time wants all room, so that
+    /// its instances go to other pools as soon as they are empty.
+    fn loses_instances(&self, service: &ServiceName) -> bool {
+        let utilization = self.settings.policy.margins.target_utilization;
+        let share = self.shares.pools.get(service);
+        self.shares.is_full && share.is_some_and(|s| s.held * utilization > s.granted)
+    }
+
     /// Whether a late job that has not begun waits because others that can be in time need the room
-    /// that it would take: those that wait in the same pool, or those whose pools get the instances
-    /// of this one.
-    pub(super) fn gives_way(&self, ranked: &RankedJob, others_wait: bool) -> bool {
-        let is_late = ranked.feasibility >= Feasibility::Late;
-        let is_full = self.shares.is_full && self.settings.policy.shares_over_pools;
-        let is_needed = others_wait || is_full;
-        self.settings.policy.finishes_first && is_late && !ranked.has_begun && is_needed
+    /// that it would take: those that wait in the same pool, those whose pools get the instances of
+    /// this one, or those that arrive next.
+    pub(super) fn gives_way(
+        &self,
+        service: &ServiceName,
+        ranked: &RankedJob,
+        pass: &PassState,
+    ) -> bool {
+        let is_late = ranked.feasibility >= Feasibility::Late && !ranked.has_begun;
+        if !is_late || !self.settings.policy.finishes_first {
+            return false;
+        }
+        let is_overloaded = self.overload.is_overloaded(service, self.now.steady);
+        pass.others_wait || self.loses_instances(service) || (pass.has_begun_late && is_overloaded)
     }
 }
 
+/// What a scheduling pass of a service has done so far.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct PassState {
+    /// Whether tasks of jobs that can be in time found no place.
+    pub(super) others_wait: bool,
+    /// Whether a late job was begun. While a service is overloaded, one of them begins at a time.
+    pub(super) has_begun_late: bool,
+}
+
 /// Claims on the room of all pools.
 #[derive(Debug, Default)]
 struct Claims {
