--- a/crates/pomelohitch-sched/src/admission.rs
+++ b/crates/pomelohitch-sched/src/admission.rs
@@ -233,10 +233,6 @@
         return None;
     }
     let wait = room.time_for(useful.mean);
-    // No work and no room.
-    if wait.is_nan() {
-        return None;
-    }
     let until_in_time = wait - request.longest_wait_at(request.critical_path, 1.0);
     Some(Refusal {
         retry_after: retry_after(request.job, from_millis(until_in_time)),
--- a/crates/pomelohitch-sched/src/urgency.rs
+++ b/crates/pomelohitch-sched/src/urgency.rs
@@ -125,8 +125,8 @@
     /// Whether the job can still meet its objective.
     #[must_use]
     pub fn is_feasible(&self, now_ms: UnixMs, policy: &Policy, limits: &Limits) -> bool {
-        let lenient = self.late_factor(policy);
-        let late_factor = lenient.min(1.0) + (lenient - 1.0).max(0.0) * (1.0 - limits.strictness);
+        let usual = self.late_factor(policy);
+        let late_factor = usual - (usual - 1.0).max(0.0) * limits.strictness;
         now_ms <= self.start_surely_by_ms(late_factor, limits.strictness)
     }
 
