--- a/crates/pomelohitch-emulator/src/policies.rs
+++ b/crates/pomelohitch-emulator/src/policies.rs
@@ -8,13 +8,12 @@
 pub type Switch = (&'static str, fn(&mut Policy));
 
 /// Every mechanism that can be switched off.
-pub const SWITCHES: [Switch; 15] = [
+pub const SWITCHES: [Switch; 14] = [
     ("late-last", |p| p.ranks_late_last = false),
     ("latest-start", |p| p.by_latest_start = false),
     ("deferral", |p| p.defers_on_overload = false),
     ("promotion", |p| p.promotes_expiring = false),
     ("estimates", |p| p.learns_run_times = false),
-    ("refusing", |p| p.refuses_useless = false),
     ("period", |p| p.demand.uses_period = false),
     ("rise", |p| p.demand.uses_trend = false),
     ("height", |p| p.demand.uses_peak = false),
@@ -32,9 +31,10 @@
 pub type Parameter = (&'static str, fn(&mut Policy, f64));
 
 /// Every numeric parameter that can be set.
-pub const PARAMETERS: [Parameter; 15] = [
+pub const PARAMETERS: [Parameter; 16] = [
     ("late-after", |p, n| p.late_factor = n),
     ("learned-late-after", |p, n| p.learned_late_factor = n),
+    ("refusing", |p, n| p.refuses_useless = n > 0.0),
     ("fill", |p, n| p.margins.target_utilization = n),
     ("most-backlog", |p, n| p.margins.max_backlog = n),
     ("height", |p, n| p.margins.peak_factor = n),
--- a/crates/pomelohitch-sched/src/policy.rs
+++ b/crates/pomelohitch-sched/src/policy.rs
@@ -1,5 +1,5 @@
-//! Policy switches and parameters. All mechanisms are on by default; experiments switch single ones
-//! off or change a parameter to determine its effect.
+//! Policy switches and parameters. Mechanisms are on by default unless their documentation says
+//! otherwise; experiments switch single ones or change a parameter to determine its effect.
 
 use std::time::Duration;
 
@@ -26,7 +26,8 @@
     pub promotes_expiring: bool,
     /// Run times are learned from runs that end; otherwise the declared ones are relied on.
     pub learns_run_times: bool,
-    /// Jobs that can't be of use any more are refused.
+    /// Jobs that can't be of use any more are refused. Off by default: under a lasting overload
+    /// half of those refused would be of use.
     pub refuses_useless: bool,
     /// Methods used to forecast demand.
     pub demand: ForecastMethods,
@@ -99,7 +100,7 @@
             defers_on_overload: true,
             promotes_expiring: true,
             learns_run_times: true,
-            refuses_useless: true,
+            refuses_useless: false,
             demand: ForecastMethods::default(),
             margins: Margins::default(),
             provisions_backlog: true,
