--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -241,6 +241,8 @@
     /// Ended jobs by end, to be dropped after the retention.
     ended_jobs: BTreeSet<Due>,
     instances: Instances,
+    /// Plan of each open wave.
+    wave_plans: BTreeMap<u64, waves::WavePlan>,
     evacuations: Evacuations,
     avoidance: Avoidance,
     /// Rate limiter of operations on instances.
@@ -310,7 +312,7 @@
         let mut progresses = BTreeMap::new();
         let mut ended = Vec::new();
         for (key, value) in records {
-            if key.starts_with(['w', 'o']) {
+            if Instances::has_record(key) {
                 cell.instances.restore(key, value);
                 continue;
             }
@@ -345,7 +347,8 @@
         // Where the time of day stands in for the fleet's time, it may be behind the records.
         let recorded = cell.jobs.values();
         let newest = recorded.map(|j| j.spec.accepted_ms.max(j.progress.ended_ms));
-        cell.leader_since_ms = cell.leader_since_ms.max(newest.max().unwrap_or(0));
+        let newest = newest.max().max(cell.instances.newest_request_ms());
+        cell.leader_since_ms = cell.leader_since_ms.max(newest.unwrap_or(0));
         cell.skipped_records = errors.len();
         (cell, errors)
     }
@@ -366,7 +369,9 @@
             passes: 0,
             now,
             leader_since: now.steady,
-            leader_since_ms: settings.fleet_ms.unwrap_or(now.unix_ms),
+            leader_since_ms: settings
+                .fleet_ms
+                .unwrap_or(now.unix_ms.max(settings.fleet_ms_at_least.unwrap_or(0))),
             jobs: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             removed_endpoints: Vec::new(),
@@ -377,6 +382,7 @@
             due_occurrences: BTreeSet::new(),
             ended_jobs: BTreeSet::new(),
             instances: Instances::default(),
+            wave_plans: BTreeMap::new(),
             evacuations: Evacuations::default(),
             avoidance: Avoidance::default(),
             start_window: settings
--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -250,7 +250,7 @@
     let second = Duration::from_secs(1);
     let list: Vec<Instance> = (0..2).map(|n| instance(n, InstanceState::Up)).collect();
     instances.update_list(list.clone(), second);
-    instances.add_wave(wave(&["m0", "m1"], 1), second);
+    add_wave(&mut instances, wave(&["m0", "m1"], 1));
     instances.operation_started(&list[0].id, second, None);
     instances.update_list(list, 2 * second);
     instances.forget_unanswered(3 * second);
@@ -356,14 +356,14 @@
     let list: Vec<Instance> = (0..3).map(|n| instance(n, InstanceState::Up)).collect();
     let second = Duration::from_secs(1);
     instances.update_list(list.clone(), second);
-    instances.add_wave(
+    add_wave(
+        &mut instances,
         Wave {
             number: 1,
             instances: list.iter().map(|i| i.id.clone()).collect(),
             within: Duration::from_secs(20),
             max_down: 3,
         },
-        second,
     );
     for i in &list {
         instances.operation_started(&i.id, second, None);
@@ -386,14 +386,14 @@
     let mut instances = Instances::default();
     let second = Duration::from_secs(1);
     instances.update_list(vec![instance(0, InstanceState::Up)], second);
-    instances.add_wave(
+    add_wave(
+        &mut instances,
         Wave {
             number: 1,
             instances: vec!["m0".into()],
             within: Duration::from_secs(20),
             max_down: 3,
         },
-        second,
     );
     instances.operation_started(&"m0".into(), second, Some("issuing".into()));
     assert_eq!(status_changes(&mut instances), [(1, false)]);
@@ -411,6 +411,11 @@
     }
 }
 
+fn add_wave(instances: &mut Instances, wave: Wave) {
+    let added = instances.add_wave(wave, Duration::from_secs(1), 0);
+    assert!(added.is_ok_and(|record| record.is_some()));
+}
+
 /// Status changes of waves: number, and whether the wave is completed.
 fn status_changes(instances: &mut Instances) -> Vec<(u64, bool)> {
     let statuses = instances
