--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -435,7 +435,9 @@
 /// A fleet whose only instance never becomes empty, and a wave over it that takes a minute.
 fn fleet_with_open_wave() -> Fleet {
     let mut fleet = Fleet::new(1);
-    fleet.submit(ID, job(vec![step(1, 500, 600_000)]));
+    let mut lasting = step(1, 500, 100);
+    lasting.is_lasting = true;
+    fleet.submit(ID, job(vec![lasting]));
     fleet.advance(20);
     fleet.cell.wave(minute_wave());
     fleet.advance(100);
