--- a/crates/pomelohitch-sched/src/cell/evict.rs
+++ b/crates/pomelohitch-sched/src/cell/evict.rs
@@ -19,6 +19,9 @@
 /// Maximum age of an endpoint's last answer for its tasks to count as working. Endpoints hold polls
 /// for at most 0.3 s while lasting tasks have to move.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(700);
+/// Lasting tasks leave an instance for others that aren't due for maintenance. After their service
+/// has had no room on such instances for this long, they go to any.
+const NOT_DUE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Fillers slow down when the tail latency of a task on the same endpoint exceeds this part of its
 /// target.
 const SLOW_DOWN_ABOVE: f64 = 0.85;
@@ -67,13 +70,16 @@
         let Some(endpoint) = self.endpoints.get(id) else {
             return;
         };
+        let is_due = endpoint.is_maintenance_due;
         let runs: Vec<_> = endpoint.runs.keys().copied().collect();
         for (task, run) in runs {
             let step = self.step(task).filter(|s| s.is_lasting);
             let Some(step) = step.filter(|s| self.may_evict(task, run, s)) else {
                 continue;
             };
-            if self.fits_elsewhere(task, step) {
+            if self.fits_on_not_due(task, step)
+                || ((!is_due || self.is_long_blocked(task)) && self.fits_elsewhere(task, step))
+            {
                 self.stop_for_eviction(task, run);
             } else if let Some(job) = self.jobs.get(&task.job) {
                 blocked.insert(self.service_of(&job.spec));
@@ -136,6 +142,13 @@
         })
     }
 
+    /// Whether lasting tasks of the task's service have long had no room elsewhere.
+    fn is_long_blocked(&self, task: TaskId) -> bool {
+        let service = self.jobs.get(&task.job).map(|j| self.service_of(&j.spec));
+        let since = service.and_then(|s| self.blocked_services.get(&s));
+        since.is_some_and(|&at| self.now.steady.saturating_sub(at) > NOT_DUE_TIMEOUT)
+    }
+
     /// Whether the task could start on some endpoint now. Its present endpoint doesn't count, since
     /// nothing may start there.
     fn fits_elsewhere(&self, task: TaskId, step: &StepSpec) -> bool {
--- a/crates/pomelohitch-sched/src/wave_plan.rs
+++ b/crates/pomelohitch-sched/src/wave_plan.rs
@@ -220,10 +220,12 @@
         for &at in free.iter().rev() {
             let candidate = &wave.candidates[at];
             let is_critical = self.path(candidate) + DOWN_TIME >= planned_time;
-            if candidate.lasting.is_empty() || !(is_critical || wanted > 1) {
-                continue;
-            }
-            if self.has_room_in_chains(candidate) {
+            let begins = if candidate.lasting.is_empty() {
+                is_critical && wanted > 0
+            } else {
+                is_critical || wanted > 1
+            };
+            if begins && self.has_room_in_chains(candidate) {
                 self.add(at);
                 wanted = wanted.saturating_sub(1);
             }
@@ -248,16 +250,20 @@
         }
     }
 
-    /// Length of the longest chain that the instance's tasks belong to.
+    /// Time until the longest chain that the instance's tasks belong to and its other tasks are
+    /// over.
     fn path(&self, candidate: &Candidate) -> Duration {
         let chains = candidate.lasting.iter().map(|&c| &self.wave.chains[c]);
-        chains.map(Chain::duration).max().unwrap_or_default()
+        let longest = chains.map(Chain::duration).max();
+        longest.unwrap_or_default().max(candidate.runs_end_in)
     }
 
-    /// Whether tasks of the instance could move now, besides those of the selected ones.
+    /// Whether the instance has no lasting tasks, or some that could move now besides those of the
+    /// selected ones.
     fn has_room_in_chains(&self, candidate: &Candidate) -> bool {
         let mut chains = candidate.lasting.iter();
-        chains.any(|&c| self.by_chain[c] < self.wave.chains[c].at_once.max(1))
+        candidate.lasting.is_empty()
+            || chains.any(|&c| self.by_chain[c] < self.wave.chains[c].at_once.max(1))
     }
 }
 
