--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -258,7 +258,9 @@
     emptying: BTreeSet<EndpointId>,
     shortages: BTreeMap<ServiceName, schedule::Shortage>,
     /// Services with lasting tasks that have to move but fit on no other endpoint, and since when.
-    blocked_services: BTreeMap<ServiceName, Steady>,
+    blocked_services: BTreeMap<ServiceName, evict::Blocked>,
+    /// Room kept for such tasks, by service.
+    kept_rooms: BTreeMap<ServiceName, evict::KeptRoom>,
     autoscaled_at: Steady,
     surplus_since: Option<Steady>,
     advice: BTreeMap<crate::TaskId, advice::Advice>,
@@ -393,6 +395,7 @@
             emptying: BTreeSet::new(),
             shortages: BTreeMap::new(),
             blocked_services: BTreeMap::new(),
+            kept_rooms: BTreeMap::new(),
             autoscaled_at: Steady::ZERO,
             surplus_since: None,
             advice: BTreeMap::new(),
--- a/crates/pomelohitch-sched/src/cell/autoscaling.rs
+++ b/crates/pomelohitch-sched/src/cell/autoscaling.rs
@@ -122,7 +122,7 @@
     /// ones that have to move, and no instance is on its way to the pool.
     fn is_short(&self, service: &ServiceName) -> bool {
         let unplaced = self.shortages.get(service).map(|s| s.since);
-        let blocked = self.blocked_services.get(service).copied();
+        let blocked = self.blocked_services.get(service).map(|b| b.since);
         let since = unplaced.into_iter().chain(blocked).min();
         let is_old = since.is_some_and(|s| self.now.steady.saturating_sub(s) > SHORTAGE_DELAY);
         is_old && !self.instances.has_arriving(service)
