--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pomelohitch_sched::Resources;
 use pomelohitch_sched::instances::{Instance, InstanceState, Instances, Wave};
 use pomelohitch_sched::order::OperationOutcome;
+use pomelohitch_sched::policy::Policy;
+use pomelohitch_sched::{Resources, Settings};
 
 use super::fleet::{Endpoint, Fleet, job, step};
 
@@ -411,9 +412,17 @@
     }
 }
 
-/// A fleet of 24 instances with two lasting steps of 12 tasks each that move one at a time.
+/// A fleet of 24 instances with two lasting steps of 12 tasks each that move one at a time. Tasks
+/// are spread, so that no instance is empty by itself.
 fn fleet_with_chains() -> Fleet {
-    let mut fleet = Fleet::new(24);
+    let settings = Settings {
+        policy: Policy {
+            packs: false,
+            ..Policy::default()
+        },
+        ..Settings::default()
+    };
+    let mut fleet = Fleet::with(24, settings);
     fleet.applies_operations = true;
     for id in 1..=2_u64 {
         let mut lasting = step(12, 500, 100);
@@ -463,7 +472,6 @@
 #[test]
 fn a_wave_with_chains_ends_in_time_although_its_leader_is_lost_three_times() {
     let ends = [&[][..], &[1_300, 2_500, 4_000]].map(play_wave_with_chains);
-    println!("{ends:?}");
     assert!(
         ends.iter().all(|end| end.is_some_and(|at| at < 6_000)),
         "{ends:?}"
