--- a/crates/pomelohitch-sched/src/cell/autoscaling.rs
+++ b/crates/pomelohitch-sched/src/cell/autoscaling.rs
@@ -83,6 +83,7 @@
             name: name.clone(),
             is_spare: service.is_spare,
             is_short: self.is_short(name),
+            is_blocked: self.is_blocked(name),
             label: self
                 .shortages
                 .get(name)
@@ -128,6 +129,13 @@
         is_old && !self.instances.has_arriving(service)
     }
 
+    /// Whether lasting tasks of the service that have to move have fit nowhere for
+    /// `SHORTAGE_DELAY`.
+    fn is_blocked(&self, service: &ServiceName) -> bool {
+        let since = self.blocked_services.get(service).map(|b| b.since);
+        since.is_some_and(|s| self.now.steady.saturating_sub(s) > SHORTAGE_DELAY)
+    }
+
     /// CPU that the lasting tasks of each service use, in thousandths of a core.
     fn lasting_cpu(&self) -> BTreeMap<&ServiceName, f64> {
         let mut used = BTreeMap::new();
