--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -299,6 +299,12 @@
         "workspace",
         "Its fair share of them, at the leader; 0 while there is enough for all pools.",
     ),
+    gauge(
+        "wave_instances_late",
+        "instances",
+        "",
+        "Instances of maintenance waves that will not be maintained in time, by the leader's forecast.",
+    ),
     counter(
         "requests_not_passed_on",
         "requests",
