test: endpoints are marked as slow against declared run times where these aren't corrected

Learned run times take six times the declared one as the rule, so that two of ten endpoints were marked in place of four. The bound is checked as before, with learning switched off.

--- a/crates/pomelohitch-sched/tests/cell/speeds.rs
+++ b/crates/pomelohitch-sched/tests/cell/speeds.rs
@@ -1,7 +1,9 @@
 //! Endpoints on which runs are slow.
 
+use pomelohitch_sched::Settings;
 use pomelohitch_sched::job::StepSpec;
 use pomelohitch_sched::order::Answer;
+use pomelohitch_sched::policy::Policy;
 use pomelohitch_sched::progress::JobState;
 
 use super::fleet::{Fleet, job, step};
@@ -69,11 +71,18 @@
     assert_eq!(fleet.cell.slow_endpoint_count(), 0);
 }
 
-/// All endpoints become slow, as when callers declare run times that are far too low. Guards against
-/// a service without endpoints.
+/// All endpoints become slow, as when callers declare run times that are far too low and these aren't
+/// corrected. Guards against a service without endpoints.
 #[test]
 fn few_endpoints_of_a_service_are_marked() {
-    let mut fleet = Fleet::new(10);
+    let settings = Settings {
+        policy: Policy {
+            learns_run_times: false,
+            ..Policy::default()
+        },
+        ..Settings::default()
+    };
+    let mut fleet = Fleet::with(10, settings);
     for endpoint in fleet.endpoints.values_mut() {
         endpoint.slowness = 6.0;
     }
