--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -117,7 +117,7 @@
         let mut pass = PassState::default();
         for ranked in others {
             pass.others_wait = !unplaced.needs.is_empty();
-            if self.gives_way(service, &ranked, &pass) {
+            if self.gives_way(service, &ranked, pass) {
                 continue;
             }
             unplaced.is_late = ranked.feasibility >= Feasibility::Late;
--- a/crates/pomelohitch-sched/src/cell/sharing.rs
+++ b/crates/pomelohitch-sched/src/cell/sharing.rs
@@ -261,7 +261,7 @@
         &self,
         service: &ServiceName,
         ranked: &RankedJob,
-        pass: &PassState,
+        pass: PassState,
     ) -> bool {
         let is_late = ranked.feasibility >= Feasibility::Late && !ranked.has_begun;
         if !is_late || !self.settings.policy.finishes_first {
