--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -444,7 +444,7 @@
     let names: Vec<String> = (0..18).map(|n| format!("m{n}")).collect();
     let names: Vec<&str> = names.iter().map(|n| &**n).collect();
     let wave = Wave {
-        within: Duration::from_secs(60),
+        within: Duration::from_mins(1),
         ..wave(&names, 4)
     };
     let mut fleet = fleet_with_chains();
@@ -478,6 +478,31 @@
     );
 }
 
+/// The load of a pool that is full of small tasks. Guards against a lasting task that can't leave its
+/// instance, because all room that appears elsewhere is filled at once.
+#[test]
+fn a_lasting_task_leaves_its_instance_while_its_pool_is_full() {
+    let mut fleet = Fleet::new(4);
+    fleet.applies_operations = true;
+    let mut lasting = step(1, 3_500, 100);
+    lasting.is_lasting = true;
+    fleet.submit("00000000000000a1", job(vec![lasting]));
+    fleet.advance(300);
+    let due = format!("m{}", &fleet.starts[0].2[1..]);
+    for at in 0..600_u64 {
+        if at == 100 {
+            fleet.cell.wave(wave(&[&due], 1));
+        }
+        for part in 0..4 {
+            let id = format!("{:016x}", 0x1000 + 4 * at + part);
+            fleet.submit(&id, job(vec![step(1, 500, 300 + 37 * ((at + part) % 11))]));
+        }
+        fleet.advance(5);
+    }
+    assert!(operated_instances(&fleet).contains(&&*due));
+    fleet.assert_invariants();
+}
+
 /// Guards against a wave that stands still because the instances to be emptied next are down.
 #[test]
 fn instances_that_are_down_do_not_hold_up_the_others() {
