fix: times of siblings are dropped with their job, and slow endpoints teach no run times

Cause: up to eight times a step stayed with ended jobs for their retention; runs on endpoints known as slow went into the learned times. Change: cleared when the job ends; is_sound excludes slow endpoints.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -56,7 +56,7 @@
 
 use self::copies::Copies;
 pub use self::copies::CopyCounts;
-pub use self::speeds::RunTimes;
+pub use self::speeds::SiblingTimes;
 use self::speeds::SlowEndpoints;
 
 pub mod accounting;
@@ -202,7 +202,7 @@
     /// Inputs of the urgency ranking, while an occurrence is open.
     pub candidate: Option<Candidate>,
     /// Times that runs of its steps took.
-    pub run_times: RunTimes,
+    pub sibling_times: SiblingTimes,
     /// Whether its records were replaced by the short one of an ended job.
     pub is_archived: bool,
 }
--- a/crates/pomelohitch-sched/src/cell/accounting.rs
+++ b/crates/pomelohitch-sched/src/cell/accounting.rs
@@ -5,7 +5,7 @@
 
 use tracing::info;
 
-use super::{Cell, Job, RunTimes};
+use super::{Cell, Job, SiblingTimes};
 use crate::demand::StepTimes;
 use crate::endpoint::{Allocation, Endpoint};
 use crate::id::{EndpointId, JobId, RunNumber, ServiceName, TaskId};
@@ -52,7 +52,7 @@
                 progress,
                 durable_state,
                 candidate: None,
-                run_times: RunTimes::default(),
+                sibling_times: SiblingTimes::default(),
                 is_archived: false,
             },
         );
--- a/crates/pomelohitch-sched/src/cell/completions.rs
+++ b/crates/pomelohitch-sched/src/cell/completions.rs
@@ -2,7 +2,7 @@
 
 use tracing::{info, warn};
 
-use super::Cell;
+use super::{Cell, SiblingTimes};
 use crate::endpoint::EndReason;
 use crate::id::{EndpointId, JobId, RunNumber, TaskId, job_text};
 use crate::job::StepSpec;
@@ -184,6 +184,7 @@
         }
         job.progress.state = state;
         job.progress.ended_ms = ended_ms;
+        job.sibling_times = SiblingTimes::default();
         info!(job = %job_text(id), ?state,
             took_ms = ended_ms.saturating_sub(job.spec.accepted_ms), "job ended");
         self.observe_end(id);
--- a/crates/pomelohitch-sched/src/cell/run_times.rs
+++ b/crates/pomelohitch-sched/src/cell/run_times.rs
@@ -89,7 +89,7 @@
     fn is_sound(&self, endpoint: &Endpoint, step: &StepSpec) -> bool {
         let is_avoided = endpoint.is_unresponsive || endpoint.avoided_until > self.now.steady;
         let is_near = step.near.as_deref().is_none_or(|l| endpoint.has_label(l));
-        !is_avoided && is_near
+        !is_avoided && !endpoint.speed.is_slow() && is_near
     }
 
     /// Learns from a step of which all tasks are done.
--- a/crates/pomelohitch-sched/src/cell/speeds.rs
+++ b/crates/pomelohitch-sched/src/cell/speeds.rs
@@ -41,12 +41,12 @@
 
 /// Times of the first runs of each step of a job that succeeded.
 #[derive(Debug, Clone, Default)]
-pub struct RunTimes {
+pub struct SiblingTimes {
     /// Endpoint and time, by occurrence and step.
     by_step: BTreeMap<(u32, u16), Vec<(EndpointId, Duration)>>,
 }
 
-impl RunTimes {
+impl SiblingTimes {
     /// Maximum number of times that are kept of a step.
     const MAX_TIMES: usize = 8;
 
@@ -127,8 +127,9 @@
         };
         self.record_sample(&endpoint, sample);
         let is_slow = self.is_slow(&endpoint);
-        if let Some(job) = self.jobs.get_mut(&task.job).filter(|_| !is_slow) {
-            job.run_times.add(task, &endpoint, run_time);
+        let job = self.jobs.get_mut(&task.job);
+        if let Some(job) = job.filter(|j| !is_slow && !j.progress.state.is_final()) {
+            job.sibling_times.add(task, &endpoint, run_time);
         }
     }
 
@@ -169,7 +170,7 @@
         let Some(job) = self.jobs.get(&task.job) else {
             return Vec::new();
         };
-        let mut times: Vec<Duration> = job.run_times.elsewhere(task, at).collect();
+        let mut times: Vec<Duration> = job.sibling_times.elsewhere(task, at).collect();
         let first = task.index.saturating_sub(SIBLINGS_EACH_SIDE);
         let siblings = (first..=task.index + SIBLINGS_EACH_SIDE).filter(|i| *i != task.index);
         for index in siblings {
