--- a/crates/pomelohitch-sched/src/place.rs
+++ b/crates/pomelohitch-sched/src/place.rs
@@ -9,6 +9,7 @@
 use crate::resources::Resources;
 
 /// An endpoint as a candidate for placement.
+#[expect(clippy::struct_excessive_bools, reason = "independent flags")]
 #[derive(Debug, Clone)]
 pub struct Slot {
     /// Endpoint id.
