feat: waves of maintenance end in their time over changes of leader

Cause: each leader counted a wave's time from when it first saw it, planned five seconds for each instance, took instances that were down for the ones to empty next, and moved lasting tasks to instances that were due themselves. Chains of lasting tasks stood still where a pool had only the instances that hold them, and where a new leader suspected tasks that had run for long because it didn't know for how long.

Change: when a wave was requested is a record of its own ("r" and the wave's number), restored by the next leader and bounded by first sight and the wave's time. wave_plan.rs, pure, chooses what to empty by the time left, the chains of lasting tasks and the limit, with a reserve, and forecasts the end: a log line when the verdict changes, and the metric wave_instances_late. Tasks leave for instances that aren't due; a pool without room for them keeps an endpoint for lasting tasks and gets an instance of another pool. That a lasting run has settled is an extension of the job's progress record, which former versions ignore.

Ruled out: a clock in the operators' request, which has none; the moment in the record of confirmed instances, which a former version would drop when it writes that.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -241,6 +241,8 @@
     /// Ended jobs by end, to be dropped after the retention.
     ended_jobs: BTreeSet<Due>,
     instances: Instances,
+    /// Plan of each open wave.
+    wave_plans: BTreeMap<u64, waves::WavePlan>,
     evacuations: Evacuations,
     avoidance: Avoidance,
     /// Rate limiter of operations on instances.
@@ -256,7 +258,9 @@
     emptying: BTreeSet<EndpointId>,
     shortages: BTreeMap<ServiceName, schedule::Shortage>,
     /// Services with lasting tasks that have to move but fit on no other endpoint, and since when.
-    blocked_services: BTreeMap<ServiceName, Steady>,
+    blocked_services: BTreeMap<ServiceName, evict::Blocked>,
+    /// Room kept for such tasks, by service.
+    kept_rooms: BTreeMap<ServiceName, evict::KeptRoom>,
     autoscaled_at: Steady,
     surplus_since: Option<Steady>,
     advice: BTreeMap<crate::TaskId, advice::Advice>,
@@ -310,7 +314,7 @@
         let mut progresses = BTreeMap::new();
         let mut ended = Vec::new();
         for (key, value) in records {
-            if key.starts_with(['w', 'o']) {
+            if Instances::has_record(key) {
                 cell.instances.restore(key, value);
                 continue;
             }
@@ -345,7 +349,8 @@
         // Where the time of day stands in for the fleet's time, it may be behind the records.
         let recorded = cell.jobs.values();
         let newest = recorded.map(|j| j.spec.accepted_ms.max(j.progress.ended_ms));
-        cell.leader_since_ms = cell.leader_since_ms.max(newest.max().unwrap_or(0));
+        let newest = newest.max().max(cell.instances.newest_request_ms());
+        cell.leader_since_ms = cell.leader_since_ms.max(newest.unwrap_or(0));
         cell.skipped_records = errors.len();
         (cell, errors)
     }
@@ -366,7 +371,9 @@
             passes: 0,
             now,
             leader_since: now.steady,
-            leader_since_ms: settings.fleet_ms.unwrap_or(now.unix_ms),
+            leader_since_ms: settings
+                .fleet_ms
+                .unwrap_or(now.unix_ms.max(settings.fleet_ms_at_least.unwrap_or(0))),
             jobs: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             removed_endpoints: Vec::new(),
@@ -377,6 +384,7 @@
             due_occurrences: BTreeSet::new(),
             ended_jobs: BTreeSet::new(),
             instances: Instances::default(),
+            wave_plans: BTreeMap::new(),
             evacuations: Evacuations::default(),
             avoidance: Avoidance::default(),
             start_window: settings
@@ -387,6 +395,7 @@
             emptying: BTreeSet::new(),
             shortages: BTreeMap::new(),
             blocked_services: BTreeMap::new(),
+            kept_rooms: BTreeMap::new(),
             autoscaled_at: Steady::ZERO,
             surplus_since: None,
             advice: BTreeMap::new(),
--- a/crates/pomelohitch-sched/src/cell/accounting.rs
+++ b/crates/pomelohitch-sched/src/cell/accounting.rs
@@ -218,6 +218,7 @@
             endpoint: endpoint.clone(),
             born: target.born,
             is_leaving: false,
+            is_settled: false,
             view: RunView {
                 phase: Phase::Ordered,
                 ordered_at: now,
--- a/crates/pomelohitch-sched/src/cell/autoscaling.rs
+++ b/crates/pomelohitch-sched/src/cell/autoscaling.rs
@@ -83,6 +83,7 @@
             name: name.clone(),
             is_spare: service.is_spare,
             is_short: self.is_short(name),
+            is_blocked: self.is_blocked(name),
             label: self
                 .shortages
                 .get(name)
@@ -122,12 +123,19 @@
     /// ones that have to move, and no instance is on its way to the pool.
     fn is_short(&self, service: &ServiceName) -> bool {
         let unplaced = self.shortages.get(service).map(|s| s.since);
-        let blocked = self.blocked_services.get(service).copied();
+        let blocked = self.blocked_services.get(service).map(|b| b.since);
         let since = unplaced.into_iter().chain(blocked).min();
         let is_old = since.is_some_and(|s| self.now.steady.saturating_sub(s) > SHORTAGE_DELAY);
         is_old && !self.instances.has_arriving(service)
     }
 
+    /// Whether lasting tasks of the service that have to move have fit nowhere for
+    /// `SHORTAGE_DELAY`.
+    fn is_blocked(&self, service: &ServiceName) -> bool {
+        let since = self.blocked_services.get(service).map(|b| b.since);
+        since.is_some_and(|s| self.now.steady.saturating_sub(s) > SHORTAGE_DELAY)
+    }
+
     /// CPU that the lasting tasks of each service use, in thousandths of a core.
     fn lasting_cpu(&self) -> BTreeMap<&ServiceName, f64> {
         let mut used = BTreeMap::new();
--- a/crates/pomelohitch-sched/src/cell/evict.rs
+++ b/crates/pomelohitch-sched/src/cell/evict.rs
@@ -1,6 +1,6 @@
 //! Moving lasting tasks to other endpoints, and pacing of fillers.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use tracing::info;
@@ -19,6 +19,14 @@
 /// Maximum age of an endpoint's last answer for its tasks to count as working. Endpoints hold polls
 /// for at most 0.3 s while lasting tasks have to move.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(700);
+/// Lasting tasks leave an instance for others that aren't due for maintenance. After their service
+/// has had no room on such instances for this long, they go to any.
+const NOT_DUE_TIMEOUT: Duration = Duration::from_secs(3);
+/// An endpoint is kept for lasting tasks once they have had no room for this long. Running tasks
+/// end all the time, so that some room may appear by itself.
+const KEEP_ROOM_AFTER: Duration = Duration::from_millis(300);
+/// Time from the decision to move a lasting task to its start elsewhere, for which its room is kept.
+const KEEP_ROOM_FOR: Duration = Duration::from_millis(1500);
 /// Fillers slow down when the tail latency of a task on the same endpoint exceeds this part of its
 /// target.
 const SLOW_DOWN_ABOVE: f64 = 0.85;
@@ -33,6 +41,22 @@
 /// Below this percentage fillers are halted rather than slowed down further.
 const MIN_PACE: u32 = 15;
 
+/// A service with lasting tasks that have to move and fit on no other endpoint.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Blocked {
+    pub(super) since: Steady,
+    /// One of these tasks.
+    task: TaskId,
+}
+
+/// An endpoint that takes only lasting tasks. A busy pool would otherwise fill all room with tasks
+/// that end by themselves, and its lasting tasks could never move.
+#[derive(Debug)]
+pub(super) struct KeptRoom {
+    pub(super) endpoint: EndpointId,
+    until: Steady,
+}
+
 impl Cell {
     /// Moves lasting tasks away from endpoints that are draining, reserved, due for maintenance or
     /// in an evacuated zone. At most as many tasks of a step are down at once as the step allows,
@@ -46,37 +70,77 @@
         let due: Vec<EndpointId> = due.map(|(id, _)| id.clone()).collect();
         let leaving: Vec<EndpointId> = leaving.into_iter().map(|(id, _)| id.clone()).collect();
         self.is_evicting = !leaving.is_empty() || !due.is_empty();
-        let mut blocked = BTreeSet::new();
+        let mut blocked = BTreeMap::new();
         for id in leaving {
             self.evict(&id, &mut blocked);
         }
         for id in due {
-            self.evict_early(&id);
+            self.evict_early(&id, &mut blocked);
         }
         self.blocked_services
-            .retain(|service, _| blocked.contains(service));
-        for service in blocked {
-            let now = self.now.steady;
-            self.blocked_services.entry(service).or_insert(now);
+            .retain(|service, _| blocked.contains_key(service));
+        for (service, task) in blocked {
+            let since = self.now.steady;
+            let blocked = Blocked { since, task };
+            let entry = self.blocked_services.entry(service).or_insert(blocked);
+            entry.task = task;
         }
+        self.keep_rooms();
+    }
+
+    /// Keeps an endpoint free for the lasting tasks of each service that is blocked.
+    fn keep_rooms(&mut self) {
+        let now = self.now.steady;
+        self.kept_rooms.retain(|_, kept| kept.until > now);
+        let is_old = |b: &Blocked| now.saturating_sub(b.since) > KEEP_ROOM_AFTER;
+        if !self.blocked_services.values().any(is_old) {
+            return;
+        }
+        let mut best: BTreeMap<ServiceName, (bool, u64, EndpointId)> = BTreeMap::new();
+        for (id, endpoint) in self.all_endpoints() {
+            let Some(service) = endpoint.report.as_ref().map(|r| &r.service) else {
+                continue;
+            };
+            let blocked = self.blocked_services.get(service).filter(|b| is_old(b));
+            let may_take = blocked.is_some_and(|b| self.siblings_at(b.task, id) == 0);
+            if !may_take || endpoint.is_maintenance_due || !self.is_usable(endpoint, service) {
+                continue;
+            }
+            let rank = (
+                endpoint.is_kept_for_lasting,
+                endpoint.free().cpu,
+                id.clone(),
+            );
+            if best.get(service).is_none_or(|known| *known < rank) {
+                best.insert(service.clone(), rank);
+            }
+        }
+        let kept = best.into_iter().map(|(service, (_, _, endpoint))| {
+            let until = now + KEEP_ROOM_FOR;
+            (service, KeptRoom { endpoint, until })
+        });
+        self.kept_rooms.extend(kept);
     }
 
     /// Moves lasting tasks away from an endpoint. `blocked` collects the services whose lasting
     /// tasks fit on no other endpoint: their pools have to grow before the instance can be emptied.
-    fn evict(&mut self, id: &EndpointId, blocked: &mut BTreeSet<ServiceName>) {
+    fn evict(&mut self, id: &EndpointId, blocked: &mut BTreeMap<ServiceName, TaskId>) {
         let Some(endpoint) = self.endpoints.get(id) else {
             return;
         };
+        let is_due = endpoint.is_maintenance_due;
         let runs: Vec<_> = endpoint.runs.keys().copied().collect();
         for (task, run) in runs {
             let step = self.step(task).filter(|s| s.is_lasting);
             let Some(step) = step.filter(|s| self.may_evict(task, run, s)) else {
                 continue;
             };
-            if self.fits_elsewhere(task, step) {
+            if self.fits_on_not_due(task, step)
+                || ((!is_due || self.is_long_blocked(task)) && self.fits_elsewhere(task, step))
+            {
                 self.stop_for_eviction(task, run);
             } else if let Some(job) = self.jobs.get(&task.job) {
-                blocked.insert(self.service_of(&job.spec));
+                blocked.insert(self.service_of(&job.spec), task);
             }
         }
     }
@@ -85,16 +149,20 @@
     /// reserved, to endpoints that aren't due. Tasks of a step move one after another, two seconds
     /// each: if they only began when their instance was reserved, moving the 24 tasks of one step
     /// would take longer than the wave.
-    fn evict_early(&mut self, id: &EndpointId) {
+    fn evict_early(&mut self, id: &EndpointId, blocked: &mut BTreeMap<ServiceName, TaskId>) {
         let Some(endpoint) = self.endpoints.get(id) else {
             return;
         };
         let lasting = endpoint.runs.iter().filter(|(_, b)| b.is_lasting);
         let runs: Vec<_> = lasting.map(|(key, _)| *key).collect();
         for (task, run) in runs {
-            let step = self.step(task).filter(|s| self.may_evict(task, run, s));
-            if step.is_some_and(|step| self.fits_on_not_due(task, step)) {
+            let Some(step) = self.step(task).filter(|s| self.may_evict(task, run, s)) else {
+                continue;
+            };
+            if self.fits_on_not_due(task, step) {
                 self.stop_for_eviction(task, run);
+            } else if let Some(job) = self.jobs.get(&task.job) {
+                blocked.insert(self.service_of(&job.spec), task);
             }
         }
     }
@@ -136,6 +204,13 @@
         })
     }
 
+    /// Whether lasting tasks of the task's service have long had no room elsewhere.
+    fn is_long_blocked(&self, task: TaskId) -> bool {
+        let service = self.jobs.get(&task.job).map(|j| self.service_of(&j.spec));
+        let since = service.and_then(|s| self.blocked_services.get(&s));
+        since.is_some_and(|b| self.now.steady.saturating_sub(b.since) > NOT_DUE_TIMEOUT)
+    }
+
     /// Whether the task could start on some endpoint now. Its present endpoint doesn't count, since
     /// nothing may start there.
     fn fits_elsewhere(&self, task: TaskId, step: &StepSpec) -> bool {
--- a/crates/pomelohitch-sched/src/cell/losses.rs
+++ b/crates/pomelohitch-sched/src/cell/losses.rs
@@ -139,6 +139,30 @@
         }
     }
 
+    /// Marks the run of a lasting task as settled once it has run for `proven_again_after`.
+    pub(super) fn settle(&mut self, task: TaskId, run: RunNumber, ran_for: Duration) {
+        let is_lasting = self.step(task).is_some_and(|s| s.is_lasting);
+        if !is_lasting || ran_for < self.settings.policy.crashes.proven_again_after {
+            return;
+        }
+        if let Some(r) = self.run_mut(task, run)
+            && !r.is_settled
+        {
+            r.is_settled = true;
+            self.dirty.insert(task.job);
+        }
+    }
+
+    /// How long the run is known to have been running when its endpoint last answered.
+    fn known_to_run_for(&self, run: &Run, endpoint: &Endpoint) -> Duration {
+        let settled = if run.is_settled {
+            self.settings.policy.crashes.proven_again_after
+        } else {
+            Duration::ZERO
+        };
+        ran_for(run, endpoint).max(settled)
+    }
+
     /// Handles that a run isn't at its endpoint. `cause` and `why` apply if the endpoint hasn't
     /// restarted since the run's start; else the run was lost with the former incarnation, and the
     /// loss noted at the restart applies.
@@ -192,7 +216,7 @@
                 cause,
                 why,
                 born: endpoint.born,
-                ran_for: ran_for(run, endpoint),
+                ran_for: self.known_to_run_for(run, endpoint),
                 other_runs,
                 was_running: self.was_running(task, run, endpoint),
                 is_proven: self.is_proven(task, run, endpoint),
@@ -229,7 +253,7 @@
         let job = self.jobs.get(&task.job);
         let t = job.and_then(|j| j.progress.task(task));
         t.is_some_and(|t| {
-            let ran_for = ran_for(run, endpoint);
+            let ran_for = self.known_to_run_for(run, endpoint);
             t.suspicion
                 .is_proven(ran_for, &self.settings.policy.crashes)
         })
--- a/crates/pomelohitch-sched/src/cell/operations.rs
+++ b/crates/pomelohitch-sched/src/cell/operations.rs
@@ -170,12 +170,18 @@
         for endpoint in self.endpoints.values_mut() {
             endpoint.is_reserved = false;
             endpoint.is_maintenance_due = false;
+            endpoint.is_kept_for_lasting = false;
         }
         for id in reserved {
             if let Some(endpoint) = self.endpoints.get_mut(id) {
                 endpoint.is_reserved = true;
             }
         }
+        for kept in self.kept_rooms.values() {
+            if let Some(endpoint) = self.endpoints.get_mut(&kept.endpoint) {
+                endpoint.is_kept_for_lasting = true;
+            }
+        }
         for id in due_endpoints {
             if let Some(endpoint) = self.endpoints.get_mut(id) {
                 endpoint.is_maintenance_due = true;
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -283,6 +283,7 @@
             t.checkpoint = running.checkpoint.clone();
         }
         self.clear_suspicion(task, at.saturating_sub(seen_at));
+        self.settle(task, number, at.saturating_sub(seen_at));
         if is_over {
             self.stop(task, number, "its job has ended");
         } else if is_stopping {
@@ -309,6 +310,7 @@
             endpoint: id.clone(),
             born,
             is_leaving: false,
+            is_settled: false,
             view: RunView::default(),
         });
         warn!(%task, run = number, endpoint = %id, "run given up earlier is still running");
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -186,6 +186,8 @@
     /// Whether its instance is due for maintenance, so that lasting tasks should be placed
     /// elsewhere.
     pub is_maintenance_due: bool,
+    /// Whether it takes only lasting tasks for now, which have no room elsewhere.
+    pub is_kept_for_lasting: bool,
     /// Speed of filler tasks there, percent.
     pub filler_pace: u32,
     /// When `filler_pace` last changed.
@@ -220,6 +222,7 @@
             successes: 0.0,
             is_reserved: false,
             is_maintenance_due: false,
+            is_kept_for_lasting: false,
             filler_pace: 100,
             pace_set_at: Steady::ZERO,
             poll: PollSchedule::default(),
--- a/crates/pomelohitch-sched/src/instances.rs
+++ b/crates/pomelohitch-sched/src/instances.rs
@@ -80,6 +80,8 @@
 struct WaveState {
     wave: Wave,
     seen_at: Steady,
+    /// Time of the wave that had passed before this leader saw it.
+    passed_before: Duration,
     reported: Option<bool>,
 }
 
@@ -125,6 +127,8 @@
     asked_at: Option<Steady>,
     waves: BTreeMap<u64, WaveState>,
     confirmed: BTreeMap<u64, Confirmed>,
+    /// When each wave was requested, as a former leader recorded it in the fleet's time.
+    requested_ms: BTreeMap<u64, UnixMs>,
     /// Time of the last operation that a former leader ordered, by instance.
     former_orders: BTreeMap<InstanceId, UnixMs>,
     absent_since: BTreeMap<InstanceId, Steady>,
@@ -147,8 +151,20 @@
 const LEAVING_GONE_AFTER: Duration = Duration::from_secs(5);
 
 impl Instances {
+    /// Whether the record with this key is restored by [`Instances::restore`].
+    #[must_use]
+    pub fn has_record(key: &str) -> bool {
+        key.starts_with([WAVE_PREFIX, REQUEST_PREFIX, OPERATION_PREFIX])
+    }
+
     /// Restores what a former leader recorded of a wave or an operation.
     pub fn restore(&mut self, key: &str, value: &[u8]) {
+        if let Some(number) = key.strip_prefix(REQUEST_PREFIX) {
+            if let (Ok(number), Ok(at_ms)) = (number.parse(), postcard::from_bytes(value)) {
+                self.requested_ms.insert(number, at_ms);
+            }
+            return;
+        }
         if let Some(id) = key.strip_prefix(OPERATION_PREFIX) {
             // If the time cannot be decoded, the operation counts as ordered just now.
             let at_ms = postcard::from_bytes(value).unwrap_or(UnixMs::MAX);
@@ -167,13 +183,47 @@
         self.former_orders.get(id).copied()
     }
 
+    /// The latest moment at which a former leader recorded a wave's request, in the fleet's time.
+    #[must_use]
+    pub fn newest_request_ms(&self) -> Option<UnixMs> {
+        self.requested_ms.values().max().copied()
+    }
+
     /// Adds a wave requested by operators. The first definition of a wave number stays in force.
-    pub fn add_wave(&mut self, wave: Wave, now: Steady) {
-        self.waves.entry(wave.number).or_insert(WaveState {
+    ///
+    /// Returns the record of the moment, the fleet's time `fleet_ms`, if no former leader has seen
+    /// the wave. Otherwise the wave's time has been passing since the recorded moment. The fleet's
+    /// time may be wrong after a loss of all members; what it adds is therefore limited to the
+    /// wave's time, and is nothing if the recorded moment lies ahead of it.
+    ///
+    /// # Errors
+    ///
+    /// If the record cannot be encoded, which does not happen for these types.
+    pub fn add_wave(
+        &mut self,
+        wave: Wave,
+        now: Steady,
+        fleet_ms: UnixMs,
+    ) -> progress::Result<Option<Record>> {
+        let number = wave.number;
+        if self.waves.contains_key(&number) {
+            return Ok(None);
+        }
+        let requested_ms = self.requested_ms.get(&number).copied();
+        let passed_ms = requested_ms.map_or(0, |at| fleet_ms.saturating_sub(at));
+        let state = WaveState {
+            passed_before: Duration::from_millis(passed_ms).min(wave.within),
             wave,
             seen_at: now,
             reported: None,
-        });
+        };
+        self.waves.insert(number, state);
+        if requested_ms.is_some() || self.is_completed(number) {
+            return Ok(None);
+        }
+        self.requested_ms.insert(number, fleet_ms);
+        let key = format!("{REQUEST_PREFIX}{number}").into();
+        progress::encode(key, &fleet_ms).map(Some)
     }
 
     /// Processes the platform's list, which was requested at `asked_at`.
@@ -323,6 +373,7 @@
                 may_begin: state.wave.max_down.saturating_sub(down),
                 max_down: state.wave.max_down,
                 since: state.seen_at,
+                passed_before: state.passed_before,
                 within: state.wave.within,
             }
         })
@@ -517,12 +568,27 @@
     pub may_begin: usize,
     /// Largest number of instances that may be down at the same time.
     pub max_down: usize,
-    /// When the wave was first seen.
+    /// When this leader first saw the wave.
     pub since: Steady,
+    /// Time that had passed before.
+    pub passed_before: Duration,
     /// Time limit for the whole wave.
     pub within: Duration,
 }
 
+impl Remaining {
+    /// Time until the limit of the whole wave; zero once it is over.
+    #[must_use]
+    pub fn time_left(&self, now: Steady) -> Duration {
+        let passed = self.passed_before + now.saturating_sub(self.since);
+        self.within.saturating_sub(passed)
+    }
+}
+
+/// First character of the key of a wave's record.
+const WAVE_PREFIX: char = 'w';
+/// First character of the key of the record of when a wave was requested.
+const REQUEST_PREFIX: char = 'r';
 /// First character of the key of an operation's record.
 const OPERATION_PREFIX: char = 'o';
 
@@ -536,7 +602,7 @@
 }
 
 fn wave_record(number: u64, confirmed: &Confirmed) -> progress::Result<Record> {
-    progress::encode(format!("w{number}").into(), confirmed)
+    progress::encode(format!("{WAVE_PREFIX}{number}").into(), confirmed)
 }
 
 fn is_operation_over(instance: Option<&Instance>, under_way: &UnderWay, asked_at: Steady) -> bool {
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -24,6 +24,7 @@
 //! * [`suspicion`]: detection of tasks that crash their endpoints.
 //! * [`urgency`]: ordering of waiting jobs.
 //! * [`instances`]: moves of instances, and maintenance in waves.
+//! * [`wave_plan`]: which instances of a wave to empty now, and when the wave will end.
 //! * [`rate`]: rate limit for calls.
 //! * [`relaying`]: assignment of endpoints to the members that relay the leader's calls.
 //! * [`rto`]: adaptive timeouts of calls.
@@ -56,6 +57,7 @@
 pub mod rto;
 pub mod suspicion;
 pub mod urgency;
+pub mod wave_plan;
 
 pub use cell::{Cell, Settings};
 pub use id::{
--- a/crates/pomelohitch-sched/src/place.rs
+++ b/crates/pomelohitch-sched/src/place.rs
@@ -19,6 +19,8 @@
     pub lasting_runs: usize,
     /// Whether its instance is due for maintenance.
     pub is_maintenance_due: bool,
+    /// Whether it takes only lasting tasks for now.
+    pub is_kept_for_lasting: bool,
     /// Whether most runs fail there, see [`is_doubtful`].
     pub is_doubtful: bool,
     /// Machine kind and rack, in this order.
@@ -35,6 +37,7 @@
             free: endpoint.free(),
             lasting_runs: endpoint.lasting_runs,
             is_maintenance_due: endpoint.is_maintenance_due,
+            is_kept_for_lasting: endpoint.is_kept_for_lasting,
             is_doubtful: is_doubtful(endpoint),
             labels: labels.unwrap_or_default(),
         }
@@ -52,6 +55,7 @@
         let is_spread = step.per_endpoint == 0 || siblings < step.per_endpoint;
         let has_label = |l: &str| self.labels.iter().any(|own| &**own == l);
         is_spread
+            && (step.is_lasting || !self.is_kept_for_lasting)
             && self.free.holds(&step.task_resources())
             && step.requires.as_deref().is_none_or(has_label)
     }
--- a/crates/pomelohitch-sched/src/pools.rs
+++ b/crates/pomelohitch-sched/src/pools.rs
@@ -33,6 +33,10 @@
     /// Whether a task cannot be placed however many processors are free, because memory is short or
     /// the task has to be isolated.
     pub is_short: bool,
+    /// Whether it is short because lasting tasks that have to move fit nowhere else. It then gets an
+    /// instance although the other pools lack some themselves: waiting jobs of those would otherwise
+    /// hold up the maintenance or evacuation of the instances with the lasting tasks.
+    pub is_blocked: bool,
     /// Label that an instance needs to relieve the shortage, if `is_short`.
     pub label: Option<Box<str>>,
 }
@@ -93,8 +97,10 @@
         balances: pools.iter().enumerate().map(balance).collect(),
         entries,
     };
+    let mut moves = planner.cover_shortfalls();
+    moves.extend(planner.relieve_blocked());
     Plan {
-        moves: planner.cover_shortfalls(),
+        moves,
         surplus: planner.switch_off_surplus(),
     }
 }
@@ -131,6 +137,29 @@
         moves
     }
 
+    /// Gives each blocked pool that got nothing so far one instance.
+    fn relieve_blocked(&mut self) -> Vec<Move> {
+        let blocked = |b: &Balance<'_>| b.pool.is_blocked && b.is_short;
+        let pools = 0..self.balances.len();
+        let recipients: Vec<usize> = pools.filter(|&at| blocked(&self.balances[at])).collect();
+        let mut moves = Vec::new();
+        for recipient in recipients {
+            let entries = self.entries.iter().enumerate();
+            let able = entries.filter(|(_, entry)| {
+                let balance = self.balance(entry);
+                entry.is_free()
+                    && !entry.candidate.is_evacuated
+                    && entry.balance != Some(recipient)
+                    && balance.is_some_and(|b| b.pool.is_spare || b.count > MIN_INSTANCES)
+            });
+            let donor = able.min_by_key(|(_, entry)| self.donor_rank(entry));
+            if let Some(donor) = donor.map(|(at, _)| at) {
+                moves.push(self.transfer(donor, recipient));
+            }
+        }
+        moves
+    }
+
     fn switch_off_surplus(&mut self) -> Vec<Move> {
         let mut moves = Vec::new();
         let Some(spare) = self.balances.iter().position(|b| b.pool.is_spare) else {
--- a/crates/pomelohitch-sched/src/progress.rs
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -19,7 +19,7 @@
 use crate::suspicion::Suspicion;
 use crate::{Steady, UnixMs};
 
-use self::stored::Stored;
+use self::stored::{Settled, Stored};
 
 mod stored;
 
@@ -131,6 +131,9 @@
     /// Whether the run of a lasting task was ordered to leave the endpoint. Recorded before the
     /// order is sent, because the endpoint lists the run as running until it is gone.
     pub is_leaving: bool,
+    /// Whether the run of a lasting task has been running for so long that the loss of its endpoint
+    /// is no evidence against the task. Recorded, since a new leader doesn't know when it began.
+    pub is_settled: bool,
     /// Assumed state of the run; not durable.
     pub view: RunView,
 }
@@ -348,7 +351,11 @@
 ///
 /// If encoding fails, which does not happen for this type.
 pub fn encode_progress(id: JobId, progress: &Progress) -> Result<Record> {
-    encode(progress_key(id), &Stored::of(progress))
+    let settled = Settled::of(progress);
+    if settled.is_empty() {
+        return encode(progress_key(id), &Stored::of(progress));
+    }
+    encode(progress_key(id), &(Stored::of(progress), settled))
 }
 
 /// A job that has ended and of which no run exists any more.
@@ -406,11 +413,15 @@
             Ok(Entry::Spec(Arc::new(spec)))
         }
         "p" => {
-            let stored: Stored = postcard::from_bytes(value).context(failed())?;
-            let progress = stored
+            let (stored, rest) = postcard::take_from_bytes::<Stored>(value).context(failed())?;
+            let mut progress = stored
                 .progress()
                 .ok_or(postcard::Error::DeserializeBadEncoding)
                 .context(failed())?;
+            if !rest.is_empty() {
+                let settled: Settled = postcard::from_bytes(rest).context(failed())?;
+                settled.apply(&mut progress);
+            }
             Ok(Entry::Progress(id, progress))
         }
         "e" => {
--- a/crates/pomelohitch-sched/src/progress/stored.rs
+++ b/crates/pomelohitch-sched/src/progress/stored.rs
@@ -26,6 +26,30 @@
     open: Vec<(u32, Vec<Vec<StoredTask>>)>,
 }
 
+/// Extension of a progress record, written after [`Stored`] and skipped by versions that don't know
+/// it: the positions of the settled runs among all runs.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Settled(Vec<u32>);
+
+impl Settled {
+    pub(super) fn of(progress: &Progress) -> Settled {
+        let runs = progress.open.values().flat_map(|o| &o.steps);
+        let runs = runs.flatten().flat_map(|task| &task.runs);
+        let settled = runs.zip(0..).filter(|(run, _)| run.is_settled);
+        Settled(settled.map(|(_, position)| position).collect())
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub(super) fn apply(&self, progress: &mut Progress) {
+        for (run, position) in progress.runs_mut().zip(0..) {
+            run.is_settled = self.0.binary_search(&position).is_ok();
+        }
+    }
+}
+
 /// State of a task.
 #[derive(Debug, Serialize, Deserialize)]
 enum StoredTask {
@@ -140,6 +164,7 @@
             endpoint: endpoint.clone(),
             born: *born,
             is_leaving,
+            is_settled: false,
             view: RunView::default(),
         })
     };
--- a/crates/pomelohitch-sched/tests/cell/crashes.rs
+++ b/crates/pomelohitch-sched/tests/cell/crashes.rs
@@ -394,3 +394,22 @@
     let completed = Answer::State(JobState::Completed);
     assert_eq!(fleet.state(&id_text(CRASHING_JOB + 2)), completed);
 }
+
+/// An endpoint crashes right after a change of leader. Guards against suspecting a lasting task that
+/// ran there for long, because the new leader doesn't know for how long.
+#[test]
+fn a_new_leader_does_not_suspect_a_lasting_task_that_ran_for_long() {
+    let mut fleet = Fleet::new(2);
+    let mut lasting = step(1, 500, 100);
+    lasting.is_lasting = true;
+    fleet.submit("00000000000000a1", job(vec![lasting]));
+    fleet.advance(400);
+    let at = fleet.starts[0].2.clone();
+    fleet.change_leader();
+    fleet.restart(&at);
+    fleet.advance(300);
+    let job = fleet.cell.job(0xa1).expect("the job is held");
+    let task = &job.progress.open[&0].steps[0][0];
+    assert!(!task.suspicion.is_suspect, "{task:?}");
+    assert_eq!(task.last_run, 2);
+}
--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -5,6 +5,7 @@
 
 use pomelohitch_sched::cell::calls::{Draft, Verb};
 use pomelohitch_sched::config::Service;
+use pomelohitch_sched::instances::Wave;
 use pomelohitch_sched::job::Repeat;
 use pomelohitch_sched::order::Answer;
 use pomelohitch_sched::progress::JobState;
@@ -428,3 +429,80 @@
     assert_eq!(fleet.state(ID), Answer::Gone);
     assert!(!fleet.log.keys().any(|key| key.ends_with(ID)));
 }
+
+const MINUTE: Duration = Duration::from_mins(1);
+
+/// A fleet whose only instance never becomes empty, and a wave over it that takes a minute.
+fn fleet_with_open_wave() -> Fleet {
+    let mut fleet = Fleet::new(1);
+    let mut lasting = step(1, 500, 100);
+    lasting.is_lasting = true;
+    fleet.submit(ID, job(vec![lasting]));
+    fleet.advance(20);
+    fleet.cell.wave(minute_wave());
+    fleet.advance(100);
+    fleet
+}
+
+fn minute_wave() -> Wave {
+    Wave {
+        number: 1,
+        instances: vec!["m0".into()],
+        within: MINUTE,
+        max_down: 1,
+    }
+}
+
+/// The time left of the wave at a new leader, in seconds.
+fn time_left_after_change(fleet: &mut Fleet) -> u64 {
+    fleet.change_leader();
+    fleet.cell.wave(minute_wave());
+    let open = fleet.cell.open_waves();
+    open[0].time_left(fleet.now.steady).as_secs()
+}
+
+/// Guards against a wave whose time begins anew with each leader, so that it is planned to end late.
+#[test]
+fn the_time_of_a_wave_passes_over_three_leaders() {
+    let mut fleet = fleet_with_open_wave();
+    let mut left = Vec::new();
+    for _ in 0..3 {
+        fleet.advance(900);
+        left.push(time_left_after_change(&mut fleet));
+        fleet.advance(100);
+    }
+    assert_eq!(left, [50, 40, 30]);
+}
+
+/// All members are killed, and the time of day stands in for the fleet's time. Guards against a
+/// wave that a clock behind makes slower, or that a clock ahead takes more than its time from.
+#[test]
+fn a_wrong_clock_moves_the_time_of_a_wave_only_within_limits() {
+    let left = [-3_600_000, -10_000, 0, 10_000, 3_600_000].map(|ahead_ms| {
+        let mut fleet = fleet_with_open_wave();
+        fleet.advance(900);
+        fleet.knows_fleet_time = false;
+        fleet.now.unix_ms = fleet.now.unix_ms.saturating_add_signed(ahead_ms);
+        time_left_after_change(&mut fleet)
+    });
+    assert_eq!(left, [50, 50, 50, 40, 0]);
+}
+
+/// Guards against a wave without time where the record of its request was lost: the new leader is
+/// the first that knows of it.
+#[test]
+fn without_a_record_the_time_of_a_wave_begins_with_its_first_sight() {
+    let mut fleet = fleet_with_open_wave();
+    fleet.advance(900);
+    fleet.log.remove("r1");
+    assert_eq!(time_left_after_change(&mut fleet), 60);
+}
+
+/// Guards against a leader that takes a record of a request which it can't decode for time that has
+/// passed.
+#[test]
+fn an_unreadable_record_of_a_request_counts_as_none() {
+    let mut fleet = fleet_with_open_wave();
+    fleet.log.insert("r1".into(), Box::default());
+    assert_eq!(time_left_after_change(&mut fleet), 60);
+}
--- a/crates/pomelohitch-sched/tests/cell/waves.rs
+++ b/crates/pomelohitch-sched/tests/cell/waves.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pomelohitch_sched::Resources;
 use pomelohitch_sched::instances::{Instance, InstanceState, Instances, Wave};
 use pomelohitch_sched::order::OperationOutcome;
+use pomelohitch_sched::policy::Policy;
+use pomelohitch_sched::{Resources, Settings};
 
 use super::fleet::{Endpoint, Fleet, job, step};
 
@@ -250,7 +251,7 @@
     let second = Duration::from_secs(1);
     let list: Vec<Instance> = (0..2).map(|n| instance(n, InstanceState::Up)).collect();
     instances.update_list(list.clone(), second);
-    instances.add_wave(wave(&["m0", "m1"], 1), second);
+    add_wave(&mut instances, wave(&["m0", "m1"], 1));
     instances.operation_started(&list[0].id, second, None);
     instances.update_list(list, 2 * second);
     instances.forget_unanswered(3 * second);
@@ -356,14 +357,14 @@
     let list: Vec<Instance> = (0..3).map(|n| instance(n, InstanceState::Up)).collect();
     let second = Duration::from_secs(1);
     instances.update_list(list.clone(), second);
-    instances.add_wave(
+    add_wave(
+        &mut instances,
         Wave {
             number: 1,
             instances: list.iter().map(|i| i.id.clone()).collect(),
             within: Duration::from_secs(20),
             max_down: 3,
         },
-        second,
     );
     for i in &list {
         instances.operation_started(&i.id, second, None);
@@ -386,14 +387,14 @@
     let mut instances = Instances::default();
     let second = Duration::from_secs(1);
     instances.update_list(vec![instance(0, InstanceState::Up)], second);
-    instances.add_wave(
+    add_wave(
+        &mut instances,
         Wave {
             number: 1,
             instances: vec!["m0".into()],
             within: Duration::from_secs(20),
             max_down: 3,
         },
-        second,
     );
     instances.operation_started(&"m0".into(), second, Some("issuing".into()));
     assert_eq!(status_changes(&mut instances), [(1, false)]);
@@ -411,6 +412,124 @@
     }
 }
 
+/// A fleet of 24 instances with two lasting steps of 12 tasks each that move one at a time. Tasks
+/// are spread, so that no instance is empty by itself.
+fn fleet_with_chains() -> Fleet {
+    let settings = Settings {
+        policy: Policy {
+            packs: false,
+            ..Policy::default()
+        },
+        ..Settings::default()
+    };
+    let mut fleet = Fleet::with(24, settings);
+    fleet.applies_operations = true;
+    for id in 1..=2_u64 {
+        let mut lasting = step(12, 500, 100);
+        lasting.is_lasting = true;
+        lasting.may_miss = 1;
+        lasting.per_endpoint = 1;
+        fleet.submit(&format!("{id:016x}"), job(vec![lasting]));
+    }
+    fleet.advance(400);
+    for endpoint in fleet.endpoints.values_mut() {
+        endpoint.stop_grace = Duration::from_millis(900);
+    }
+    fleet
+}
+
+/// Plays a wave over 18 of the instances under a load of tasks of four seconds, while the leader is
+/// lost at these times. Returns when the wave is reported as completed, in steps.
+fn play_wave_with_chains(leader_lost_at: &[u32]) -> Option<u32> {
+    let names: Vec<String> = (0..18).map(|n| format!("m{n}")).collect();
+    let names: Vec<&str> = names.iter().map(|n| &**n).collect();
+    let wave = Wave {
+        within: Duration::from_mins(1),
+        ..wave(&names, 4)
+    };
+    let mut fleet = fleet_with_chains();
+    fleet.cell.wave(wave.clone());
+    (0..10_000).find(|at| {
+        if leader_lost_at.contains(at) {
+            fleet.change_leader();
+            fleet.cell.wave(wave.clone());
+        }
+        if at % 24 == 0 {
+            let id = format!("{:016x}", 0x1000 + at);
+            fleet.submit(&id, job(vec![step(2, 1_500, 4_000)]));
+        }
+        fleet.advance(1);
+        fleet.assert_invariants();
+        let down = fleet.instances.values();
+        let down = down.filter(|i| i.state == InstanceState::Maintenance);
+        assert!(down.count() <= 4);
+        fleet.statuses.contains(&(1, true))
+    })
+}
+
+/// Guards against a wave that ends late because each leader plans it as if it had just been
+/// requested.
+#[test]
+fn a_wave_with_chains_ends_in_time_although_its_leader_is_lost_three_times() {
+    let ends = [&[][..], &[1_300, 2_500, 4_000]].map(play_wave_with_chains);
+    assert!(
+        ends.iter().all(|end| end.is_some_and(|at| at < 6_000)),
+        "{ends:?}"
+    );
+}
+
+/// The load of a pool that is full of small tasks. Guards against a lasting task that can't leave its
+/// instance, because all room that appears elsewhere is filled at once.
+#[test]
+fn a_lasting_task_leaves_its_instance_while_its_pool_is_full() {
+    let mut fleet = Fleet::new(4);
+    fleet.applies_operations = true;
+    let mut lasting = step(1, 3_500, 100);
+    lasting.is_lasting = true;
+    fleet.submit("00000000000000a1", job(vec![lasting]));
+    fleet.advance(300);
+    let due = format!("m{}", &fleet.starts[0].2[1..]);
+    for at in 0..600_u64 {
+        if at == 100 {
+            fleet.cell.wave(wave(&[&due], 1));
+        }
+        for part in 0..4 {
+            let id = format!("{:016x}", 0x1000 + 4 * at + part);
+            fleet.submit(&id, job(vec![step(1, 500, 300 + 37 * ((at + part) % 11))]));
+        }
+        fleet.advance(5);
+    }
+    assert!(operated_instances(&fleet).contains(&&*due));
+    fleet.assert_invariants();
+}
+
+/// Guards against a wave that stands still because the instances to be emptied next are down.
+#[test]
+fn instances_that_are_down_do_not_hold_up_the_others() {
+    let mut fleet = Fleet::new(12);
+    fleet.applies_operations = true;
+    fleet.submit("00000000000000a1", job(vec![step(48, 900, 3_000)]));
+    fleet.advance(200);
+    for id in ["e0", "e1", "e2", "e3"] {
+        fleet.cut_power(id);
+    }
+    fleet.advance(100);
+    let names: Vec<String> = (0..12).map(|n| format!("m{n}")).collect();
+    let names: Vec<&str> = names.iter().map(|n| &**n).collect();
+    fleet.cell.wave(wave(&names, 3));
+    for at in 0..300_u64 {
+        let id = format!("{:016x}", 0x1000 + at);
+        fleet.submit(&id, job(vec![step(8, 900, 500)]));
+        fleet.advance(5);
+    }
+    assert_eq!(operated_instances(&fleet).len(), 8);
+}
+
+fn add_wave(instances: &mut Instances, wave: Wave) {
+    let added = instances.add_wave(wave, Duration::from_secs(1), 0);
+    assert!(added.is_ok_and(|record| record.is_some()));
+}
+
 /// Status changes of waves: number, and whether the wave is completed.
 fn status_changes(instances: &mut Instances) -> Vec<(u64, bool)> {
     let statuses = instances
--- a/crates/pomelohitch-sched/tests/progress.rs
+++ b/crates/pomelohitch-sched/tests/progress.rs
@@ -14,6 +14,7 @@
         endpoint: format!("i-{}", at % 3).into(),
         born: u64::from(at / 3 % 2),
         is_leaving,
+        is_settled: number % 2 == 0,
         view: RunView::default(),
     };
     let runs: Vec<Run> = runs.iter().take(2).map(run).collect();
@@ -92,6 +93,7 @@
             endpoint: format!("i-4ab4703e6{}", at / 8).into(),
             born: 1_770_000_000_000,
             is_leaving: false,
+            is_settled: false,
             view: RunView::default(),
         }],
         ..Task::default()
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -216,6 +216,7 @@
     core.update_evacuation_gauge();
     core.dispatcher.update_targets(core.cell.endpoints());
     let end = core.run_event_loop(&initial.rx);
+    metrics::gauge!("wave_instances_late").set(0.0);
     shared.set_leadership(None);
     info!(
         epoch,
@@ -280,6 +281,7 @@
                 .record_tick_duration(clock::steady().saturating_sub(now.steady));
             self.execute(actions);
             self.record_losses();
+            self.update_wave_gauge();
             self.commit();
             self.check_store();
             self.check_larger_members();
@@ -365,6 +367,12 @@
         metrics::gauge!("evacuated_zones").set(f64::from(u32::try_from(count).unwrap_or(u32::MAX)));
     }
 
+    fn update_wave_gauge(&self) {
+        let count = self.cell.late_instances();
+        metrics::gauge!("wave_instances_late")
+            .set(f64::from(u32::try_from(count).unwrap_or(u32::MAX)));
+    }
+
     fn replace_endpoints(&mut self, reports: Vec<Report>) {
         let mut unlisted = self.cell.listed();
         for report in reports {
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -214,6 +214,12 @@
         "",
         "Availability zones that are being evacuated, at the leader.",
     ),
+    gauge(
+        "wave_instances_late",
+        "instances",
+        "",
+        "Instances of maintenance waves that will not be maintained in time, by the leader's forecast.",
+    ),
     counter(
         "requests_not_passed_on",
         "requests",
