--- a/crates/pomelohitch-sched/src/cell/copies.rs
+++ b/crates/pomelohitch-sched/src/cell/copies.rs
@@ -66,7 +66,7 @@
     pub(super) fn copy_stragglers(&mut self) {
         let now = self.now.steady;
         let is_due = now >= self.copies.considered_at + INTERVAL.max(self.housekeeping_interval());
-        if !is_due || !self.settings.policy.copies_stragglers {
+        if !is_due || !self.settings.policy.copies_stragglers || self.is_lagging() {
             return;
         }
         self.copies.considered_at = now;
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -106,6 +106,11 @@
         self.settings.min_poll_interval + excess.min(MAX_POLL_DELAY)
     }
 
+    /// Whether answers wait to be processed. What can be left out then adds to the wait.
+    pub(super) fn is_lagging(&self) -> bool {
+        self.answer_lag > NORMAL_LAG
+    }
+
     fn record_lag(&mut self, lag: Duration) {
         self.answer_lag = self.answer_lag.mul_f64(LAG_DECAY) + lag.mul_f64(1.0 - LAG_DECAY);
     }
--- a/crates/pomelohitch-sched/src/cell/speeds.rs
+++ b/crates/pomelohitch-sched/src/cell/speeds.rs
@@ -73,8 +73,16 @@
 }
 
 impl Cell {
+    /// Whether speeds are sampled now.
+    fn samples_speeds(&self) -> bool {
+        self.settings.policy.avoids_slow && !self.is_lagging()
+    }
+
     /// Takes a sample of an endpoint's speed from the progress of a run there.
     pub(super) fn sample_progress(&mut self, task: TaskId, number: RunNumber, at: Steady) {
+        if !self.samples_speeds() {
+            return;
+        }
         let Some(run) = self.run(task, number).filter(|r| is_due(&r.view, at)) else {
             return;
         };
@@ -104,6 +112,9 @@
 
     /// Takes a sample from the end of a run. To be called before the run is removed.
     pub(super) fn sample_end(&mut self, task: TaskId, number: RunNumber, how: EndReason) {
+        if !self.samples_speeds() {
+            return;
+        }
         let now = self.now.steady;
         let Some(run) = self.run(task, number) else {
             return;
