fix: learned run times, speeds and copies are off in the daemon

Change: the daemon's policy leaves the three out; the emulator and the tests of the scheduler play with them.

--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -17,6 +17,7 @@
 
 use pomelohitch_adapter::records::{self, OperatorRecord};
 use pomelohitch_adapter::store::{AppendCondition, Appended, Newest, Store, Topic};
+use pomelohitch_sched::policy::Policy;
 use pomelohitch_sched::progress;
 use pomelohitch_sched::{Cell, Epoch, Settings};
 use snafu::{ResultExt, Snafu, ensure};
@@ -151,6 +152,7 @@
         } else {
             Settings::default().former_leader_timeout
         },
+        policy: policy(),
         ..Settings::default()
     };
     let (mut cell, faults) = Cell::restore(settings, epoch, clock::now(), &records.jobs.records);
@@ -187,6 +189,17 @@
     running.map(drop).context(ThreadSnafu)
 }
 
+/// The default policy without the mechanisms that take processor time for each run. At thousands of
+/// starts a second a leader with half a core has none left for them.
+fn policy() -> Policy {
+    Policy {
+        learns_run_times: false,
+        avoids_slow: false,
+        copies_stragglers: false,
+        ..Policy::default()
+    }
+}
+
 /// Returns a larger member that can lead instead, if there is one. It is looked for before the
 /// records are read: reading takes a small member seconds, during which the fleet has no leader.
 fn larger_member(shared: &Shared) -> Option<SocketAddr> {
