fix: room isn't counted for refusals that are off

Cause: the room that other pools can give was counted over all endpoints five times a second, although only refusing uses it. Change: it is counted while refusing is on. Before and after: not measured; the tests of refusing, pools, overload and size pass.

--- a/crates/pomelohitch-sched/src/cell/admit.rs
+++ b/crates/pomelohitch-sched/src/cell/admit.rs
@@ -64,7 +64,8 @@
     /// Counts the room that pools can get from others.
     pub(super) fn update_free_room(&mut self) {
         let now = self.now.steady;
-        if now < self.backlogs.free_as_of + FREE_ROOM_INTERVAL {
+        let is_due = now >= self.backlogs.free_as_of + FREE_ROOM_INTERVAL;
+        if !is_due || !self.settings.policy.refuses_useless {
             return;
         }
         let mut free: BTreeMap<ServiceName, u64> = BTreeMap::new();
