--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,6 +9,7 @@
 import fleet
 
 JOB = "5c0e7a21d94b36f8"
+ONCE = "0a47c3d2b1e9f605"
 ATTEMPTS = 4
 LEFT_OUT_S = 5
 
@@ -16,7 +17,9 @@
 def play(f):
     kept = fleet.route("kept", "/kept/", ATTEMPTS)
     quotes = fleet.route("quotes", "/quotes/", ATTEMPTS)
-    f.configure([kept, quotes])
+    # Not judged, but recorded: a queue whose tasks may run once.
+    charges = fleet.route("charges", "/charges/", 1)
+    f.configure([kept, quotes, charges])
     for index in range(5):
         f.start_runner(index)
     f.start_members(3)
@@ -27,10 +30,12 @@
            "steps": [{"count": 1, "cpu": 880, "mem_mb": 2500, "estimated_ms": 640}]}
     if not f.submit(f"/quotes/{JOB}", job):
         raise fleet.CannotRun("the job isn't accepted")
+    if not f.submit(f"/charges/{ONCE}", job):
+        raise fleet.CannotRun("the job isn't accepted")
     if fleet.TROUBLE:
         f.configure([kept])
         time.sleep(LEFT_OUT_S)
-        f.configure([kept, quotes])
+        f.configure([kept, quotes, charges])
     else:
         time.sleep(LEFT_OUT_S)
     state = None
@@ -43,6 +48,8 @@
     ends = [e["how"] for e in f.runner_events() if e["what"] == "end" and e["task"].startswith(JOB)]
     failed = ends.count("failed")
     f.log("ends of the task", ends=ends)
+    once = [e for e in f.runner_events() if e["what"] == "start" and e["task"].startswith(ONCE)]
+    f.log("starts of the task with max_attempts = 1, not judged", starts=len(once))
     if state == "failed" and failed < ATTEMPTS:
         return (f"LOST: the accepted job is shown as failed after {failed} ends `failed`; its queue has had "
                 f"max_attempts = {ATTEMPTS} in each configuration that held it")
