review: stand-ins don't report connections that callers have closed

Cause: a member that is killed leaves connections, and the stand-ins printed a trace for each. Change: such ends are ignored.

--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -182,6 +182,9 @@
     allow_reuse_address = True
     request_queue_size = 128
 
+    def handle_error(self, request, client_address):
+        """A caller that has closed its connection is no error."""
+
 
 host, port = CFG["address"].split(":")
 server = Server((host, int(port)), Handler)
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -147,6 +147,9 @@
         daemon_threads = True
         request_queue_size = 256
 
+        def handle_error(self, request, client_address):
+            """A caller that has closed its connection is no error."""
+
     server = Server(("127.0.0.1", 0), handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return f"127.0.0.1:{server.server_address[1]}"
