--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.join(CASE, "..", "lib"))
 import fleet
 
-JOB = "5c0e7a21d94b36f8"
+JOB = "5c0e7a21d94b368f"
 RUNNERS = 4
 # How long the runner has lived when it hangs. Its task waits for about as long.
 UPTIME_S = 45
