observe: a line for each run that is kept over the restart of its endpoint

The log of the leader couldn't tell why a task whose start went unanswered isn't started again after its endpoint has restarted under its id: `start not answered`, `endpoint restarted` with `runs` 1, `first poll answered` with `running` 0, and nothing of the run after that.

1. the run is kept, as its deadline, by the former incarnation's clock, is compared with the new one's; 2. the run is kept in another phase, in which no poll resolves it; 3. the run is dropped, and the task finds no endpoint.

The line names the run's phase, whether a poll had listed it, and the deadline of its start.

--- a/crates/pomelohitch-sched/src/cell/lifecycle.rs
+++ b/crates/pomelohitch-sched/src/cell/lifecycle.rs
@@ -127,6 +127,10 @@
             if let Some(r) = self.run_mut(task, run) {
                 r.born = born;
                 r.view.loss.get_or_insert(loss);
+                info!(%task, run, endpoint = %id, born, phase = ?r.view.phase,
+                    was_listed = r.view.seen_at.is_some(),
+                    void_after_ms = r.view.void_after.map(|t| t.as_millis()),
+                    "run kept over endpoint restart");
             }
         }
         self.poll_soon(id);
