fix: an unanswered start isn't judged by the clock of the endpoint's former incarnation

Cause: `RunView::void_after` is a time on the clock of the incarnation to which the start was sent. It was kept over the restart and compared with the clock of the new incarnation, which begins at zero. Ordinary tasks were saved by the stop that is sent for them; lasting ones get none, so that only the deadline could settle them.

The new test fails before with the poll read first and a lasting task (0 runs after 3 s), and passes for ordinary ones.

Why this works: the deadline and the acknowledgement of a stop hold for one incarnation and are dropped with it. What the new one can prove holds for lasting tasks too: a stop rejects a start that arrives later, and a poll sent after its acknowledgement shows whether the start came before. A stop of a lasting task is sent only where no poll of the new incarnation has listed the run, so that nothing that works is stopped but what began between that poll and the stop.

Weighed: a higher fencing token seen by the new incarnation needs another leadership, as the token is the leader's epoch; a start under the next run number on the same endpoint doesn't reject the lower one while it runs; dropping the run at the restart lets a second run begin while the first may come.

--- a/crates/pomelohitch-sched/src/cell/lifecycle.rs
+++ b/crates/pomelohitch-sched/src/cell/lifecycle.rs
@@ -131,6 +131,7 @@
                     was_listed = r.view.seen_at.is_some(),
                     void_after_ms = r.view.void_after.map(|t| t.as_millis()),
                     "run kept over endpoint restart");
+                r.view.endpoint_restarted();
             }
         }
         self.poll_soon(id);
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -406,10 +406,12 @@
                         LossCause::NotStarted,
                         "its start was not carried out",
                     );
-                } else if !self.step(task).is_some_and(|s| s.is_lasting) {
-                    // The stop may arrive before or after the start. Lasting tasks aren't stopped:
-                    // if the start was carried out, more tasks of the step than allowed would be
-                    // down.
+                } else if view.void_after.is_none()
+                    || !self.step(task).is_some_and(|s| s.is_lasting)
+                {
+                    // The stop may arrive before or after the start. Lasting tasks are stopped only
+                    // where the start doesn't become void: if it was carried out, more tasks of the
+                    // step than allowed would be down.
                     self.stop(task, number, "its start was not answered");
                 }
             }
--- a/crates/pomelohitch-sched/src/progress.rs
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -166,7 +166,9 @@
     pub stop_sent_at: Option<Steady>,
     /// When a stop was last acknowledged.
     pub stop_acked_at: Option<Steady>,
-    /// Time on the endpoint's clock after which its start is void.
+    /// Time on the clock of the endpoint's incarnation after which its start is void. `None` if the
+    /// start was sent before the endpoint restarted: it stays valid in the new incarnation, whose
+    /// clock begins at zero.
     pub void_after: Option<Duration>,
     /// Speed that the run is limited to, percent; `None` for full speed.
     pub pace: Option<u32>,
@@ -197,6 +199,12 @@
     pub fn is_stopping(&self) -> bool {
         self.stop_sent_at.is_some()
     }
+
+    /// Drops what was proven by the endpoint's former incarnation and doesn't hold for the new one.
+    pub fn endpoint_restarted(&mut self) {
+        self.void_after = None;
+        self.stop_acked_at = None;
+    }
 }
 
 impl Occurrence {
--- a/crates/pomelohitch-sched/tests/cell.rs
+++ b/crates/pomelohitch-sched/tests/cell.rs
@@ -24,6 +24,8 @@
 mod random;
 #[path = "cell/refusing.rs"]
 mod refusing;
+#[path = "cell/restarts.rs"]
+mod restarts;
 #[path = "cell/runs.rs"]
 mod runs;
 #[path = "cell/size.rs"]
--- /dev/null
+++ b/crates/pomelohitch-sched/tests/cell/restarts.rs
@@ -0,0 +1,90 @@
+//! Starts that an endpoint leaves unanswered before it restarts under its id.
+
+use std::time::Duration;
+
+use pomelohitch_sched::job::StepSpec;
+use pomelohitch_sched::progress::Phase;
+
+use super::fleet::{Fleet, job, step};
+
+const ID: &str = "00000000000000a1";
+const JOB: u64 = 0xa1;
+/// How long the endpoint has been up when it hangs, steps.
+const UPTIME: u32 = 4_500;
+/// Time from the unanswered start to the restart, steps.
+const HANG: u32 = 120;
+/// A task whose endpoint is back runs again within this time, steps.
+const START_LIMIT: u32 = 300;
+/// Longer than any test.
+const NEVER: Duration = Duration::from_secs(10_000);
+
+/// What the leader sees first of the new incarnation.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum First {
+    Entry,
+    Poll,
+}
+
+fn ordinary() -> StepSpec {
+    step(1, 500, 15_000)
+}
+
+fn lasting() -> StepSpec {
+    StepSpec {
+        is_lasting: true,
+        may_miss: 1,
+        ..ordinary()
+    }
+}
+
+/// A fleet whose only endpoint hangs and has left the start of a task unanswered for [`HANG`]. The
+/// start is carried out this long after it was sent.
+fn with_unanswered_start(step: StepSpec, carried_out_after: Duration) -> Fleet {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(UPTIME);
+    fleet.endpoint("e0").is_silent = true;
+    fleet.faults.orders_late = carried_out_after;
+    fleet.submit(ID, job(vec![step]));
+    fleet.advance(20);
+    let task = &fleet.cell.job(JOB).expect("the job is held").progress.open[&0].steps[0][0];
+    assert_eq!(task.runs[0].view.phase, Phase::Unanswered);
+    fleet.faults.orders_late = Duration::ZERO;
+    fleet.add("e1", 1);
+    fleet.list_endpoints();
+    fleet.advance(HANG - 20);
+    fleet
+}
+
+fn restart(fleet: &mut Fleet, first: First) {
+    fleet.restart("e0");
+    if first == First::Entry {
+        fleet.endpoint("e0").is_silent = true;
+        fleet.list_endpoints();
+        fleet.advance(10);
+        fleet.endpoint("e0").is_silent = false;
+    }
+}
+
+fn running(fleet: &Fleet) -> usize {
+    fleet.endpoints.values().map(|e| e.running().len()).sum()
+}
+
+/// Guards against comparing the deadline of an unanswered start, a time on the clock of the
+/// endpoint's former incarnation, with the clock of the new one.
+#[test]
+fn a_task_starts_again_after_its_endpoint_restarted_with_the_start_unanswered() {
+    for step in [ordinary(), lasting()] {
+        for first in [First::Entry, First::Poll] {
+            let mut fleet = with_unanswered_start(step.clone(), NEVER);
+            restart(&mut fleet, first);
+            fleet.advance(START_LIMIT);
+            assert_eq!(
+                running(&fleet),
+                1,
+                "{first:?}, lasting: {}",
+                step.is_lasting
+            );
+            fleet.assert_invariants();
+        }
+    }
+}
