fix: a restarted endpoint isn't taken for one whose leases have expired

Callers saw a task with two runs at a time, for as long as a poll and a stop take: its endpoint left the start unanswered, or answered it after a restart of which the leader didn't know, and the task was started again while that start ran or was still to come.

Cause: an endpoint whose entry shows a new incarnation gets a fresh view, without a clock reading and without a lease. `release_expired_leases` counts an endpoint whose clock was never read as lapsed once the leader has led for ten seconds, and the list of instances counts it as silent since ever, so that all of its runs were given up before the new incarnation was asked.

Evidence: two new tests fail before: `a_start_that_the_next_incarnation_carries_out_late_...` with the entry read first and the start carried out 300 ms after the restart ("has 2 runs at a time"), and `a_run_that_the_next_incarnation_accepted_before_its_entry_was_read_is_kept` (two starts).

Why this works: a new incarnation counts as lapsed, or as missing from the list, only when it has been known for as long as the longest lease that orders to the former one can grant; a poll that it answers settles its runs long before. What a poll of the former incarnation had listed has been carried out there and is lost with it at once, whether the entry or a poll is read first; a third test guards that (it failed before, under a leader younger than ten seconds)."

--- a/crates/pomelohitch-sched/src/cell/lifecycle.rs
+++ b/crates/pomelohitch-sched/src/cell/lifecycle.rs
@@ -105,8 +105,9 @@
     /// Handles the restart of an endpoint, whose new incarnation `born` knows nothing of the
     /// former.
     ///
-    /// An order that was in flight may have reached the new incarnation, so runs are kept until a
-    /// poll of it shows which of them exist.
+    /// Runs that the former incarnation has listed are lost with it. The start of any other run may
+    /// have reached the new incarnation, or may still do so; these are kept until a poll shows which
+    /// of them exist.
     pub(super) fn endpoint_restarted(&mut self, id: &EndpointId, born: u64) {
         let losses = self.losses_at(id, self.end_cause(id), "its endpoint restarted");
         let Some(endpoint) = self.endpoints.get_mut(id) else {
@@ -115,6 +116,7 @@
         warn!(endpoint = %id, born, before = endpoint.born, runs = endpoint.runs.len(),
             "endpoint restarted");
         let mut restarted = Endpoint::new(born);
+        restarted.restarted_at = Some(self.now.steady);
         restarted.report = endpoint.report.take();
         restarted.is_listed = endpoint.is_listed;
         restarted.runs = std::mem::take(&mut endpoint.runs);
@@ -124,15 +126,19 @@
         restarted.poll = endpoint.poll;
         *endpoint = restarted;
         for (task, run, loss) in losses {
-            if let Some(r) = self.run_mut(task, run) {
-                r.born = born;
-                r.view.loss.get_or_insert(loss);
-                info!(%task, run, endpoint = %id, born, phase = ?r.view.phase,
-                    was_listed = r.view.seen_at.is_some(),
-                    void_after_ms = r.view.void_after.map(|t| t.as_millis()),
-                    "run kept over endpoint restart");
-                r.view.endpoint_restarted();
+            let Some(r) = self.run_mut(task, run) else {
+                continue;
+            };
+            if r.view.seen_at.is_some() {
+                self.run_lost(task, run, loss);
+                continue;
             }
+            r.born = born;
+            r.view.loss.get_or_insert(loss);
+            info!(%task, run, endpoint = %id, born, phase = ?r.view.phase,
+                void_after_ms = r.view.void_after.map(|t| t.as_millis()),
+                "run kept over endpoint restart");
+            r.view.endpoint_restarted();
         }
         self.poll_soon(id);
     }
@@ -158,10 +164,14 @@
         let now = self.now.steady;
         let unread_until = self.leader_since + self.settings.former_lease_expiry;
         let max_silence = self.settings.max_silence;
+        // Orders to the former incarnation may grant leases to the new one, which aren't known.
+        let known_for = self.settings.former_lease_expiry;
         let lapsed: Vec<_> = self
             .all_endpoints()
             .filter(|(_, e)| {
-                !e.is_polled_within(now, max_silence) && e.is_lapsed(now, unread_until)
+                !e.is_polled_within(now, max_silence)
+                    && e.is_known_for(now, known_for)
+                    && e.is_lapsed(now, unread_until)
             })
             .map(|(id, e)| (id.clone(), e.is_listed))
             .collect();
--- a/crates/pomelohitch-sched/src/cell/operations.rs
+++ b/crates/pomelohitch-sched/src/cell/operations.rs
@@ -73,7 +73,11 @@
             .collect();
         let is_silent = |e: &Endpoint| {
             let was_silent = e.answered_at.is_none_or(|at| at + MIN_SILENCE < asked_at);
-            was_silent && e.poll.failures > 0 && asked_at > self.leader_since + MIN_SILENCE
+            let is_known = e.is_known_for(asked_at, MIN_SILENCE);
+            was_silent
+                && is_known
+                && e.poll.failures > 0
+                && asked_at > self.leader_since + MIN_SILENCE
         };
         let used = self.all_endpoints().filter(|(_, e)| !e.runs.is_empty());
         let gone = used.filter(|(id, e)| is_silent(e) && !alive.contains(*id));
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -153,6 +153,8 @@
     pub report: Option<Report>,
     /// Current incarnation.
     pub born: u64,
+    /// When the leader learned of this incarnation, if it replaced another one under the same id.
+    pub restarted_at: Option<Steady>,
     /// Whether the platform's list contains it now.
     pub is_listed: bool,
     /// Allocated resources, including those of runs that are being stopped or may be running.
@@ -213,6 +215,7 @@
         Endpoint {
             report: None,
             born,
+            restarted_at: None,
             is_listed: false,
             used: Resources::default(),
             work: 0,
@@ -300,6 +303,12 @@
         }
     }
 
+    /// Whether this incarnation has been known for longer than `time`.
+    #[must_use]
+    pub fn is_known_for(&self, now: Steady, time: Duration) -> bool {
+        self.restarted_at.is_none_or(|at| now > at + time)
+    }
+
     /// Whether a poll that was sent within the last `window` was answered.
     #[must_use]
     pub fn is_polled_within(&self, now: Steady, window: Duration) -> bool {
--- a/crates/pomelohitch-sched/tests/cell/restarts.rs
+++ b/crates/pomelohitch-sched/tests/cell/restarts.rs
@@ -88,3 +88,61 @@
         }
     }
 }
+
+/// Guards against giving up a start because the endpoint's new incarnation, of which no poll was
+/// answered yet, counts as one whose leases have expired: the start may still be carried out there.
+#[test]
+fn a_start_that_the_next_incarnation_carries_out_late_is_the_only_run() {
+    for step in [ordinary(), lasting()] {
+        for first in [First::Entry, First::Poll] {
+            for late_ms in [0, 300, 1_500, 3_000, 4_000] {
+                let late = Duration::from_millis(late_ms);
+                let hang = super::fleet::STEP * HANG;
+                let mut fleet = with_unanswered_start(step.clone(), hang + late);
+                restart(&mut fleet, first);
+                fleet.advance(START_LIMIT);
+                assert_eq!(running(&fleet), 1, "{first:?} {late_ms}");
+                fleet.advance(500);
+                assert_eq!(running(&fleet), 1, "{first:?} {late_ms}");
+                let violations = &fleet.violations;
+                assert!(violations.is_empty(), "{first:?} {late_ms}: {violations:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a second run of a task that the new incarnation has accepted before the leader
+/// learned of the restart.
+#[test]
+fn a_run_that_the_next_incarnation_accepted_before_its_entry_was_read_is_kept() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(UPTIME);
+    fleet.restart("e0");
+    fleet.submit(ID, job(vec![ordinary()]));
+    fleet.advance(5);
+    assert_eq!(fleet.starts.len(), 1);
+    fleet.add("e1", 1);
+    fleet.endpoint("e0").is_silent = true;
+    fleet.list_endpoints();
+    fleet.advance(10);
+    fleet.endpoint("e0").is_silent = false;
+    fleet.advance(START_LIMIT);
+    assert_eq!(fleet.starts.len(), 1);
+    fleet.assert_invariants();
+}
+
+/// Guards against waiting for a poll of a new incarnation that doesn't answer before the tasks that
+/// the former one is known to have run start elsewhere.
+#[test]
+fn runs_that_the_former_incarnation_has_listed_are_lost_with_it() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(ID, job(vec![ordinary()]));
+    fleet.advance(50);
+    let (_, _, at) = fleet.starts[0].clone();
+    fleet.restart(&at);
+    fleet.endpoint(&at).is_silent = true;
+    fleet.list_endpoints();
+    fleet.advance(50);
+    assert_eq!(fleet.starts.len(), 2);
+    fleet.assert_invariants();
+}
