fix: the acknowledgement of a stop counts for the incarnation that it was sent to

The run was given up at the next poll, and its start could still be carried out there.

Evidence: the new test fails before ("has 2 runs at a time"): the start goes unanswered, the endpoint restarts, the former incarnation's acknowledgement arrives after the restart is known, and the start is carried out 1.5 s after it.

Why this works: the order's target names the incarnation that the leader knew when it sent the stop. An incarnation under an id begins only after the one before has ended, so a stop sent once the new one is known is carried out by it or by a later one; a later one drops the acknowledgement again."

--- a/crates/pomelohitch-sched/src/cell/orders.rs
+++ b/crates/pomelohitch-sched/src/cell/orders.rs
@@ -94,11 +94,15 @@
         }
     }
 
-    /// Handles the result of a stop.
+    /// Handles the result of a stop. An acknowledgement counts only if the stop was sent after the
+    /// endpoint's present incarnation became known: else the former one may have given it.
     fn stop_result(&mut self, target: &Target, task: TaskId, run: RunNumber, outcome: &Outcome) {
         let now = self.now.steady;
-        if let Some(r) = self.run_mut(task, run)
+        let endpoint = self.endpoints.get(&target.id);
+        let is_current = endpoint.is_some_and(|e| e.born == target.born);
+        if is_current
             && *outcome == Outcome::Taken
+            && let Some(r) = self.run_mut(task, run)
         {
             r.view.stop_acked_at = Some(now);
         }
--- a/crates/pomelohitch-sched/tests/cell/restarts.rs
+++ b/crates/pomelohitch-sched/tests/cell/restarts.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
+use pomelohitch_sched::TaskId;
+use pomelohitch_sched::endpoint::Report;
 use pomelohitch_sched::job::StepSpec;
+use pomelohitch_sched::order::{Order, Outcome, Target};
 use pomelohitch_sched::progress::Phase;
 
 use super::fleet::{Fleet, job, step};
@@ -65,6 +68,13 @@
     }
 }
 
+/// The task of the job and its only run.
+fn first_run(fleet: &Fleet) -> (TaskId, u32) {
+    let job = fleet.cell.job(JOB).expect("the job is held");
+    let (task, run) = job.progress.runs(JOB).next().expect("the run is kept");
+    (task, run.number)
+}
+
 fn running(fleet: &Fleet) -> usize {
     fleet.endpoints.values().map(|e| e.running().len()).sum()
 }
@@ -146,3 +156,36 @@
     assert_eq!(fleet.starts.len(), 2);
     fleet.assert_invariants();
 }
+
+/// Guards against taking the late acknowledgement of a stop by the former incarnation for one by the
+/// new incarnation, which may still carry out the start.
+#[test]
+fn a_stop_that_the_former_incarnation_acknowledged_settles_no_start_of_the_next() {
+    let late = Duration::from_millis(1_500);
+    let mut fleet = with_unanswered_start(ordinary(), super::fleet::STEP * HANG + late);
+    let Report {
+        id,
+        born,
+        service,
+        addr,
+        ..
+    } = fleet.endpoint("e0").report.clone();
+    let former = Target {
+        id,
+        born,
+        service,
+        addr,
+    };
+    fleet.faults.orders_late = NEVER;
+    restart(&mut fleet, First::Poll);
+    while fleet.cell.endpoints()["e0"].born == former.born {
+        fleet.advance(1);
+    }
+    fleet.faults.orders_late = Duration::ZERO;
+    let (task, run) = first_run(&fleet);
+    let stop = Order::Stop { task, run };
+    fleet.cell.ordered(&former, &stop, &Outcome::Taken);
+    fleet.advance(START_LIMIT);
+    assert_eq!(running(&fleet), 1);
+    fleet.assert_invariants();
+}
