fix: starts that were given up are rejected by later incarnations of their endpoint

The same cause on related paths: what rules out that an unanswered start is still carried out (its deadline, a stop, expired leases, a list of instances without the endpoint) holds for the incarnation that it was found out of. If the endpoint starts again under its id afterwards, its clock begins at zero and it knows no stops, so that it carries out the start, and the task has two runs until a poll lists the second one and a stop ends it.

Why this works: such starts are remembered for 15 s, which is longer than orders were seen to be late (12 s). Each later incarnation is sent a stop for them at its first poll, and again until it acknowledges one; after that it rejects the start.

What it doesn't close: a start that a later incarnation carries out before its first poll is answered, while the task runs elsewhere. That run is stopped when a poll lists it, as before. Keeping the task from running for as long as an order may be late would close it, and would leave tasks without a run for longer than callers accept. A new leader doesn't know what the former one gave up; its polls carry a higher token, after which orders of the former one are rejected."

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -51,6 +51,7 @@
 use crate::rate::RateLimiter;
 use crate::resources::Resources;
 use crate::sharing::RecentWork;
+use crate::unanswered::UnansweredStarts;
 use crate::urgency::Candidate;
 use crate::{Now, Steady, UnixMs};
 
@@ -322,6 +323,8 @@
     suspected: BTreeMap<JobId, Steady>,
     /// Tasks whose runs were lost with a silent endpoint, and its incarnation.
     presumed_lost: BTreeMap<EndpointId, (u64, Vec<crate::TaskId>)>,
+    /// Starts that were given up without an answer.
+    unanswered: UnansweredStarts,
     /// Actions that need no record.
     outbox: Vec<Action>,
     /// Actions that wait until the records of the next batch are durable.
@@ -457,6 +460,7 @@
             given_up_count: 0,
             suspected: BTreeMap::new(),
             presumed_lost: BTreeMap::new(),
+            unanswered: UnansweredStarts::default(),
             outbox: Vec::new(),
             after_commit: Vec::new(),
             is_fenced: false,
@@ -519,6 +523,7 @@
             self.drop_expired_jobs();
             self.release_expired_leases();
             self.prune_presumed_lost();
+            self.unanswered.prune(now.steady);
             self.forget_slow_endpoints();
             self.manage_instances();
             self.update_free_room();
--- a/crates/pomelohitch-sched/src/cell/lifecycle.rs
+++ b/crates/pomelohitch-sched/src/cell/lifecycle.rs
@@ -154,6 +154,7 @@
         warn!(endpoint = %id, born = endpoint.born, runs = endpoint.runs.len(), ?cause, why,
             "endpoint gone");
         for (task, run, loss) in losses {
+            self.remember_unanswered(task, run, 0);
             self.run_lost(task, run, loss);
         }
     }
@@ -179,6 +180,7 @@
             for (task, run, loss) in
                 self.losses_at(&id, LossCause::Silence, "its endpoint's lease has expired")
             {
+                self.remember_unanswered(task, run, loss.born);
                 self.run_lost(task, run, loss);
             }
             if !is_listed {
--- a/crates/pomelohitch-sched/src/cell/losses.rs
+++ b/crates/pomelohitch-sched/src/cell/losses.rs
@@ -13,6 +13,7 @@
 use crate::loss::{Loss, LossCause, LossCounts};
 use crate::progress::{JobState, Phase, Run};
 use crate::suspicion::Suspicion;
+use crate::unanswered::Start;
 
 impl Cell {
     /// Handles the loss of a run that certainly doesn't exist any more.
@@ -45,6 +46,25 @@
         self.index(task.job);
     }
 
+    /// Remembers the start of a run that is given up, if it may still be carried out by another
+    /// incarnation of its endpoint than `rejected_by`.
+    pub(super) fn remember_unanswered(&mut self, task: TaskId, run: RunNumber, rejected_by: u64) {
+        let Some(r) = self.run(task, run) else {
+            return;
+        };
+        let is_unanswered = matches!(r.view.phase, Phase::Ordered | Phase::Unanswered);
+        if let Some(sent_at) = r.view.sent_at.filter(|_| is_unanswered) {
+            let start = Start {
+                task,
+                run,
+                sent_at,
+                rejected_by,
+            };
+            let endpoint = r.endpoint.clone();
+            self.unanswered.add(endpoint, start);
+        }
+    }
+
     /// Remembers a loss caused by silence. It is retracted if that incarnation answers again.
     fn presume_lost(&mut self, task: TaskId, endpoint: EndpointId, born: u64) {
         let presumed = self
--- a/crates/pomelohitch-sched/src/cell/orders.rs
+++ b/crates/pomelohitch-sched/src/cell/orders.rs
@@ -100,11 +100,11 @@
         let now = self.now.steady;
         let endpoint = self.endpoints.get(&target.id);
         let is_current = endpoint.is_some_and(|e| e.born == target.born);
-        if is_current
-            && *outcome == Outcome::Taken
-            && let Some(r) = self.run_mut(task, run)
-        {
-            r.view.stop_acked_at = Some(now);
+        if is_current && *outcome == Outcome::Taken {
+            self.unanswered.rejected(&target.id, target.born, task, run);
+            if let Some(r) = self.run_mut(task, run) {
+                r.view.stop_acked_at = Some(now);
+            }
         }
         self.poll_soon(&target.id);
     }
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -13,6 +13,7 @@
 use crate::loss::LossCause;
 use crate::order::{Action, Order, PollFailure, PollOrder, Target};
 use crate::progress::{Phase, Run, RunView};
+use crate::unanswered::Start;
 
 /// Maximum number of ends in one answer, a limit of the platform. An answer that reaches it may
 /// omit ends, so runs missing from it can't be taken for lost.
@@ -224,6 +225,7 @@
             self.apply_running(id, running, answer.answered_at);
         }
         self.resolve_missing(id, answer);
+        self.reject_unanswered(id);
         self.stop_stalled(id, answer);
         self.pace(id, answer);
     }
@@ -342,6 +344,23 @@
     /// second run of its task, or use capacity that is counted as free.
     fn stop_stray(&mut self, id: &EndpointId, task: TaskId, run: RunNumber) {
         warn!(%task, run, endpoint = %id, "stray run stopped");
+        self.send_stop(id, task, run);
+    }
+
+    /// Has an endpoint that has restarted reject the starts that were given up and sent to a former
+    /// incarnation.
+    fn reject_unanswered(&mut self, id: &EndpointId) {
+        let born = self.endpoints.get(id).map_or(0, |e| e.born);
+        for Start { task, run, .. } in self.unanswered.take_due(id, born, self.now.steady) {
+            if self.run(task, run).is_none() {
+                info!(%task, run, endpoint = %id, born, why = "its start was given up",
+                    "stop decided");
+                self.send_stop(id, task, run);
+            }
+        }
+    }
+
+    fn send_stop(&mut self, id: &EndpointId, task: TaskId, run: RunNumber) {
         if let Some(target) = self.target(id) {
             self.outbox.push(Action::Order {
                 target,
@@ -400,6 +419,7 @@
                 let is_void = view.void_after.is_some_and(|until| answer.clock > until);
                 let is_rejected = view.stop_acked_at.is_some_and(|at| answer.sent_at > at);
                 if is_void || is_rejected {
+                    self.remember_unanswered(task, number, answer.born);
                     self.run_missing(
                         task,
                         number,
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -26,6 +26,7 @@
 //! * [`place`]: choice of the endpoint for a task.
 //! * [`speeds`]: speed of endpoints, learned from the progress of runs.
 //! * [`suspicion`]: detection of tasks that crash their endpoints.
+//! * [`unanswered`]: starts that were given up and may still be carried out.
 //! * [`urgency`]: ordering of waiting jobs.
 //! * [`instances`]: moves of instances, and maintenance in waves.
 //! * [`wave_plan`]: which instances of a wave to empty now, and when the wave will end.
@@ -68,6 +69,7 @@
 pub mod sharing;
 pub mod speeds;
 pub mod suspicion;
+pub mod unanswered;
 pub mod urgency;
 pub mod wave_plan;
 
--- /dev/null
+++ b/crates/pomelohitch-sched/src/unanswered.rs
@@ -0,0 +1,85 @@
+//! Starts that were given up without an answer and may still be carried out.
+//!
+//! An order without an answer may be carried out seconds later. What rules that out, such as the
+//! start's deadline, a stop or expired leases, holds for one incarnation of the endpoint: the next one
+//! under the same id begins with a clock at zero and knows no stops. The starts are therefore
+//! remembered until they can't be carried out any more, and later incarnations are told to reject
+//! them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::Steady;
+use crate::id::{EndpointId, RunNumber, TaskId};
+
+/// An unanswered order isn't carried out later than this after it was sent.
+const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
+/// Time after which a stop that wasn't acknowledged is sent again.
+const RESEND_INTERVAL: Duration = Duration::from_millis(700);
+
+/// A start that was given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Start {
+    /// Task of the run.
+    pub task: TaskId,
+    /// Run number.
+    pub run: RunNumber,
+    /// When it was sent.
+    pub sent_at: Steady,
+    /// Incarnation that certainly won't carry it out; 0 if there is none.
+    pub rejected_by: u64,
+}
+
+/// The starts that were given up, by endpoint.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct UnansweredStarts {
+    by_endpoint: BTreeMap<EndpointId, Vec<Remembered>>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Remembered {
+    start: Start,
+    stop_sent_at: Option<Steady>,
+}
+
+impl UnansweredStarts {
+    /// Remembers a start that was sent to `endpoint`.
+    pub fn add(&mut self, endpoint: EndpointId, start: Start) {
+        let starts = self.by_endpoint.entry(endpoint).or_default();
+        starts.push(Remembered {
+            start,
+            stop_sent_at: None,
+        });
+    }
+
+    /// The starts that the incarnation `born` of `endpoint` has to be told to reject now.
+    pub fn take_due(&mut self, endpoint: &EndpointId, born: u64, now: Steady) -> Vec<Start> {
+        let starts = self.by_endpoint.get_mut(endpoint).into_iter().flatten();
+        let due = starts.filter(|r| {
+            let is_recent = |at| now.saturating_sub(at) < RESEND_INTERVAL;
+            r.start.rejected_by != born && !r.stop_sent_at.is_some_and(is_recent)
+        });
+        let due = due.map(|r| {
+            r.stop_sent_at = Some(now);
+            r.start
+        });
+        due.collect()
+    }
+
+    /// Handles that the incarnation `born` of `endpoint` has acknowledged a stop.
+    pub fn rejected(&mut self, endpoint: &EndpointId, born: u64, task: TaskId, run: RunNumber) {
+        let starts = self.by_endpoint.get_mut(endpoint).into_iter().flatten();
+        for r in starts.filter(|r| r.start.task == task && r.start.run <= run) {
+            r.start.rejected_by = born;
+            r.stop_sent_at = None;
+        }
+    }
+
+    /// Forgets the starts that can't be carried out any more.
+    pub fn prune(&mut self, now: Steady) {
+        self.by_endpoint.retain(|_, starts| {
+            starts.retain(|r| now.saturating_sub(r.start.sent_at) <= MAX_ORDER_DELAY);
+            !starts.is_empty()
+        });
+    }
+}
