fix: a cancellation of an unknown job is answered by a leader that is known to lead

Callers were told 410 by a leader that had been suspended for seconds, for jobs that its successor had accepted meanwhile.

Cause: a leader answered at once, from its own state, that it holds no such job. It learns that its leadership is over when it hears of a later epoch or the store refuses an append, and requests that waited in its sockets while it was suspended are read before that. A cancellation of a job that it holds waits for a record; one of a job that it doesn't hold waited for nothing.

Evidence: with the answer given at once, the test of the decision fails each time.

Why this works: the answer waits for an append that is sent after the request has arrived; a batch without records that holds such an answer appends a confirmation. The store refuses appends of an earlier epoch once a later leader has read the records, so that an accepted append proves that no later leader had accepted jobs before. While the log is down the caller is told that the outcome is unknown.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -44,7 +44,7 @@
 use crate::instances::{Instance, Instances};
 use crate::job::JobSpec;
 use crate::loss::LossCounts;
-use crate::order::{Action, Due, Target};
+use crate::order::{Action, Answer, Due, Target};
 use crate::overload::Overload;
 use crate::policy::Policy;
 use crate::progress::{self, Entry, JobState, Progress, Record};
@@ -221,6 +221,21 @@
     last_ends: Vec<(EndpointId, u64, u64)>,
 }
 
+impl Batch {
+    /// Whether its actions need proof that the leadership lasts, so that it waits for an append also
+    /// without records: one tells a caller that a job doesn't exist.
+    #[must_use]
+    pub fn needs_confirmation(&self) -> bool {
+        let denies = |action: &Action| {
+            let Action::Reply { answer, .. } = action else {
+                return false;
+            };
+            *answer == Answer::Gone
+        };
+        self.actions.iter().any(denies)
+    }
+}
+
 /// The scheduler's state: all jobs, endpoints and instances.
 #[derive(Debug)]
 pub struct Cell {
--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -252,11 +252,11 @@
         let visible = self.jobs.get(&id).filter(|j| is_visible_to(j, workspace));
         let Some(job) = visible else {
             let is_skipped = self.skipped_records > 0 && !self.jobs.contains_key(&id);
-            return Some(if is_skipped {
-                Answer::Undetermined
+            return if is_skipped {
+                Some(Answer::Undetermined)
             } else {
-                Answer::Gone
-            });
+                self.confirm_unknown(call)
+            };
         };
         let is_cancelled = job.progress.state == JobState::Cancelled;
         if self.is_log_down && !is_cancelled {
@@ -276,6 +276,21 @@
         None
     }
 
+    /// Answers that a job to be cancelled doesn't exist, once an append has shown that no later leader
+    /// was elected before the request arrived: a leader that was suspended doesn't know the jobs that
+    /// its successor has accepted.
+    fn confirm_unknown(&mut self, call: CallId) -> Option<Answer> {
+        if self.is_log_down {
+            return Some(Answer::Undetermined);
+        }
+        self.after_commit.push(Action::Reply {
+            call,
+            answer: Answer::Gone,
+            is_effect_possible: self.skipped_records > 0,
+        });
+        None
+    }
+
     /// Number of jobs of the queue of which no task has started.
     fn queued_count(&self, queue: &Queue) -> usize {
         self.queued_jobs.get(&queue.name).map_or(0, BTreeSet::len)
--- a/crates/pomelohitch-sched/tests/cell/calls.rs
+++ b/crates/pomelohitch-sched/tests/cell/calls.rs
@@ -5,7 +5,7 @@
 
 use pomelohitch_sched::cell::calls::Verb;
 use pomelohitch_sched::job::StepSpec;
-use pomelohitch_sched::order::Answer;
+use pomelohitch_sched::order::{Action, Answer};
 use pomelohitch_sched::progress::JobState;
 
 use super::fleet::{Fleet, job, step};
@@ -191,3 +191,24 @@
     assert_eq!(fleet.replies.get(&confirmed), Some(&Answer::Accepted));
     assert!(fleet.cell.job(0xa2).is_none());
 }
+
+/// Guards against the word of a leader that was suspended, and whose successor has accepted the job:
+/// the caller would take it for cancelled.
+#[test]
+fn a_cancellation_of_an_unknown_job_is_answered_only_after_a_confirming_append() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(40);
+    let cancelled = fleet.call(&format!("/q/{ID}"), Verb::Cancel);
+    let batch = fleet.cell.take_batch().expect("records are encodable");
+    let batch = batch.expect("the answer waits for an append");
+    assert!(batch.needs_confirmation());
+    assert_eq!(fleet.replies.get(&cancelled), None);
+    let actions = fleet.cell.committed(batch);
+    assert!(matches!(
+        actions[..],
+        [Action::Reply {
+            answer: Answer::Gone,
+            ..
+        }]
+    ));
+}
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -494,7 +494,7 @@
                     self.last_append_at = now;
                 }
             }
-            Ok(Some(batch)) if batch.records.is_empty() => {
+            Ok(Some(batch)) if batch.records.is_empty() && !batch.needs_confirmation() => {
                 if let Some(batch) = self.in_flight.push_without_records(batch) {
                     self.execute_batch(batch);
                 }
@@ -502,7 +502,11 @@
             Ok(Some(mut batch)) => {
                 self.last_append_at = now;
                 let records = std::mem::take(&mut batch.records);
-                let sequence = self.journal.commit(records);
+                let sequence = if records.is_empty() {
+                    self.journal.append_confirmation(self.epoch)
+                } else {
+                    self.journal.commit(records)
+                };
                 self.in_flight.push(sequence, Some(batch));
             }
             Err(error) => {
