--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -335,6 +335,13 @@
             .expect("no endpoint with this id")
     }
 
+    /// Lets all endpoints have been up for longer, before anything is polled.
+    pub fn age_endpoints(&mut self, by: Duration) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.clock += by;
+        }
+    }
+
     /// Restarts an endpoint's process under the same id. Polls that wait there fail.
     pub fn restart(&mut self, id: &str) {
         self.record_crash(id);
--- a/crates/pomelohitch-emulator/src/fleet/endpoint.rs
+++ b/crates/pomelohitch-emulator/src/fleet/endpoint.rs
@@ -11,6 +11,9 @@
 use pomelohitch_sched::order::{Order, Outcome, PollFailure, PollOrder, Refusal};
 use pomelohitch_sched::{Resources, Steady, TaskId};
 
+/// Longest lease that an endpoint grants.
+const MAX_LEASE: Duration = Duration::from_secs(6);
+
 /// One endpoint and its faults.
 #[derive(Debug)]
 #[expect(clippy::struct_excessive_bools, reason = "independent faults")]
@@ -214,7 +217,7 @@
         {
             return Outcome::Refused(Refusal::OldRun);
         }
-        self.lease = self.lease.max(deadline);
+        self.extend_lease(deadline);
         let run = Run {
             duration,
             remaining: duration,
@@ -238,13 +241,18 @@
         }
     }
 
+    /// Extends the lease until `end`, or for as long as the platform allows.
+    pub(super) fn extend_lease(&mut self, end: Duration) {
+        self.lease = self.lease.max(end.min(self.clock + MAX_LEASE));
+    }
+
     /// Answers a poll.
     pub(super) fn poll(&mut self, poll: &PollOrder) -> Result<PollReply, PollFailure> {
         if poll.epoch < self.epoch {
             return Err(PollFailure::Fenced);
         }
         self.epoch = poll.epoch;
-        self.lease = self.lease.max(poll.lease.unwrap_or_default());
+        self.extend_lease(poll.lease.unwrap_or_default());
         Ok(PollReply {
             born: self.report.born,
             clock: self.clock,
--- a/crates/pomelohitch-emulator/src/fleet/polls.rs
+++ b/crates/pomelohitch-emulator/src/fleet/polls.rs
@@ -71,7 +71,7 @@
         // The lease and the acknowledgement take effect when the poll arrives, not when it is
         // answered.
         if poll.arrived_at.is_none() && order.epoch >= endpoint.epoch {
-            endpoint.lease = endpoint.lease.max(order.lease.unwrap_or_default());
+            endpoint.extend_lease(order.lease.unwrap_or_default());
             for task in endpoint.acknowledge(order.noted) {
                 self.acknowledged.entry(task).or_insert(now);
             }
--- a/crates/pomelohitch-sched/tests/cell/random.rs
+++ b/crates/pomelohitch-sched/tests/cell/random.rs
@@ -150,6 +150,65 @@
     pomelohitch_property::check(|faults: &Vec<(u8, u8)>| check_crashes(faults));
 }
 
+/// Like [`disturb`], with starts that get no answer and are never carried out. Without changes of
+/// leader, after which no start counts as unanswered.
+fn disturb_starts(fleet: &mut Fleet, what: u8, which: u8) {
+    let id = format!("e{}", which % ENDPOINTS);
+    match what % 6 {
+        0 => fleet.endpoint(&id).is_silent = true,
+        1 => fleet.endpoint(&id).is_silent = false,
+        2 => fleet.faults.orders_late = Duration::from_secs(10_000),
+        3 => fleet.faults.orders_late = Duration::ZERO,
+        4 => fleet.restart(&id),
+        _ => fleet.list_endpoints(),
+    }
+    fleet.advance(u32::from(which % 64) + 1);
+}
+
+fn check_unanswered_starts(faults: &[(u8, u8)]) {
+    let mut fleet = Fleet::new(u16::from(ENDPOINTS));
+    fleet.age_endpoints(Duration::from_secs(1_000));
+    fleet.advance(20);
+    let ids = 0xa1..0xa5_u64;
+    let mut next = ids.clone();
+    for &(what, which) in faults.iter().take(40) {
+        if let Some(id) = next.next() {
+            let lasting = StepSpec {
+                is_lasting: true,
+                may_miss: 1,
+                per_endpoint: 1,
+                ..step(2, 500, 300)
+            };
+            fleet.submit(&format!("{id:016x}"), job(vec![lasting]));
+        }
+        disturb_starts(&mut fleet, what, which);
+    }
+    fleet.faults.orders_late = Duration::ZERO;
+    for endpoint in fleet.endpoints.values_mut() {
+        endpoint.is_silent = false;
+    }
+    fleet.list_endpoints();
+    fleet.advance(2_500);
+    let violations = &fleet.violations;
+    assert!(violations.is_empty(), "{faults:?}: {violations:?}");
+    let running: Vec<_> = fleet.endpoints.values().flat_map(|e| e.running()).collect();
+    for id in ids {
+        let is_over = fleet
+            .cell
+            .job(id)
+            .is_none_or(|j| j.progress.state.is_final());
+        let count = running.iter().filter(|task| task.job == id).count();
+        assert!(is_over || count == 2, "{faults:?}: {id:x} has {count} runs");
+    }
+}
+
+/// Guards against lasting tasks that never run again after starts went unanswered at endpoints that
+/// restarted under their ids.
+#[test]
+fn lasting_tasks_run_again_after_unanswered_starts_and_restarts() {
+    pomelohitch_property::check(|faults: &Vec<(u8, u8)>| check_unanswered_starts(faults));
+}
+
 /// Regression test: sequences of faults that have violated an invariant.
 #[test]
 fn recorded_fault_sequences_violate_no_invariant() {
