--- a/crates/pomelohitch-sched/tests/cell/random.rs
+++ b/crates/pomelohitch-sched/tests/cell/random.rs
@@ -7,7 +7,7 @@
 use pomelohitch_sched::order::Answer;
 use pomelohitch_sched::progress::JobState;
 
-use super::fleet::{Fleet, job, step};
+use super::fleet::{Endpoint, Fleet, job, step};
 
 const ENDPOINTS: u8 = 4;
 
@@ -191,7 +191,11 @@
     fleet.advance(2_500);
     let violations = &fleet.violations;
     assert!(violations.is_empty(), "{faults:?}: {violations:?}");
-    let running: Vec<_> = fleet.endpoints.values().flat_map(|e| e.running()).collect();
+    let running: Vec<_> = fleet
+        .endpoints
+        .values()
+        .flat_map(Endpoint::running)
+        .collect();
     for id in ids {
         let is_over = fleet
             .cell
