--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -353,8 +353,8 @@
         let born = self.endpoints.get(id).map_or(0, |e| e.born);
         for Start { task, run, .. } in self.unanswered.take_due(id, born, self.now.steady) {
             if self.run(task, run).is_none() {
-                info!(%task, run, endpoint = %id, born, why = "its start was given up",
-                    "stop decided");
+                let why = "its start was given up";
+                info!(%task, run, endpoint = %id, born, why, "stop decided");
                 self.send_stop(id, task, run);
             }
         }
