--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -226,12 +226,9 @@
     /// without records: one tells a caller that a job doesn't exist.
     #[must_use]
     pub fn needs_confirmation(&self) -> bool {
-        let denies = |action: &Action| {
-            let Action::Reply { answer, .. } = action else {
-                return false;
-            };
-            *answer == Answer::Gone
-        };
+        let gone = Answer::Gone;
+        let denies =
+            |action: &Action| matches!(action, Action::Reply { answer, .. } if *answer == gone);
         self.actions.iter().any(denies)
     }
 }
--- a/crates/pomelohitch-sched/src/cell/accounting.rs
+++ b/crates/pomelohitch-sched/src/cell/accounting.rs
@@ -10,7 +10,7 @@
 use crate::endpoint::{Allocation, Endpoint};
 use crate::id::{EndpointId, JobId, RunNumber, ServiceName, TaskId};
 use crate::job::{JobSpec, StepSpec};
-use crate::order::{Action, Due, Order};
+use crate::order::{Action, Due, Order, STOP_RESEND_INTERVAL};
 use crate::progress::{JobState, Occurrence, Phase, Progress, Run, RunView, Task};
 use crate::resources::Resources;
 
@@ -262,9 +262,8 @@
         });
     }
 
-    /// Orders a stop of a run, at most once per `RESEND_INTERVAL`.
+    /// Orders a stop of a run, at most once per [`STOP_RESEND_INTERVAL`].
     pub(super) fn stop(&mut self, task: TaskId, run: RunNumber, why: &'static str) {
-        const RESEND_INTERVAL: Duration = Duration::from_millis(700);
         let now = self.now.steady;
         let Some(r) = self.run_mut(task, run) else {
             return;
@@ -272,19 +271,24 @@
         let is_recent = r
             .view
             .stop_sent_at
-            .is_some_and(|at| now.saturating_sub(at) < RESEND_INTERVAL);
+            .is_some_and(|at| now.saturating_sub(at) < STOP_RESEND_INTERVAL);
         if is_recent {
             return;
         }
         r.view.stop_sent_at = Some(now);
         let endpoint = r.endpoint.clone();
         info!(%task, run, endpoint = %endpoint, why, "stop decided");
-        if let Some(target) = self.target(&endpoint) {
+        self.send_stop(&endpoint, task, run);
+    }
+
+    /// Sends a stop of a run to an endpoint.
+    pub(super) fn send_stop(&mut self, id: &EndpointId, task: TaskId, run: RunNumber) {
+        if let Some(target) = self.target(id) {
             self.outbox.push(Action::Order {
                 target,
                 order: Order::Stop { task, run },
                 epoch: self.epoch,
-                at: now,
+                at: self.now.steady,
             });
         }
     }
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -11,7 +11,7 @@
 use crate::endpoint::{EndReason, Endpoint, PollReply, Running};
 use crate::id::{EndpointId, RunNumber, TaskId};
 use crate::loss::LossCause;
-use crate::order::{Action, Order, PollFailure, PollOrder, Target};
+use crate::order::{Action, PollFailure, PollOrder, Target};
 use crate::progress::{Phase, Run, RunView};
 use crate::unanswered::Start;
 
@@ -360,17 +360,6 @@
         }
     }
 
-    fn send_stop(&mut self, id: &EndpointId, task: TaskId, run: RunNumber) {
-        if let Some(target) = self.target(id) {
-            self.outbox.push(Action::Order {
-                target,
-                order: Order::Stop { task, run },
-                epoch: self.epoch,
-                at: self.now.steady,
-            });
-        }
-    }
-
     /// Resolves runs that are expected at the endpoint but missing from its answer.
     fn resolve_missing(&mut self, id: &EndpointId, answer: &PollReply) {
         if answer.ended.len() >= MAX_LISTED_ENDS {
--- a/crates/pomelohitch-sched/src/order.rs
+++ b/crates/pomelohitch-sched/src/order.rs
@@ -11,6 +11,9 @@
 use crate::progress::JobState;
 use crate::{Steady, UnixMs};
 
+/// Time after which a stop is sent again.
+pub const STOP_RESEND_INTERVAL: Duration = Duration::from_millis(700);
+
 /// Destination of an order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
--- a/crates/pomelohitch-sched/src/unanswered.rs
+++ b/crates/pomelohitch-sched/src/unanswered.rs
@@ -11,11 +11,10 @@
 
 use crate::Steady;
 use crate::id::{EndpointId, RunNumber, TaskId};
+use crate::order::STOP_RESEND_INTERVAL;
 
 /// An unanswered order isn't carried out later than this after it was sent.
 const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
-/// Time after which a stop that wasn't acknowledged is sent again.
-const RESEND_INTERVAL: Duration = Duration::from_millis(700);
 
 /// A start that was given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,7 +55,7 @@
     pub fn take_due(&mut self, endpoint: &EndpointId, born: u64, now: Steady) -> Vec<Start> {
         let starts = self.by_endpoint.get_mut(endpoint).into_iter().flatten();
         let due = starts.filter(|r| {
-            let is_recent = |at| now.saturating_sub(at) < RESEND_INTERVAL;
+            let is_recent = |at| now.saturating_sub(at) < STOP_RESEND_INTERVAL;
             r.start.rejected_by != born && !r.stop_sent_at.is_some_and(is_recent)
         });
         let due = due.map(|r| {
