observe: lost runs, gone endpoints and stray runs say what the verdict rested on

A stray run is logged once instead of at each poll, with the other run of its task if there is one, and counted (`stray_runs`).

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -51,6 +51,7 @@
 use crate::rate::RateLimiter;
 use crate::resources::Resources;
 use crate::sharing::RecentWork;
+use crate::strays::Strays;
 use crate::unanswered::UnansweredStarts;
 use crate::urgency::Candidate;
 use crate::{Now, Steady, UnixMs};
@@ -328,6 +329,7 @@
     /// Time since which nothing starts because `endpoints_as_of` or `operators_as_of` is too old.
     held_back_since: Option<Steady>,
     loss_counts: LossCounts,
+    strays: Strays,
     /// Number of jobs given up since the last call of [`Cell::take_given_up`].
     given_up_count: u64,
     /// Jobs that have to run isolated from others, and the time of their last start or loss, from
@@ -469,6 +471,7 @@
             operators_as_of: now.steady,
             held_back_since: None,
             loss_counts: LossCounts::new(),
+            strays: Strays::default(),
             given_up_count: 0,
             suspected: BTreeMap::new(),
             presumed_lost: BTreeMap::new(),
@@ -536,6 +539,7 @@
             self.release_expired_leases();
             self.prune_presumed_lost();
             self.unanswered.prune(now.steady);
+            self.strays.prune(now.steady);
             self.forget_slow_endpoints();
             self.manage_instances();
             self.update_free_room();
--- a/crates/pomelohitch-sched/src/cell/lifecycle.rs
+++ b/crates/pomelohitch-sched/src/cell/lifecycle.rs
@@ -5,6 +5,7 @@
 use tracing::{info, warn};
 
 use super::Cell;
+use super::losses::millis;
 use crate::Steady;
 use crate::endpoint::{Endpoint, Report};
 use crate::id::EndpointId;
@@ -151,8 +152,12 @@
         let Some(endpoint) = self.remove_endpoint(id) else {
             return;
         };
+        let answers = self.answers_of(&endpoint);
         warn!(endpoint = %id, born = endpoint.born, runs = endpoint.runs.len(), ?cause, why,
-            "endpoint gone");
+            failures = endpoint.poll.failures, polled_ms = answers.polled.map(millis),
+            answered_ms = answers.answered.map(millis), clock_ms = answers.clock.map(millis),
+            lease_end_ms = millis(answers.lease_end),
+            listed_ms = self.age(self.instances.listed_at()).map(millis), "endpoint gone");
         for (task, run, loss) in losses {
             self.remember_unanswered(task, run, 0);
             self.run_lost(task, run, loss);
--- a/crates/pomelohitch-sched/src/cell/losses.rs
+++ b/crates/pomelohitch-sched/src/cell/losses.rs
@@ -7,20 +7,47 @@
 use tracing::{info, warn};
 
 use super::Cell;
+use crate::Steady;
 use crate::endpoint::Endpoint;
 use crate::id::{EndpointId, JobId, RunNumber, TaskId};
 use crate::job::StepSpec;
 use crate::loss::{Loss, LossCause, LossCounts};
-use crate::progress::{JobState, Phase, Run};
+use crate::progress::{JobState, Phase, Run, RunView};
+use crate::strays::StrayCounts;
 use crate::suspicion::Suspicion;
 use crate::unanswered::Start;
 
+/// Evidence of the loss of a run.
+#[derive(Debug, Clone, Copy)]
+struct Evidence {
+    view: RunView,
+    answers: Answers,
+    /// Age of the newest list of instances, counted from its request.
+    listed: Option<Duration>,
+}
+
+/// What the answers of an endpoint to polls said last.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Answers {
+    /// Age of the newest answered poll, counted from its sending.
+    pub(super) polled: Option<Duration>,
+    /// The same, counted from its answer.
+    pub(super) answered: Option<Duration>,
+    /// The endpoint's clock in that answer.
+    pub(super) clock: Option<Duration>,
+    /// Latest end of a lease that was requested, on that clock.
+    pub(super) lease_end: Duration,
+}
+
 impl Cell {
     /// Handles the loss of a run that certainly doesn't exist any more.
     pub(super) fn run_lost(&mut self, task: TaskId, run: RunNumber, loss: Loss) {
         let Some(endpoint) = self.run(task, run).map(|r| r.endpoint.clone()) else {
             return;
         };
+        let Some(evidence) = self.evidence(task, run) else {
+            return;
+        };
         self.count_copy_end(task, run, false);
         if !self.remove_run(task, run) {
             return;
@@ -31,9 +58,19 @@
         let counts = self.record_loss(task, &loss);
         let suspicion = self.task_mut(task).map(|t| t.suspicion);
         let suspicion = suspicion.unwrap_or_default();
+        let Evidence {
+            view,
+            answers,
+            listed,
+        } = evidence;
         warn!(%task, run, endpoint = %endpoint, born, ?cause, why, beside = loss.other_runs,
             is_sole = loss.is_sole, worked_ms = loss.ran_for.as_millis(), lost = suspicion.lost,
-            certain = suspicion.certain, alone = suspicion.alone, "run lost");
+            certain = suspicion.certain, alone = suspicion.alone, phase = ?view.phase,
+            sent_ms = self.age(view.sent_at).map(millis),
+            stop_acked_ms = self.age(view.stop_acked_at).map(millis),
+            void_after_ms = view.void_after.map(millis), polled_ms = answers.polled.map(millis),
+            answered_ms = answers.answered.map(millis), clock_ms = answers.clock.map(millis),
+            lease_end_ms = millis(answers.lease_end), listed_ms = listed.map(millis), "run lost");
         *self.loss_counts.entry(cause).or_default() += 1;
         if counts && cause == LossCause::Silence {
             self.presume_lost(task, endpoint, born);
@@ -46,6 +83,32 @@
         self.index(task.job);
     }
 
+    /// What the leader knows of a run and its endpoint at this moment.
+    fn evidence(&self, task: TaskId, run: RunNumber) -> Option<Evidence> {
+        let run = self.run(task, run)?;
+        let endpoint = self.endpoints.get(&run.endpoint);
+        Some(Evidence {
+            view: run.view,
+            answers: endpoint.map(|e| self.answers_of(e)).unwrap_or_default(),
+            listed: self.age(self.instances.listed_at()),
+        })
+    }
+
+    /// How old the answers of an endpoint are, and what they said.
+    pub(super) fn answers_of(&self, endpoint: &Endpoint) -> Answers {
+        Answers {
+            polled: self.age(endpoint.polled_at),
+            answered: self.age(endpoint.answered_at),
+            clock: endpoint.last_clock(),
+            lease_end: endpoint.lease_end(),
+        }
+    }
+
+    /// Time since `at`.
+    pub(super) fn age(&self, at: Option<Steady>) -> Option<Duration> {
+        at.map(|at| self.now.steady.saturating_sub(at))
+    }
+
     /// Remembers the start of a run that is given up, if it may still be carried out by another
     /// incarnation of its endpoint than `rejected_by`.
     pub(super) fn remember_unanswered(&mut self, task: TaskId, run: RunNumber, rejected_by: u64) {
@@ -285,6 +348,11 @@
         std::mem::take(&mut self.given_up_count)
     }
 
+    /// Number of stray runs listed for the first time since the last call.
+    pub fn take_strays(&mut self) -> StrayCounts {
+        self.strays.take_counts()
+    }
+
     /// Number of runs lost since the last call, by cause.
     pub fn take_losses(&mut self) -> LossCounts {
         std::mem::take(&mut self.loss_counts)
@@ -304,3 +372,8 @@
         .map(|(seen_at, answered_at)| answered_at.saturating_sub(seen_at));
     duration.unwrap_or_default()
 }
+
+/// Converts a time to whole milliseconds, for logs.
+pub(super) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -269,7 +269,7 @@
             .is_none_or(|j| j.progress.state.is_final())
             && !self.outlasts_job(task);
         if self.run(task, number).is_none() && !self.readopt_run(id, task, number) {
-            self.stop_stray(id, task, number);
+            self.stop_stray(id, running);
             return;
         }
         let Some(run) = self.run_mut(task, number) else {
@@ -342,8 +342,18 @@
 
     /// Stops a stray run: one whose start was carried out after it had been given up. It could be a
     /// second run of its task, or use capacity that is counted as free.
-    fn stop_stray(&mut self, id: &EndpointId, task: TaskId, run: RunNumber) {
-        warn!(%task, run, endpoint = %id, "stray run stopped");
+    fn stop_stray(&mut self, id: &EndpointId, running: &Running) {
+        let (task, run) = (running.task, running.number);
+        let born = self.endpoints.get(id).map_or(0, |e| e.born);
+        let t = self.jobs.get(&task.job).and_then(|j| j.progress.task(task));
+        let other = t.and_then(|t| t.runs.first());
+        let stray = (id.clone(), task, run);
+        if self.strays.listed(stray, other.is_some(), self.now.steady) {
+            warn!(%task, run, endpoint = %id, born, percent = running.percent,
+                is_done = t.is_some_and(|t| t.is_done), last_run = t.map(|t| t.last_run),
+                other_run = other.map(|r| r.number),
+                other_endpoint = other.map(|r| display(&r.endpoint)), "stray run stopped");
+        }
         self.send_stop(id, task, run);
     }
 
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -286,6 +286,18 @@
         Some(reading.clock + now.saturating_sub(read_at) + ahead)
     }
 
+    /// The endpoint's clock in its last answer.
+    #[must_use]
+    pub fn last_clock(&self) -> Option<Duration> {
+        self.reading.map(|r| r.clock)
+    }
+
+    /// Latest end of any lease that was requested, on the endpoint's clock.
+    #[must_use]
+    pub fn lease_end(&self) -> Duration {
+        self.lease_end
+    }
+
     /// Records that a lease until `end` may be in force, whether or not the call is answered.
     pub fn lease_requested(&mut self, end: Duration) {
         self.lease_end = self.lease_end.max(end);
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -25,6 +25,7 @@
 //! * [`order`]: orders, operations and answers, and their outcomes.
 //! * [`place`]: choice of the endpoint for a task.
 //! * [`speeds`]: speed of endpoints, learned from the progress of runs.
+//! * [`strays`]: runs that endpoints list although they were given up.
 //! * [`suspicion`]: detection of tasks that crash their endpoints.
 //! * [`unanswered`]: starts that were given up and may still be carried out.
 //! * [`urgency`]: ordering of waiting jobs.
@@ -68,6 +69,7 @@
 pub mod rto;
 pub mod sharing;
 pub mod speeds;
+pub mod strays;
 pub mod suspicion;
 pub mod unanswered;
 pub mod urgency;
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -318,6 +318,9 @@
         for (cause, count) in self.cell.take_losses() {
             metrics::counter!("runs_lost", "cause" => cause.label()).increment(count);
         }
+        let strays = self.cell.take_strays();
+        metrics::counter!("stray_runs", "other_run" => "no").increment(strays.alone);
+        metrics::counter!("stray_runs", "other_run" => "yes").increment(strays.beside_another);
         metrics::counter!("jobs_given_up").increment(self.cell.take_given_up());
         let copies = self.cell.take_copies();
         metrics::counter!("copies_started").increment(copies.started);
--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -206,6 +206,13 @@
         labels: "cause",
         about: "Runs that were gone without an end of their own, at the leader, by what that is put down to.",
     },
+    Metric {
+        name: "stray_runs",
+        kind: Kind::Counter,
+        unit: "runs",
+        labels: "other_run",
+        about: "Runs that endpoints listed although they were given up, at the leader, by whether their task had another run.",
+    },
     counter(
         "jobs_given_up",
         "jobs",
