--- a/crates/pomelohitch-emulator/src/fleet/endpoint.rs
+++ b/crates/pomelohitch-emulator/src/fleet/endpoint.rs
@@ -34,6 +34,8 @@
     pub slowness: f64,
     /// Time from a stop order to the end of the run.
     pub stop_grace: Duration,
+    /// Time from the acceptance of a start to the first answer that lists its run.
+    pub listing_delay: Duration,
     /// Times of capacity changes, each with the capacity before it.
     pub(super) resized: Vec<(Steady, Resources)>,
     pub(super) clock: Duration,
@@ -58,6 +60,8 @@
     remaining: Duration,
     pub(super) resources: Resources,
     is_lasting: bool,
+    /// When answers begin to list it, on the endpoint's clock.
+    listed_from: Duration,
     /// When a stop ends the run, on the endpoint's clock.
     stops_at: Option<Duration>,
 }
@@ -74,6 +78,7 @@
             is_stalled: false,
             slowness: 1.0,
             stop_grace: Duration::ZERO,
+            listing_delay: Duration::ZERO,
             resized: Vec::new(),
             clock: Duration::from_secs(5),
             epoch: 0,
@@ -223,6 +228,7 @@
             remaining: duration,
             resources: step.task_resources(),
             is_lasting: step.is_lasting,
+            listed_from: self.clock + self.listing_delay,
             stops_at: None,
         };
         self.runs.insert(key, run);
@@ -259,6 +265,7 @@
             running: self
                 .runs
                 .iter()
+                .filter(|(_, run)| run.listed_from <= self.clock)
                 .map(|(key, run)| running(key, run))
                 .collect(),
             ended: self.ended.clone(),
--- a/crates/pomelohitch-sched/tests/cell.rs
+++ b/crates/pomelohitch-sched/tests/cell.rs
@@ -12,6 +12,8 @@
 mod crashes;
 #[path = "cell/evacuation.rs"]
 mod evacuation;
+#[path = "cell/late_listings.rs"]
+mod late_listings;
 #[path = "cell/leaders.rs"]
 mod leaders;
 #[path = "cell/links.rs"]
--- /dev/null
+++ b/crates/pomelohitch-sched/tests/cell/late_listings.rs
@@ -0,0 +1,97 @@
+//! Endpoints whose answers list a run only some time after its start was accepted.
+
+use std::time::Duration;
+
+use pomelohitch_sched::job::StepSpec;
+
+use super::fleet::{Fleet, job, step};
+
+const ID: &str = "00000000000000a1";
+const JOB: u64 = 0xa1;
+/// Durations of short tasks, whose ends let their endpoint answer polls at once, ms.
+const SHORT_TASKS_MS: [u64; 6] = [30, 70, 110, 150, 190, 230];
+/// Times from the acceptance of a start to the first answer that lists its run.
+const LISTING_DELAYS: [Duration; 3] = [
+    Duration::from_millis(20),
+    Duration::from_millis(100),
+    Duration::from_millis(250),
+];
+
+fn ordinary() -> StepSpec {
+    step(1, 500, 60_000)
+}
+
+fn lasting() -> StepSpec {
+    StepSpec {
+        is_lasting: true,
+        may_miss: 1,
+        ..ordinary()
+    }
+}
+
+/// A fleet of three endpoints that list runs late.
+fn fleet(listing_delay: Duration) -> Fleet {
+    let mut fleet = Fleet::new(3);
+    fleet.advance(50);
+    for endpoint in fleet.endpoints.values_mut() {
+        endpoint.listing_delay = listing_delay;
+    }
+    fleet
+}
+
+/// Lets time pass and checks that the task has had one run.
+fn assert_started_once(fleet: &mut Fleet, case: &str) {
+    fleet.advance(500);
+    let starts = fleet.starts.iter().filter(|(task, ..)| task.job == JOB);
+    let starts: Vec<_> = starts.collect();
+    assert_eq!(starts.len(), 1, "{case}: {starts:?}");
+    fleet.assert_invariants();
+}
+
+/// Guards against a second run beside one that its endpoint has accepted but doesn't list yet.
+#[test]
+fn a_run_that_is_accepted_and_listed_later_is_the_only_one() {
+    for step in [ordinary(), lasting()] {
+        for delay in LISTING_DELAYS {
+            let mut fleet = fleet(delay);
+            for (number, duration_ms) in (0xb0..).zip(SHORT_TASKS_MS) {
+                let short = job(vec![super::fleet::step(1, 100, duration_ms)]);
+                fleet.submit(&format!("{number:016x}"), short);
+            }
+            fleet.submit(ID, job(vec![step.clone()]));
+            let case = format!("{delay:?}, lasting: {}", step.is_lasting);
+            assert_started_once(&mut fleet, &case);
+        }
+    }
+}
+
+/// Guards against a second run beside one whose start, unanswered, was carried out shortly before its
+/// deadline.
+#[test]
+fn a_run_that_is_listed_after_the_deadline_of_its_start_is_the_only_one() {
+    for delay in LISTING_DELAYS {
+        let mut fleet = fleet(delay);
+        fleet.faults.orders_late = Duration::from_millis(690);
+        fleet.submit(ID, job(vec![lasting()]));
+        fleet.advance(20);
+        fleet.faults.orders_late = Duration::ZERO;
+        assert_started_once(&mut fleet, &format!("{delay:?}"));
+    }
+}
+
+/// Guards against a second run beside one that the former leader started and that isn't listed yet.
+#[test]
+fn a_run_that_the_former_leader_started_and_that_is_listed_later_is_the_only_one() {
+    for step in [ordinary(), lasting()] {
+        for delay in LISTING_DELAYS {
+            let mut fleet = fleet(delay);
+            fleet.submit(ID, job(vec![step.clone()]));
+            while fleet.starts.is_empty() {
+                fleet.advance(1);
+            }
+            fleet.change_leader();
+            let case = format!("{delay:?}, lasting: {}", step.is_lasting);
+            assert_started_once(&mut fleet, &case);
+        }
+    }
+}
