fix: a run that is missing from one answer isn't taken for one that doesn't exist

A start was void as soon as the answer's clock was past its deadline, whenever the poll was sent; an accepted, stopped or recorded run was lost with the first answer that lacked it; a run that had been listed was lost if neither list had it, though its end may be listed a moment later.

A run is given up now only by a poll that was sent 300 ms (MAX_LISTING_DELAY) after what rules the run out: the answer to its start, the acknowledged stop, the leader's first answered poll, or its first absence; a deadline is compared with a lower bound of the clock at which the poll was sent. The decisions are in absence.rs, without network. An unanswered start whose stops stay unanswered too is given up 15 s after it was sent; before, it was kept for as long as polls were answered (seen as a crash test that no longer ended).

--- a/crates/pomelohitch-emulator/src/fleet/endpoint.rs
+++ b/crates/pomelohitch-emulator/src/fleet/endpoint.rs
@@ -34,7 +34,8 @@
     pub slowness: f64,
     /// Time from a stop order to the end of the run.
     pub stop_grace: Duration,
-    /// Time from the acceptance of a start to the first answer that lists its run.
+    /// Time from the acceptance of a start to the first answer that lists its run, and from the end of
+    /// a run, which isn't listed as running any more, to the first answer that lists the end.
     pub listing_delay: Duration,
     /// Times of capacity changes, each with the capacity before it.
     pub(super) resized: Vec<(Steady, Resources)>,
@@ -43,6 +44,8 @@
     pub(super) lease: Duration,
     pub(super) runs: BTreeMap<(TaskId, u32), Run>,
     pub(super) ended: Vec<Ended>,
+    /// Ends that aren't listed yet, and when they will be, on the endpoint's clock.
+    unlisted_ends: Vec<(Duration, Ended)>,
     next_completion: u64,
     /// Number of the last completion that was listed when the lease expired. By the platform's
     /// contract, acknowledging completions up to this one after the expiry doesn't count.
@@ -85,6 +88,7 @@
             lease: Duration::ZERO,
             runs: BTreeMap::new(),
             ended: Vec::new(),
+            unlisted_ends: Vec::new(),
             next_completion: 1,
             last_lapsed: 0,
             last_ended_runs: BTreeMap::new(),
@@ -117,19 +121,30 @@
         let last_run = self.last_ended_runs.entry(task).or_default();
         *last_run = (*last_run).max(run);
         self.history.push(reason);
-        self.ended.push(Ended {
+        let ended = Ended {
             number: self.next_completion,
             task,
             run,
             how: reason,
             checkpoint: Box::default(),
-        });
+        };
+        self.unlisted_ends
+            .push((self.clock + self.listing_delay, ended));
+        self.list_ends();
         self.next_completion += 1;
     }
 
+    /// Lists the ends that are due to be listed.
+    fn list_ends(&mut self) {
+        let clock = self.clock;
+        let due = self.unlisted_ends.extract_if(.., |(at, _)| *at <= clock);
+        self.ended.extend(due.map(|(_, ended)| ended));
+    }
+
     /// Advances the endpoint's clock: the lease may expire, and runs complete.
     pub(super) fn advance(&mut self, time: Duration) {
         self.clock += time;
+        self.list_ends();
         if self.clock > self.lease {
             self.last_lapsed = self.next_completion - 1;
             let lapsed: Vec<_> = self.runs.keys().copied().collect();
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -8,6 +8,7 @@
 use super::Cell;
 use super::run_times::PollTimes;
 use crate::Steady;
+use crate::absence;
 use crate::endpoint::{EndReason, Endpoint, PollReply, Running};
 use crate::id::{EndpointId, RunNumber, TaskId};
 use crate::loss::LossCause;
@@ -122,12 +123,10 @@
         let Some(endpoint) = self.endpoints.get(id) else {
             return Duration::ZERO;
         };
-        let is_unsettled = endpoint.runs.keys().any(|&(task, run)| {
-            self.run(task, run)
-                .is_some_and(|r| matches!(r.view.phase, Phase::Unanswered | Phase::Recorded))
-        });
-        if endpoint.polled_at.is_none() || !endpoint.lease_confirmed || is_unsettled {
+        if endpoint.polled_at.is_none() || !endpoint.lease_confirmed {
             Duration::ZERO
+        } else if let Some(time) = self.time_to_decisive_poll(endpoint) {
+            time.min(self.settings.poll_wait_for_ends)
         } else if endpoint
             .runs
             .values()
@@ -141,6 +140,20 @@
         }
     }
 
+    /// Time until a poll shows whether some run exists whose state is unknown; `None` if there is none.
+    fn time_to_decisive_poll(&self, endpoint: &Endpoint) -> Option<Duration> {
+        let unsettled = endpoint.runs.keys().filter_map(|&(task, run)| {
+            let view = &self.run(task, run)?.view;
+            let is_unsettled = matches!(view.phase, Phase::Unanswered | Phase::Recorded)
+                || view.missing_since.is_some();
+            let is_open = view.phase == Phase::Unanswered && view.stop_acked_at.is_none();
+            let from = absence::decisive_from(view, endpoint.known_since).filter(|_| !is_open);
+            is_unsettled.then_some(from.unwrap_or_default())
+        });
+        let earliest = unsettled.min()?;
+        Some(earliest.saturating_sub(self.now.steady))
+    }
+
     /// Whether moves of lasting tasks may depend on this endpoint's next answer: a task of a step
     /// is stopped only when enough of the others are working.
     fn affects_evictions(&self, endpoint: &Endpoint) -> bool {
@@ -208,6 +221,7 @@
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
+        let clock_at_sending = endpoint.clock_at_least_at(answer.sent_at);
         endpoint.update_clock(answer);
         if endpoint.polled_at.is_none() {
             info!(endpoint = %id, running = answer.running.len(), ended = answer.ended.len(),
@@ -217,6 +231,7 @@
         endpoint.is_unresponsive = false;
         endpoint.polled_at = Some(answer.sent_at);
         endpoint.answered_at = Some(answer.answered_at);
+        endpoint.known_since.get_or_insert(answer.answered_at);
         endpoint.lease_confirmed |= answer.lease_requested;
         endpoint.lists_completions = !answer.ended.is_empty();
         self.retract_losses(id);
@@ -224,7 +239,7 @@
         for running in &answer.running {
             self.apply_running(id, running, answer.answered_at);
         }
-        self.resolve_missing(id, answer);
+        self.resolve_missing(id, answer, clock_at_sending);
         self.reject_unanswered(id);
         self.stop_stalled(id, answer);
         self.pace(id, answer);
@@ -279,6 +294,7 @@
             run.view.phase = Phase::Taken { at };
         }
         run.view.loss = None;
+        run.view.missing_since = None;
         let is_first = run.view.seen_at.is_none();
         let seen_at = *run.view.seen_at.get_or_insert(at);
         if is_first {
@@ -371,7 +387,13 @@
     }
 
     /// Resolves runs that are expected at the endpoint but missing from its answer.
-    fn resolve_missing(&mut self, id: &EndpointId, answer: &PollReply) {
+    /// `clock_at_sending` is a lower bound of the endpoint's clock when the poll was sent.
+    fn resolve_missing(
+        &mut self,
+        id: &EndpointId,
+        answer: &PollReply,
+        clock_at_sending: Option<Duration>,
+    ) {
         if answer.ended.len() >= MAX_LISTED_ENDS {
             return;
         }
@@ -385,55 +407,54 @@
             .filter(|key| !listed.contains(key))
             .copied()
             .collect();
+        let known_since = endpoint.known_since;
         for (task, number) in missing {
-            self.resolve_missing_run(task, number, answer);
+            let Some(run) = self.run_mut(task, number) else {
+                continue;
+            };
+            if run.view.seen_at.is_some() {
+                run.view.missing_since.get_or_insert(answer.answered_at);
+            }
+            let decisive_from = absence::decisive_from(&run.view, known_since);
+            let is_decisive = decisive_from.is_some_and(|from| answer.sent_at > from);
+            if is_decisive || absence::is_void(&run.view, clock_at_sending) {
+                self.run_absent(task, number, answer.born);
+            } else {
+                self.reject_start(task, number);
+            }
         }
     }
 
-    /// Resolves a run that is missing from a poll's answer, by how far its start had come.
-    fn resolve_missing_run(&mut self, task: TaskId, number: RunNumber, answer: &PollReply) {
+    /// Gives up a run that certainly isn't at its endpoint, whose incarnation is `born`.
+    fn run_absent(&mut self, task: TaskId, number: RunNumber, born: u64) {
         let Some(run) = self.run(task, number) else {
             return;
         };
-        let view = run.view;
-        match view.phase {
-            Phase::Recorded => {
-                self.run_missing(
-                    task,
-                    number,
-                    LossCause::Missing,
-                    "recorded by a former leader, but not at its endpoint",
-                );
-            }
-            Phase::Taken { at } if answer.sent_at > at => {
-                self.run_missing(
-                    task,
-                    number,
-                    LossCause::Missing,
-                    "accepted, but not at its endpoint",
-                );
-            }
-            Phase::Ordered | Phase::Taken { .. } => {}
-            Phase::Unanswered => {
-                let is_void = view.void_after.is_some_and(|until| answer.clock > until);
-                let is_rejected = view.stop_acked_at.is_some_and(|at| answer.sent_at > at);
-                if is_void || is_rejected {
-                    self.remember_unanswered(task, number, answer.born);
-                    self.run_missing(
-                        task,
-                        number,
-                        LossCause::NotStarted,
-                        "its start was not carried out",
-                    );
-                } else if view.void_after.is_none()
-                    || !self.step(task).is_some_and(|s| s.is_lasting)
-                {
-                    // The stop may arrive before or after the start. Lasting tasks are stopped only
-                    // where the start doesn't become void: if it was carried out, more tasks of the
-                    // step than allowed would be down.
-                    self.stop(task, number, "its start was not answered");
-                }
+        let (cause, why) = match run.view.phase {
+            Phase::Recorded => (
+                LossCause::Missing,
+                "recorded by a former leader, but not at its endpoint",
+            ),
+            Phase::Taken { .. } => (LossCause::Missing, "accepted, but not at its endpoint"),
+            Phase::Ordered | Phase::Unanswered => {
+                (LossCause::NotStarted, "its start was not carried out")
             }
+        };
+        self.remember_unanswered(task, number, born);
+        self.run_missing(task, number, cause, why);
+    }
+
+    /// Has an unanswered start rejected. The stop may arrive before or after the start. Lasting tasks
+    /// are stopped only where the start doesn't become void: if it was carried out, more tasks of the
+    /// step than allowed would be down.
+    fn reject_start(&mut self, task: TaskId, number: RunNumber) {
+        let Some(run) = self.run(task, number) else {
+            return;
+        };
+        let is_lasting = self.step(task).is_some_and(|s| s.is_lasting);
+        let becomes_void = run.view.void_after.is_some();
+        if run.view.phase == Phase::Unanswered && !(is_lasting && becomes_void) {
+            self.stop(task, number, "its start was not answered");
         }
     }
 
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -175,6 +175,8 @@
     pub polled_at: Option<Steady>,
     /// When it last answered a poll.
     pub answered_at: Option<Steady>,
+    /// When this incarnation first answered a poll of this leader.
+    pub known_since: Option<Steady>,
     /// Whether a poll that requested a lease was answered. Before that, only starts hold a lease,
     /// and a short one.
     pub lease_confirmed: bool,
@@ -226,6 +228,7 @@
             lists_completions: false,
             polled_at: None,
             answered_at: None,
+            known_since: None,
             lease_confirmed: false,
             avoided_until: Steady::ZERO,
             is_unresponsive: false,
@@ -278,6 +281,14 @@
         Some(reading.clock + passed.mul_f64(1.0 - MAX_CLOCK_SLOWDOWN))
     }
 
+    /// Lower bound of the endpoint's clock at a past moment; `None` if it wasn't read before.
+    #[must_use]
+    pub fn clock_at_least_at(&self, past: Steady) -> Option<Duration> {
+        let reading = self.reading.filter(|r| r.answered_at <= past)?;
+        let passed = past.saturating_sub(reading.answered_at);
+        Some(reading.clock + passed.mul_f64(1.0 - MAX_CLOCK_SLOWDOWN))
+    }
+
     /// Best estimate of the endpoint's clock at `now` plus `ahead`; `None` if it was never read.
     #[must_use]
     pub fn clock_ahead(&self, now: Steady, ahead: Duration) -> Option<Duration> {
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -27,6 +27,7 @@
 //! * [`speeds`]: speed of endpoints, learned from the progress of runs.
 //! * [`strays`]: runs that endpoints list although they were given up.
 //! * [`suspicion`]: detection of tasks that crash their endpoints.
+//! * [`absence`]: when a run that is missing from an endpoint's answer doesn't exist.
 //! * [`unanswered`]: starts that were given up and may still be carried out.
 //! * [`urgency`]: ordering of waiting jobs.
 //! * [`instances`]: moves of instances, and maintenance in waves.
@@ -40,6 +41,7 @@
 //! * [`cell`]: the scheduler's state, which combines all of these.
 #![forbid(unsafe_code)]
 
+pub mod absence;
 pub mod acks;
 pub mod admission;
 pub mod attempts;
--- a/crates/pomelohitch-sched/src/progress.rs
+++ b/crates/pomelohitch-sched/src/progress.rs
@@ -152,6 +152,8 @@
     pub sent_at: Option<Steady>,
     /// When a poll first listed it as running.
     pub seen_at: Option<Steady>,
+    /// When it was first missing from an answer after it had been listed; `None` while it is listed.
+    pub missing_since: Option<Steady>,
     /// Percentage that the endpoint reported then.
     pub first_percent: u32,
     /// Last percentage that the endpoint reported.
--- a/crates/pomelohitch-sched/src/unanswered.rs
+++ b/crates/pomelohitch-sched/src/unanswered.rs
@@ -14,7 +14,7 @@
 use crate::order::STOP_RESEND_INTERVAL;
 
 /// An unanswered order isn't carried out later than this after it was sent.
-const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
+pub const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
 
 /// A start that was given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/pomelohitch-sched/tests/cell/late_listings.rs
+++ b/crates/pomelohitch-sched/tests/cell/late_listings.rs
@@ -95,3 +95,17 @@
         }
     }
 }
+
+/// Guards against a second run of a task whose run has ended while its end isn't listed yet.
+#[test]
+fn a_task_whose_end_is_listed_late_does_not_run_again() {
+    for delay in LISTING_DELAYS {
+        let mut fleet = fleet(delay);
+        for (number, duration_ms) in (0xb0..).zip(SHORT_TASKS_MS) {
+            let short = job(vec![step(1, 100, 500 + duration_ms)]);
+            fleet.submit(&format!("{number:016x}"), short);
+        }
+        fleet.submit(ID, job(vec![step(1, 500, 500)]));
+        assert_started_once(&mut fleet, &format!("{delay:?}"));
+    }
+}
