fix: a start that an endpoint without power may still carry out isn't repeated elsewhere at once

What callers saw: two runs of a task at a time. A rack without power leaves starts unanswered; its instances are listed as down, and 0.1 s after such a start its task was started elsewhere. An endpoint that is back under its id after a short while reads what lies in its sockets: the start's deadline is a time on the former incarnation's clock, far ahead on the new one. The stop that rejects it comes with the endpoint's entry or its first answer, too late. Class: a proof that holds for one incarnation is used for all that may follow.

An unanswered start keeps its task from starting elsewhere for 2 s after it was sent (5 s for lasting tasks), while its endpoint is gone; the endpoint is polled meanwhile, so that a next incarnation is found as soon as it answers, and the start is then settled as after any other restart. Runs that the endpoint has listed or accepted are lost at once as before, so that a rack's work is made good as fast. An endpoint that returns later than that is told at once to reject the start; one that carries it out before that is still a second run: callers don't wait longer.

The new test fails on the code before (Poll, 400 ms: 2 runs) and passes; the tests of restarts and runs pass, among them the bound on the restart of a lost instance's work.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -537,6 +537,7 @@
             self.housekeeping_at = now.steady;
             self.drop_expired_jobs();
             self.release_expired_leases();
+            self.release_held_starts();
             self.prune_presumed_lost();
             self.unanswered.prune(now.steady);
             self.strays.prune(now.steady);
--- a/crates/pomelohitch-sched/src/cell/lifecycle.rs
+++ b/crates/pomelohitch-sched/src/cell/lifecycle.rs
@@ -8,8 +8,10 @@
 use super::losses::millis;
 use crate::Steady;
 use crate::endpoint::{Endpoint, Report};
-use crate::id::EndpointId;
+use crate::id::{EndpointId, RunNumber, TaskId};
 use crate::loss::LossCause;
+use crate::progress::Phase;
+use crate::unanswered;
 
 impl Cell {
     /// Handles a new or changed entry of the platform's list of endpoints.
@@ -156,15 +158,90 @@
         let Some(endpoint) = self.remove_endpoint(id) else {
             return;
         };
-        let answers = self.answers_of(&endpoint);
-        warn!(endpoint = %id, born = endpoint.born, runs = endpoint.runs.len(), ?cause, why,
+        self.log_gone(id, &endpoint, cause, why, 0);
+        for (task, run, loss) in losses {
+            self.remember_unanswered(task, run, 0);
+            self.run_lost(task, run, loss);
+        }
+    }
+
+    /// Handles that no instance runs an endpoint, which may be back under its id. Its runs are lost,
+    /// except for starts that its next incarnation may still carry out: these are held for a while,
+    /// and the endpoint with them.
+    pub(super) fn endpoint_absent(&mut self, id: &EndpointId, why: &'static str) {
+        let cause = self.end_cause(id);
+        let losses = self.losses_at(id, cause, why);
+        let (held, lost): (Vec<_>, Vec<_>) = losses
+            .into_iter()
+            .partition(|&(task, run, _)| self.is_start_held(task, run));
+        if held.is_empty() {
+            self.endpoint_gone(id, why);
+            return;
+        }
+        let now = self.now.steady;
+        if let Some(endpoint) = self.endpoints.get(id) {
+            self.log_gone(id, endpoint, cause, why, held.len());
+        }
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.gone_since = Some(now);
+        }
+        for (task, run, loss) in held {
+            if let Some(r) = self.run_mut(task, run) {
+                r.view.loss.get_or_insert(loss);
+            }
+        }
+        for (task, run, loss) in lost {
+            self.run_lost(task, run, loss);
+        }
+    }
+
+    fn log_gone(
+        &self,
+        id: &EndpointId,
+        endpoint: &Endpoint,
+        cause: LossCause,
+        why: &'static str,
+        held: usize,
+    ) {
+        let answers = self.answers_of(endpoint);
+        warn!(endpoint = %id, born = endpoint.born, runs = endpoint.runs.len(), held, ?cause, why,
             failures = endpoint.poll.failures, polled_ms = answers.polled.map(millis),
             answered_ms = answers.answered.map(millis), clock_ms = answers.clock.map(millis),
             lease_end_ms = millis(answers.lease_end),
             listed_ms = self.age(self.instances.listed_at()).map(millis), "endpoint gone");
-        for (task, run, loss) in losses {
-            self.remember_unanswered(task, run, 0);
-            self.run_lost(task, run, loss);
+    }
+
+    /// Whether a start was sent so recently, and not answered, that its task waits for what becomes of
+    /// it.
+    fn is_start_held(&self, task: TaskId, run: RunNumber) -> bool {
+        let Some(r) = self.run(task, run) else {
+            return false;
+        };
+        let is_undecided = matches!(r.view.phase, Phase::Ordered | Phase::Unanswered);
+        let is_lasting = self.step(task).is_some_and(|s| s.is_lasting);
+        let hold = unanswered::hold(is_lasting);
+        let is_recent = |at: Steady| self.now.steady <= at + hold;
+        is_undecided && r.view.sent_at.is_some_and(is_recent)
+    }
+
+    /// Gives up the held starts whose time has passed, and removes their endpoints.
+    pub(super) fn release_held_starts(&mut self) {
+        let gone: Vec<_> = self
+            .all_endpoints()
+            .filter(|(_, e)| e.gone_since.is_some())
+            .map(|(id, e)| (id.clone(), e.runs.keys().copied().collect::<Vec<_>>()))
+            .collect();
+        for (id, runs) in gone {
+            let due = runs
+                .into_iter()
+                .filter(|&(task, run)| !self.is_start_held(task, run));
+            for (task, run) in due.collect::<Vec<_>>() {
+                self.remember_unanswered(task, run, 0);
+                self.run_missing(task, run, LossCause::Crash, "its endpoint is still gone");
+            }
+            if self.endpoints.get(&id).is_some_and(|e| e.runs.is_empty()) {
+                self.remove_endpoint(&id);
+            }
         }
     }
 
--- a/crates/pomelohitch-sched/src/cell/operations.rs
+++ b/crates/pomelohitch-sched/src/cell/operations.rs
@@ -47,7 +47,7 @@
             self.endpoint_gone(&endpoint, "its instance runs another endpoint");
         }
         for endpoint in self.silent_and_absent(asked_at) {
-            self.endpoint_gone(&endpoint, "no listed instance runs it");
+            self.endpoint_absent(&endpoint, "no listed instance runs it");
         }
     }
 
@@ -75,6 +75,7 @@
             let was_silent = e.answered_at.is_none_or(|at| at + MIN_SILENCE < asked_at);
             let is_known = e.is_known_for(asked_at, MIN_SILENCE);
             was_silent
+                && e.gone_since.is_none()
                 && is_known
                 && e.poll.failures > 0
                 && asked_at > self.leader_since + MIN_SILENCE
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -229,6 +229,7 @@
         }
         let times = PollTimes::new(endpoint, answer);
         endpoint.is_unresponsive = false;
+        endpoint.gone_since = None;
         endpoint.polled_at = Some(answer.sent_at);
         endpoint.answered_at = Some(answer.answered_at);
         endpoint.known_since.get_or_insert(answer.answered_at);
--- a/crates/pomelohitch-sched/src/cell/schedule.rs
+++ b/crates/pomelohitch-sched/src/cell/schedule.rs
@@ -199,6 +199,7 @@
         let now = self.now.steady;
         let report = endpoint.report.as_ref();
         endpoint.is_listed
+            && endpoint.gone_since.is_none()
             && !endpoint.is_reserved
             && !endpoint.is_overcommitted()
             && !self.is_evacuated(endpoint)
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -155,6 +155,8 @@
     pub born: u64,
     /// When the leader learned of this incarnation, if it replaced another one under the same id.
     pub restarted_at: Option<Steady>,
+    /// Since when no instance runs it, while it is kept for the starts that it has left unanswered.
+    pub gone_since: Option<Steady>,
     /// Whether the platform's list contains it now.
     pub is_listed: bool,
     /// Allocated resources, including those of runs that are being stopped or may be running.
@@ -218,6 +220,7 @@
             report: None,
             born,
             restarted_at: None,
+            gone_since: None,
             is_listed: false,
             used: Resources::default(),
             work: 0,
--- a/crates/pomelohitch-sched/src/unanswered.rs
+++ b/crates/pomelohitch-sched/src/unanswered.rs
@@ -16,6 +16,22 @@
 /// An unanswered order isn't carried out later than this after it was sent.
 pub const MAX_ORDER_DELAY: Duration = Duration::from_secs(15);
 
+/// An ordinary task isn't started again for this long after a start that its endpoint, whose instance
+/// is down, has left unanswered: the endpoint may be back under its id and carry the start out.
+const ORDINARY_HOLD: Duration = Duration::from_secs(2);
+/// The same for a lasting task, for which callers wait longer.
+const LASTING_HOLD: Duration = Duration::from_secs(5);
+
+/// How long after an unanswered start its task isn't started elsewhere, while the endpoint is gone.
+#[must_use]
+pub fn hold(is_lasting: bool) -> Duration {
+    if is_lasting {
+        LASTING_HOLD
+    } else {
+        ORDINARY_HOLD
+    }
+}
+
 /// A start that was given up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Start {
--- a/crates/pomelohitch-sched/tests/cell/restarts.rs
+++ b/crates/pomelohitch-sched/tests/cell/restarts.rs
@@ -268,3 +268,31 @@
     }
     assert_eq!(violations, []);
 }
+
+/// Guards against a second run while an endpoint without power may still be back under its id and
+/// carry out the start that it left unanswered.
+#[test]
+fn a_start_that_an_endpoint_carries_out_after_a_short_loss_of_power_is_the_only_run() {
+    for step in [ordinary(), lasting()] {
+        for first in [First::Entry, First::Poll] {
+            for carried_out_after_ms in [400, 900, 1_500] {
+                let case = format!("{first:?}, {carried_out_after_ms} ms");
+                let mut fleet = Fleet::new(1);
+                fleet.advance(300);
+                fleet.faults.orders_late = Duration::from_millis(carried_out_after_ms);
+                fleet.submit(ID, job(vec![step.clone()]));
+                fleet.advance(5);
+                fleet.faults.orders_late = Duration::ZERO;
+                fleet.add("e1", 1);
+                fleet.list_endpoints();
+                fleet.cut_power("e0");
+                let until_back_ms = carried_out_after_ms - 100;
+                fleet.advance(u32::try_from(until_back_ms / 10).expect("it fits"));
+                restart(&mut fleet, first);
+                fleet.advance(500);
+                assert_eq!(running(&fleet), 1, "{case}");
+                assert_eq!(fleet.violations, Vec::<String>::new(), "{case}");
+            }
+        }
+    }
+}
