test: lists of instances that lag, come out of order, have gaps or omit an endpoint that drains

(1) An endpoint with a run that no list shows yet is given up after one lost or reset poll, or a suspension of a second, however the list shows its instance: missing, down, without an endpoint, or with the one before. The task then has two runs. (2) A list that was asked for earlier replaces a newer one; a list from an older state ends the runs of an endpoint that answers polls, without any failed poll. (3) A list that lacks an instance once and a lost poll end its runs; one that shows it twice ends them without a lost poll. (4) The same for an endpoint that drains and isn't listed any more. (5) An operation counts as over by a list that still shows the state before it: the endpoint that was taken down, added again by its entry in the store, gets a start. An instance is maintained under the work of an endpoint that no list shows yet, because the list's one is empty.

The emulator shows another list than the present one on request, and loses or resets single polls.

--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -96,6 +96,10 @@
     pub reads_entries: bool,
     /// Whether the list of instances is unavailable.
     pub hides_instances: bool,
+    /// What the list of instances shows, if it isn't the present.
+    pub shown_instances: Option<BTreeMap<Arc<str>, Instance>>,
+    /// Number of lists of instances read.
+    pub lists_read: usize,
     /// Whether operations on instances take effect; otherwise they are only recorded.
     pub applies_operations: bool,
     /// Instances that come back up: time, instance, pool.
@@ -255,6 +259,8 @@
             evacuated: BTreeMap::new(),
             reads_entries: true,
             hides_instances: false,
+            shown_instances: None,
+            lists_read: 0,
             applies_operations: false,
             returning: Vec::new(),
             last_index: 100,
@@ -350,13 +356,7 @@
         report.born += 1;
         *endpoint = Endpoint::new(report);
         endpoint.clock = Duration::ZERO;
-        let interrupted = self
-            .polls
-            .extract_if(.., |poll| &*poll.order.target.id == id);
-        for poll in interrupted.collect::<Vec<_>>() {
-            let target = &poll.order.target;
-            self.cell.polled(target, Err(PollFailure::Failed));
-        }
+        self.reset_polls(id);
     }
 
     /// Cuts the power of an endpoint's instance: its runs are gone, and the platform lists the
--- a/crates/pomelohitch-emulator/src/fleet/orders.rs
+++ b/crates/pomelohitch-emulator/src/fleet/orders.rs
@@ -37,7 +37,9 @@
                 }
                 Action::ListInstances if self.hides_instances => self.cell.instances_unlisted(),
                 Action::ListInstances => {
-                    let list = self.instances.values().cloned().collect();
+                    self.lists_read += 1;
+                    let shown = self.shown_instances.as_ref().unwrap_or(&self.instances);
+                    let list = shown.values().cloned().collect();
                     self.decide(|cell, now| cell.instances_listed(list, now.steady));
                 }
                 Action::Operate {
--- a/crates/pomelohitch-emulator/src/fleet/polls.rs
+++ b/crates/pomelohitch-emulator/src/fleet/polls.rs
@@ -23,6 +23,25 @@
         });
     }
 
+    /// Resets the connections of the polls in flight to an endpoint: they fail at once.
+    pub fn reset_polls(&mut self, id: &str) {
+        let interrupted = self
+            .polls
+            .extract_if(.., |poll| &*poll.order.target.id == id);
+        for poll in interrupted.collect::<Vec<_>>() {
+            let target = &poll.order.target;
+            self.cell.polled(target, Err(PollFailure::Failed));
+        }
+    }
+
+    /// Loses the answers of the polls in flight to an endpoint: they time out.
+    pub fn lose_polls(&mut self, id: &str) {
+        let polls = self.polls.iter_mut();
+        for poll in polls.filter(|p| &*p.order.target.id == id) {
+            poll.is_lost = true;
+        }
+    }
+
     pub(super) fn process_polls(&mut self) {
         let mut waiting = Vec::new();
         for mut poll in std::mem::take(&mut self.polls) {
--- a/crates/pomelohitch-sched/tests/cell.rs
+++ b/crates/pomelohitch-sched/tests/cell.rs
@@ -12,6 +12,8 @@
 mod crashes;
 #[path = "cell/evacuation.rs"]
 mod evacuation;
+#[path = "cell/instance_lists.rs"]
+mod instance_lists;
 #[path = "cell/leaders.rs"]
 mod leaders;
 #[path = "cell/links.rs"]
