fix: an endpoint's own answers outweigh a list of instances

What callers could see: a task with two runs at once. The leader gave up the runs of an endpoint that worked and started them elsewhere.

Cause: a list was taken for the present and for whole. An endpoint that some instance ran in the list before and that differs now was gone at once, answers or not; one that no instance runs was gone after one failed poll and 300 ms without an answer, which a held poll brings anyway.

Now an instance's next endpoint ends none with runs by itself. A list ends the runs of a silent endpoint in two ways. (1) It shows the endpoint's instance as down, without an endpoint, and the endpoint has been up for longer than a list may be old (5 s by its own clock): whichever moment the list is of, the endpoint had started before, so it has ended. One list, one failed poll and 300 ms of silence suffice, as before. This is better evidence than the absence of an instance or another endpoint on it, and an endpoint that drains is left out, since it may be shown so while it works. (2) Otherwise two lists in a row, at least 200 ms apart, lack it, both requested after its last answer, at least two polls in a row failed, and it has been silent for a suspension of a second and two polls with their retry delays: 1.8 s where tasks end by themselves, 2.8 s where all last, 1.4 s after a change of leader. Leases (6 s) settle the rest.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -274,6 +274,8 @@
     /// Ended jobs by end, to be dropped after the retention.
     ended_jobs: BTreeSet<Due>,
     instances: Instances,
+    /// Endpoints with runs that the newest lists of instances lack.
+    absences: BTreeMap<EndpointId, operations::Absence>,
     /// Plan of each open wave.
     wave_plans: BTreeMap<u64, waves::WavePlan>,
     evacuations: Evacuations,
@@ -443,6 +445,7 @@
             due_occurrences: BTreeSet::new(),
             ended_jobs: BTreeSet::new(),
             instances: Instances::default(),
+            absences: BTreeMap::new(),
             wave_plans: BTreeMap::new(),
             evacuations: Evacuations::default(),
             avoidance: Avoidance::default(),
--- a/crates/pomelohitch-sched/src/cell/operations.rs
+++ b/crates/pomelohitch-sched/src/cell/operations.rs
@@ -1,6 +1,6 @@
 //! The list of instances, and operations on instances: maintenance and moves between pools.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use tracing::{info, warn};
@@ -24,9 +24,23 @@
 const LIST_BANDWIDTH_SHARE: f64 = 0.1;
 /// Upper bound of the difference between the fleet's time as two successive leaders know it.
 const MAX_FLEET_TIME_DIFFERENCE: Duration = Duration::from_millis(2500);
-/// A list shows whether a silent endpoint still exists if it was requested at least this long after
-/// the endpoint's last answer.
+/// A list that shows an endpoint's instance as down proves that the endpoint has ended if it was
+/// requested at least this long after the endpoint's last answer.
 const MIN_SILENCE: Duration = Duration::from_millis(300);
+/// Time for which an endpoint may be suspended without counting as ended by lists that lack it.
+const MAX_SUSPENSION: Duration = Duration::from_secs(1);
+/// Minimum time between two lists that lack an endpoint, which an instance that moves from one page to another while
+/// they are read isn't missing from twice.
+const MIN_LIST_SPACING: Duration = Duration::from_millis(200);
+
+/// An endpoint with runs that the newest lists of instances lack.
+#[derive(Debug, Clone)]
+pub(super) struct Absence {
+    /// When the first of these lists was requested, if the endpoint hasn't answered since.
+    since: Steady,
+    /// The instance that last ran it, if a list showed one.
+    instance: Option<InstanceId>,
+}
 
 impl Cell {
     /// Handles the platform's list of instances, which was requested at `asked_at`.
@@ -38,15 +52,21 @@
                     ?before, endpoint = ?instance.endpoint, "instance state changed");
             }
         }
+        let hosts = self.instances.hosts();
         let replaced = self.instances.update_list(list, asked_at);
         match self.instances.record_leaving(self.draining_instances()) {
             Ok(records) => self.extra_records.extend(records),
             Err(error) => warn!(%error, "failed to encode record of leaving instances"),
         }
-        for endpoint in replaced {
-            self.endpoint_gone(&endpoint, "its instance runs another endpoint");
+        for id in replaced {
+            // One with runs, or one that answers, is gone only if it is silent for long enough.
+            let endpoint = self.endpoints.get(&id);
+            if endpoint.is_some_and(|e| e.runs.is_empty() && e.poll.failures > 0) {
+                self.endpoint_gone(&id, "its instance runs another endpoint");
+            }
         }
-        for endpoint in self.silent_and_absent(asked_at) {
+        self.update_absences(&hosts, asked_at);
+        for endpoint in self.ended_endpoints(asked_at) {
             self.endpoint_gone(&endpoint, "no listed instance runs it");
         }
     }
@@ -61,27 +81,79 @@
         draining.map(|i| i.id.clone()).collect()
     }
 
-    /// Endpoints that don't answer and that no instance of the list requested at `asked_at` runs.
-    ///
-    /// The list shows within a second that an instance crashed or was switched off, while the
-    /// leases of its runs take much longer to expire. An instance that is only unreachable stays in
-    /// the list with its endpoint.
-    fn silent_and_absent(&self, asked_at: Steady) -> Vec<EndpointId> {
-        let alive: BTreeSet<_> = self
+    /// Updates which endpoints with runs the list requested at `asked_at` lacks. `hosts` are the
+    /// instances that ran endpoints by the list before.
+    fn update_absences(&mut self, hosts: &BTreeMap<EndpointId, InstanceId>, asked_at: Steady) {
+        let listed: BTreeSet<_> = self
             .all_instances()
             .filter_map(|i| i.endpoint.as_ref())
             .collect();
-        let is_silent = |e: &Endpoint| {
-            let was_silent = e.answered_at.is_none_or(|at| at + MIN_SILENCE < asked_at);
-            let is_known = e.is_known_for(asked_at, MIN_SILENCE);
-            was_silent
-                && is_known
-                && e.poll.failures > 0
-                && asked_at > self.leader_since + MIN_SILENCE
-        };
         let used = self.all_endpoints().filter(|(_, e)| !e.runs.is_empty());
-        let gone = used.filter(|(id, e)| is_silent(e) && !alive.contains(*id));
-        gone.map(|(id, _)| id.clone()).collect()
+        let absent = used.filter(|(id, _)| !listed.contains(*id));
+        let absences = absent.map(|(id, endpoint)| {
+            let before = self.absences.get(id);
+            let since = before
+                .map(|b| b.since)
+                .filter(|&at| endpoint.is_silent_since(at));
+            let instance = hosts.get(id).or(before.and_then(|b| b.instance.as_ref()));
+            let absence = Absence {
+                since: since.unwrap_or(asked_at),
+                instance: instance.cloned(),
+            };
+            (id.clone(), absence)
+        });
+        self.absences = absences.collect();
+    }
+
+    /// Endpoints with runs that have certainly ended, since they don't answer and no instance of the
+    /// list requested at `asked_at` runs them.
+    ///
+    /// The list shows within a second that an instance crashed or was switched off, while the
+    /// leases of its runs take much longer to expire. An instance that is only unreachable stays in
+    /// the list with its endpoint. A list may show an older state, have gaps, or leave out an
+    /// endpoint that is about to leave, so that one list and one failed poll prove little.
+    fn ended_endpoints(&self, asked_at: Steady) -> Vec<EndpointId> {
+        let ended = self.absences.iter().filter(|(id, absence)| {
+            let endpoint = self.endpoints.get(*id);
+            endpoint.is_some_and(|e| self.has_ended(e, absence, asked_at))
+        });
+        ended.map(|(id, _)| id.clone()).collect()
+    }
+
+    fn has_ended(&self, endpoint: &Endpoint, absence: &Absence, asked_at: Steady) -> bool {
+        let answered_at = endpoint.answered_at.max(endpoint.restarted_at);
+        let silent_since = answered_at.unwrap_or_default().max(self.leader_since);
+        let silence = asked_at.saturating_sub(silent_since);
+        if self.is_known_down(endpoint, absence, asked_at) {
+            return silence > MIN_SILENCE && endpoint.poll.failures > 0;
+        }
+        let is_repeated = asked_at >= absence.since + MIN_LIST_SPACING;
+        silence > self.unlisted_silence(endpoint) && endpoint.poll.failures > 1 && is_repeated
+    }
+
+    /// Silence after which an endpoint that no instance runs has ended: the suspension that it may
+    /// have, with the polls before and after it that it holds, each repeated once.
+    fn unlisted_silence(&self, endpoint: &Endpoint) -> Duration {
+        let hold = if endpoint.polled_at.is_none() {
+            Duration::ZERO
+        } else if endpoint.runs.len() > endpoint.lasting_runs {
+            self.settings.poll_wait_for_ends
+        } else {
+            self.settings.poll_wait
+        };
+        MAX_SUSPENSION + (hold + self.settings.poll_retry_delay) * 2
+    }
+
+    /// Whether the list requested at `asked_at` shows the endpoint's instance as down, and is of a
+    /// later moment than the endpoint's start.
+    fn is_known_down(&self, endpoint: &Endpoint, absence: &Absence, asked_at: Steady) -> bool {
+        let instance = absence.instance.as_ref();
+        let instance = instance.and_then(|id| self.instances.list().get(id));
+        let is_down =
+            instance.is_some_and(|i| i.state != InstanceState::Up && i.endpoint.is_none());
+        let is_draining = endpoint.report.as_ref().is_some_and(|r| r.is_draining);
+        let uptime = endpoint.clock_at_least(asked_at);
+        is_down && !is_draining && uptime.is_some_and(|uptime| uptime > instances::MAX_LIST_AGE)
     }
 
     /// Whether some endpoint with runs doesn't answer.
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -323,6 +323,14 @@
             .is_some_and(|at| now.saturating_sub(at) <= window)
     }
 
+    /// Whether this incarnation hasn't answered a poll since `at`.
+    #[must_use]
+    pub fn is_silent_since(&self, at: Steady) -> bool {
+        self.answered_at
+            .max(self.restarted_at)
+            .is_none_or(|last| last < at)
+    }
+
     /// Rack, the second label.
     #[must_use]
     pub fn rack(&self) -> Option<&str> {
--- a/crates/pomelohitch-sched/src/instances.rs
+++ b/crates/pomelohitch-sched/src/instances.rs
@@ -138,6 +138,8 @@
     moving: BTreeSet<InstanceId>,
 }
 
+/// Largest age of the state that a list shows, counted from the request.
+pub const MAX_LIST_AGE: Duration = Duration::from_secs(5);
 /// A list requested less than this after the outcome of an operation was known may not reflect the
 /// operation yet.
 const LIST_LAG: Duration = Duration::from_millis(300);
@@ -226,6 +228,16 @@
         progress::encode(key, &fleet_ms).map(Some)
     }
 
+    /// The instances that run endpoints by the newest list.
+    #[must_use]
+    pub fn hosts(&self) -> BTreeMap<EndpointId, InstanceId> {
+        let running = self
+            .list
+            .values()
+            .filter_map(|i| Some((i.endpoint.clone()?, i.id.clone())));
+        running.collect()
+    }
+
     /// Processes the platform's list, which was requested at `asked_at`.
     ///
     /// Returns the endpoints that have ended, because other endpoints now run on their instances.
