fix: a list of instances that was requested earlier doesn't replace a newer one

Cause: the time of the request was recorded, not compared. The daemon reads lists one after another, so that only a later design would have met this; endpoints of the newer list counted as replaced, and their absences as later ones.

Before: `an_older_list_does_not_replace_a_newer_one` failed; after: it passes.

--- a/crates/pomelohitch-sched/src/cell/operations.rs
+++ b/crates/pomelohitch-sched/src/cell/operations.rs
@@ -45,6 +45,10 @@
 impl Cell {
     /// Handles the platform's list of instances, which was requested at `asked_at`.
     pub fn instances_listed(&mut self, list: Vec<Instance>, asked_at: Steady) {
+        if self.instances.is_outdated(asked_at) {
+            self.instances.list_failed();
+            return;
+        }
         for instance in &list {
             let before = self.instances.list().get(&instance.id).map(|i| i.state);
             if before.is_some_and(|state| state != instance.state) {
--- a/crates/pomelohitch-sched/src/instances.rs
+++ b/crates/pomelohitch-sched/src/instances.rs
@@ -238,10 +238,19 @@
         running.collect()
     }
 
+    /// Whether a list requested at `asked_at` is older than the newest one.
+    #[must_use]
+    pub fn is_outdated(&self, asked_at: Steady) -> bool {
+        self.listed_at.is_some_and(|at| asked_at < at)
+    }
+
     /// Processes the platform's list, which was requested at `asked_at`.
     ///
-    /// Returns the endpoints that have ended, because other endpoints now run on their instances.
+    /// Returns the endpoints whose instances now run other endpoints. An outdated list has no effect.
     pub fn update_list(&mut self, list: Vec<Instance>, asked_at: Steady) -> Vec<EndpointId> {
+        if self.is_outdated(asked_at) {
+            return Vec::new();
+        }
         let list: BTreeMap<_, _> = list.into_iter().map(|i| (i.id.clone(), i)).collect();
         let replaced = self.list.values().filter_map(|before| {
             let now = list.get(&before.id)?.endpoint.as_ref()?;
