fix: an endpoint whose instance was taken down gets no work

Cause: when the platform accepts an operation, the leader drops the endpoint, but its entry stays in the store until the platform removes it; the next change of the entry adds the endpoint again.

Now an endpoint stays reserved for as long as a list may be old after the platform accepted the operation, unless it has another incarnation.

Before: `an_endpoint_whose_instance_was_taken_down_gets_no_work` failed with a start there; after: it passes.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -276,6 +276,9 @@
     instances: Instances,
     /// Endpoints with runs that the newest lists of instances lack.
     absences: BTreeMap<EndpointId, operations::Absence>,
+    /// Endpoints whose instances were taken down by operations, with their incarnations and when the
+    /// platform accepted the operations.
+    taken_down: BTreeMap<EndpointId, (u64, Steady)>,
     /// Plan of each open wave.
     wave_plans: BTreeMap<u64, waves::WavePlan>,
     evacuations: Evacuations,
@@ -446,6 +449,7 @@
             ended_jobs: BTreeSet::new(),
             instances: Instances::default(),
             absences: BTreeMap::new(),
+            taken_down: BTreeMap::new(),
             wave_plans: BTreeMap::new(),
             evacuations: Evacuations::default(),
             avoidance: Avoidance::default(),
--- a/crates/pomelohitch-sched/src/cell/operations.rs
+++ b/crates/pomelohitch-sched/src/cell/operations.rs
@@ -179,9 +179,13 @@
         info!(instance = %id, ?operation, ?outcome, "operation on instance ended");
         if outcome == OperationOutcome::Taken
             && let Some(id) = self.instances.endpoint_before(id)
-            && self.endpoints.get(&id).is_some_and(|e| e.runs.is_empty())
+            && let Some(endpoint) = self.endpoints.get(&id)
         {
-            self.endpoint_gone(&id, "its instance was taken down");
+            self.taken_down
+                .insert(id.clone(), (endpoint.born, self.now.steady));
+            if endpoint.runs.is_empty() {
+                self.endpoint_gone(&id, "its instance was taken down");
+            }
         }
         let wave = match operation {
             Operation::Maintain { wave } => Some(*wave),
@@ -233,6 +237,7 @@
         // An endpoint whose instance is being operated on may still appear free in the lists; a
         // start on it would be lost.
         reserved.extend(self.instances.endpoints_under_way());
+        reserved.extend(self.taken_down_endpoints());
         let due_endpoints: BTreeSet<_> = due_instances
             .iter()
             .filter_map(|id| self.endpoint_on(id))
@@ -240,6 +245,21 @@
         self.mark_endpoints(&reserved, &due_endpoints);
     }
 
+    /// Endpoints whose instances were taken down. Their entries may still be in the store, and a list
+    /// from before the operation may still show them.
+    fn taken_down_endpoints(&mut self) -> Vec<EndpointId> {
+        let now = self.now.steady;
+        self.taken_down
+            .retain(|_, (_, at)| now <= *at + instances::MAX_LIST_AGE);
+        let is_same = |id: &EndpointId, born: u64| {
+            let endpoint = self.endpoints.get(id);
+            endpoint.is_some_and(|e| e.born == born)
+        };
+        let taken_down = self.taken_down.iter();
+        let taken_down = taken_down.filter(|(id, (born, _))| is_same(id, *born));
+        taken_down.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Sets which endpoints are reserved, and which are due for maintenance.
     fn mark_endpoints(
         &mut self,
