fix: an instance isn't taken down under an endpoint that no list shows yet

What callers could see: work lost to a move or to maintenance. Cause: an instance counts as empty if the endpoint that the list shows has no runs. If that one crashed and the instance has another that no list shows yet, the next one's work was terminated.

Now the endpoint that the list shows also has to answer polls, or to have been silent for longer than a list may be old, so that an unreachable instance is still maintained.

Before: `an_instance_is_not_taken_down_under_an_endpoint_that_no_list_shows_yet` failed; after: it passes.

--- a/crates/pomelohitch-sched/src/cell/operations.rs
+++ b/crates/pomelohitch-sched/src/cell/operations.rs
@@ -301,11 +301,23 @@
             return false;
         }
         match &instance.endpoint {
-            Some(id) => self.endpoints.get(id).is_some_and(|e| e.runs.is_empty()),
+            Some(id) => self
+                .endpoints
+                .get(id)
+                .is_some_and(|e| e.runs.is_empty() && self.is_current_endpoint(e)),
             None => self.is_switched_off(&instance.pool),
         }
     }
 
+    /// Whether an endpoint that the list shows is still the one on its instance: it answers, or has
+    /// been silent for so long that the list would show another one.
+    fn is_current_endpoint(&self, endpoint: &Endpoint) -> bool {
+        let now = self.now.steady;
+        let silent_since = endpoint.answered_at.unwrap_or(self.leader_since);
+        endpoint.has_answered_within(now, self.settings.max_silence)
+            || now > silent_since + self.settings.poll_wait + instances::MAX_LIST_AGE
+    }
+
     /// Whether a pool is a spare pool, whose instances are switched off and run no endpoints.
     pub(super) fn is_switched_off(&self, pool: &ServiceName) -> bool {
         let services = self.cfg.as_ref().map(|c| &c.services);
