--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -275,6 +275,11 @@
     /// Ended jobs by end, to be dropped after the retention.
     ended_jobs: BTreeSet<Due>,
     instances: Instances,
+    /// Endpoints with runs that the newest lists of instances lack.
+    absences: BTreeMap<EndpointId, operations::Absence>,
+    /// Endpoints whose instances were taken down by operations, with their incarnations and when the
+    /// platform accepted the operations.
+    taken_down: BTreeMap<EndpointId, (u64, Steady)>,
     /// Plan of each open wave.
     wave_plans: BTreeMap<u64, waves::WavePlan>,
     evacuations: Evacuations,
@@ -445,6 +450,8 @@
             due_occurrences: BTreeSet::new(),
             ended_jobs: BTreeSet::new(),
             instances: Instances::default(),
+            absences: BTreeMap::new(),
+            taken_down: BTreeMap::new(),
             wave_plans: BTreeMap::new(),
             evacuations: Evacuations::default(),
             avoidance: Avoidance::default(),
--- a/crates/pomelohitch-sched/src/instances.rs
+++ b/crates/pomelohitch-sched/src/instances.rs
@@ -138,6 +138,8 @@
     moving: BTreeSet<InstanceId>,
 }
 
+/// Largest age of the state that a list shows, counted from the request.
+pub const MAX_LIST_AGE: Duration = Duration::from_secs(5);
 /// A list requested less than this after the outcome of an operation was known may not reflect the
 /// operation yet.
 const LIST_LAG: Duration = Duration::from_millis(300);
@@ -226,10 +228,29 @@
         progress::encode(key, &fleet_ms).map(Some)
     }
 
+    /// The instances that run endpoints by the newest list.
+    #[must_use]
+    pub fn hosts(&self) -> BTreeMap<EndpointId, InstanceId> {
+        let running = self
+            .list
+            .values()
+            .filter_map(|i| Some((i.endpoint.clone()?, i.id.clone())));
+        running.collect()
+    }
+
+    /// Whether a list requested at `asked_at` is older than the newest one.
+    #[must_use]
+    pub fn is_outdated(&self, asked_at: Steady) -> bool {
+        self.listed_at.is_some_and(|at| asked_at < at)
+    }
+
     /// Processes the platform's list, which was requested at `asked_at`.
     ///
-    /// Returns the endpoints that have ended, because other endpoints now run on their instances.
+    /// Returns the endpoints whose instances now run other endpoints. An outdated list has no effect.
     pub fn update_list(&mut self, list: Vec<Instance>, asked_at: Steady) -> Vec<EndpointId> {
+        if self.is_outdated(asked_at) {
+            return Vec::new();
+        }
         let list: BTreeMap<_, _> = list.into_iter().map(|i| (i.id.clone(), i)).collect();
         let replaced = self.list.values().filter_map(|before| {
             let now = list.get(&before.id)?.endpoint.as_ref()?;
