test: repeated submissions of jobs that have ended

A leader that can't decode the record of an ended job takes the repetition for a new job: 8 starts in place of 4. One that can't decode the record of a job's progress restores the job as if it hadn't begun: its 4 done tasks start again, without any repetition, and the running one beside its run. Both need a record of another version of the daemon.

--- a/crates/pomelohitch-sched/tests/cell/calls.rs
+++ b/crates/pomelohitch-sched/tests/cell/calls.rs
@@ -8,7 +8,7 @@
 use pomelohitch_sched::order::{Action, Answer};
 use pomelohitch_sched::progress::JobState;
 
-use super::fleet::{Fleet, job, step};
+use super::fleet::{Fleet, STEP, job, step};
 
 const ID: &str = "00000000000000a1";
 
@@ -212,3 +212,54 @@
         }]
     ));
 }
+
+/// Guards against running tasks again that have ended, when a request is repeated after its answer.
+#[test]
+fn a_repeated_submission_of_an_ended_job_starts_nothing() {
+    let mut fleet = Fleet::new(2);
+    let draft = job(vec![step(2, 500, 100)]);
+    fleet.submit(ID, draft.clone());
+    fleet.advance(60);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    let retention = fleet.settings.job_retention;
+    let steps = u32::try_from(retention.as_millis() / STEP.as_millis()).expect("a few minutes");
+    for _ in 0..10 {
+        let repeated = fleet.submit(ID, draft.clone());
+        let confirmed = fleet.call(&format!("/q/{ID}"), Verb::Confirm);
+        fleet.advance(5);
+        assert_eq!(fleet.replies[&repeated], Answer::Accepted);
+        assert_eq!(fleet.replies[&confirmed], Answer::Accepted);
+        fleet.advance(steps / 10 - 20);
+    }
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    assert_eq!(fleet.starts.len(), 2);
+    fleet.assert_invariants();
+}
+
+/// Guards against running the tasks of a job again that has failed or was cancelled, when the request
+/// that submitted it is repeated.
+#[test]
+fn a_repeated_submission_of_a_failed_or_cancelled_job_starts_nothing() {
+    let mut fleet = Fleet::new(1);
+    let draft = job(vec![step(2, 500, 50)]);
+    let failed = "00000000000000a2";
+    fleet.endpoint("e0").fails = true;
+    fleet.submit(failed, draft.clone());
+    fleet.advance(600);
+    fleet.endpoint("e0").fails = false;
+    let long = job(vec![step(2, 500, 100_000)]);
+    fleet.submit(ID, long);
+    fleet.advance(20);
+    fleet.call(&format!("/q/{ID}"), Verb::Cancel);
+    fleet.advance(20);
+    let states = [(ID, JobState::Cancelled), (failed, JobState::Failed)];
+    let starts = fleet.starts.len();
+    for (id, state) in states {
+        assert_eq!(fleet.state(id), Answer::State(state));
+        let repeated = fleet.submit(id, draft.clone());
+        fleet.advance(200);
+        assert_eq!(fleet.replies[&repeated], Answer::Accepted);
+        assert_eq!(fleet.state(id), Answer::State(state));
+    }
+    assert_eq!(fleet.starts.len(), starts);
+}
--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -6,7 +6,7 @@
 use pomelohitch_sched::cell::calls::{Draft, Verb};
 use pomelohitch_sched::config::Service;
 use pomelohitch_sched::instances::Wave;
-use pomelohitch_sched::job::Repeat;
+use pomelohitch_sched::job::{Repeat, StepSpec};
 use pomelohitch_sched::order::Answer;
 use pomelohitch_sched::progress::JobState;
 use pomelohitch_sched::{Cell, Settings};
@@ -430,6 +430,63 @@
     assert!(!fleet.log.keys().any(|key| key.ends_with(ID)));
 }
 
+/// Guards against running a task again whose end isn't recorded yet, when its submission is repeated
+/// at a leader that has just been elected.
+#[test]
+fn a_submission_repeated_at_a_new_leader_starts_no_task_that_has_ended() {
+    let draft = job(vec![step(4, 500, 50)]);
+    for steps_before in 0..40 {
+        let mut fleet = Fleet::new(2);
+        fleet.advance(40);
+        fleet.log_delay = Duration::from_millis(100);
+        let first = fleet.submit(ID, draft.clone());
+        fleet.advance(12 + steps_before);
+        let is_accepted = fleet.replies.get(&first) == Some(&Answer::Accepted);
+        fleet.change_leader();
+        let repeated = fleet.submit(ID, draft.clone());
+        fleet.advance(100);
+        assert!(is_accepted, "{steps_before}");
+        assert_eq!(fleet.replies[&repeated], Answer::Accepted);
+        assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+        assert_eq!(fleet.starts.len(), 4, "{steps_before}");
+        fleet.assert_invariants();
+    }
+}
+
+/// Guards against running a job again that has ended, by a leader that couldn't decode its record and
+/// takes a repeated submission for a new one.
+#[test]
+fn a_leader_that_skipped_the_record_of_an_ended_job_does_not_run_it_again() {
+    let mut fleet = Fleet::new(2);
+    let draft = job(vec![step(4, 500, 50)]);
+    fleet.submit(ID, draft.clone());
+    fleet.advance(100);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    change_to_leader_that_skips(&mut fleet, &format!("e{ID}"));
+    fleet.list_endpoints();
+    fleet.submit(ID, draft);
+    fleet.advance(100);
+    assert_eq!(fleet.starts.len(), 4);
+}
+
+/// Guards against running tasks again that have ended, by a leader that couldn't decode the record of
+/// their job's progress.
+#[test]
+fn a_leader_that_skipped_a_jobs_progress_does_not_run_its_done_tasks_again() {
+    let mut fleet = Fleet::new(2);
+    let second = StepSpec {
+        after: vec![0],
+        ..step(1, 500, 100_000)
+    };
+    fleet.submit(ID, job(vec![step(4, 500, 50), second]));
+    fleet.advance(60);
+    assert_eq!(fleet.starts.len(), 5);
+    change_to_leader_that_skips(&mut fleet, &format!("p{ID}"));
+    fleet.list_endpoints();
+    fleet.advance(100);
+    fleet.assert_invariants();
+}
+
 const MINUTE: Duration = Duration::from_mins(1);
 
 /// A fleet whose only instance never becomes empty, and a wave over it that takes a minute.
