fix: a flood of log lines doesn't push out warnings while the output stands still

At most 8,192 lines waited, whatever their level, so that a leader whose output stood still lost the warnings of that time together with the rest. 1,024 further lines may wait now if they are warnings or errors.

warnings_are_written_although_other_lines_are_dropped failed before: of 100 warnings 100 were dropped.

--- a/pomelohitchd/src/fleet/logs.rs
+++ b/pomelohitchd/src/fleet/logs.rs
@@ -1,15 +1,21 @@
 //! Log output that is bounded and doesn't block.
 
-use std::io::{BufWriter, Write};
+use std::io::{self, BufWriter, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use pomelohitch_sched::Steady;
-use tracing::{Subscriber, warn};
-use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing::{Level, Metadata, Subscriber, warn};
+use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::fmt::MakeWriter;
+use tracing_subscriber::fmt::writer::OptionalWriter;
 use tracing_subscriber::util::SubscriberInitExt;
 
 /// Maximum number of lines that wait to be written; further lines are dropped and counted.
 pub const MAX_BUFFERED_LINES: usize = 8_192;
+/// Additional room for warnings and errors.
+pub const RESERVED_LINES: usize = 1_024;
 /// Size of the write buffer in bytes. Waiting lines are written together, which saves a system call
 /// for each.
 const WRITE_BUFFER_BYTES: usize = 4 * 1024;
@@ -20,7 +26,7 @@
 #[derive(Debug)]
 pub struct Logs {
     _guard: WorkerGuard,
-    dropped: ErrorCounter,
+    counts: Arc<Counts>,
     /// Number of dropped lines that were reported.
     reported: usize,
     reported_at: Option<Steady>,
@@ -30,7 +36,7 @@
     /// Number of lines that were dropped since the start.
     #[must_use]
     pub fn dropped(&self) -> usize {
-        self.dropped.dropped_lines()
+        self.counts.dropped.load(Ordering::Relaxed)
     }
 
     /// Logs and counts the lines that were dropped since the last report, if there are any, at most
@@ -66,11 +72,19 @@
 /// output.
 #[must_use]
 pub fn to(target: impl Write + Send + 'static) -> (Logs, impl Subscriber + Send + Sync) {
-    let (writer, guard) = NonBlockingBuilder::default()
+    let counts = Arc::<Counts>::default();
+    let target = Target {
+        inner: BufWriter::with_capacity(WRITE_BUFFER_BYTES, target),
+        counts: counts.clone(),
+    };
+    let (buffer, guard) = NonBlockingBuilder::default()
         .lossy(true)
-        .buffered_lines_limit(MAX_BUFFERED_LINES)
-        .finish(BufWriter::with_capacity(WRITE_BUFFER_BYTES, target));
-    let dropped = writer.error_counter();
+        .buffered_lines_limit(MAX_BUFFERED_LINES + RESERVED_LINES)
+        .finish(target);
+    let writer = Admission {
+        buffer,
+        counts: counts.clone(),
+    };
     let level = std::env::var("POMELOHITCH_LOG_LEVEL").unwrap_or_else(|_| "info".to_owned());
     let subscriber = tracing_subscriber::fmt()
         .json()
@@ -82,9 +96,85 @@
         .finish();
     let logs = Logs {
         _guard: guard,
-        dropped,
+        counts,
         reported: 0,
         reported_at: None,
     };
     (logs, subscriber)
 }
+
+/// Numbers of lines.
+#[derive(Debug, Default)]
+struct Counts {
+    waiting: AtomicUsize,
+    dropped: AtomicUsize,
+}
+
+impl Counts {
+    /// Counts a line of this level as waiting if there is room for it, and else as dropped.
+    fn admit(&self, level: Level) -> bool {
+        let limit = if level <= Level::WARN {
+            MAX_BUFFERED_LINES + RESERVED_LINES
+        } else {
+            MAX_BUFFERED_LINES
+        };
+        let next = |waiting| (waiting < limit).then_some(waiting + 1);
+        let waiting = &self.waiting;
+        let is_admitted = waiting
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, next)
+            .is_ok();
+        if !is_admitted {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        is_admitted
+    }
+}
+
+/// Passes on the lines for which there is room.
+struct Admission {
+    buffer: NonBlocking,
+    counts: Arc<Counts>,
+}
+
+impl<'a> MakeWriter<'a> for Admission {
+    type Writer = OptionalWriter<NonBlocking>;
+
+    fn make_writer(&'a self) -> Self::Writer {
+        self.admit(Level::INFO)
+    }
+
+    fn make_writer_for(&'a self, meta: &Metadata<'_>) -> Self::Writer {
+        self.admit(*meta.level())
+    }
+}
+
+impl Admission {
+    fn admit(&self, level: Level) -> OptionalWriter<NonBlocking> {
+        if self.counts.admit(level) {
+            OptionalWriter::some(self.buffer.clone())
+        } else {
+            OptionalWriter::none()
+        }
+    }
+}
+
+/// The output, which takes one line in each call of `write_all`.
+struct Target<W: Write> {
+    inner: BufWriter<W>,
+    counts: Arc<Counts>,
+}
+
+impl<W: Write> Write for Target<W> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.inner.write(buf)
+    }
+
+    fn write_all(&mut self, line: &[u8]) -> io::Result<()> {
+        self.counts.waiting.fetch_sub(1, Ordering::Relaxed);
+        self.inner.write_all(line)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.inner.flush()
+    }
+}
--- a/pomelohitchd/tests/fleet/logs.rs
+++ b/pomelohitchd/tests/fleet/logs.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use pomelohitchd::fleet::logs::{self, MAX_BUFFERED_LINES, REPORT_INTERVAL};
+use pomelohitchd::fleet::logs::{self, MAX_BUFFERED_LINES, REPORT_INTERVAL, RESERVED_LINES};
 
 const START: Duration = Duration::from_secs(1);
 /// Upper limit of every wait in these tests.
@@ -13,6 +13,7 @@
 const FIRST_LINES: usize = 100;
 /// Lines beyond those that wait.
 const EXCESS_LINES: usize = 1_000;
+const WARNINGS: usize = 100;
 
 /// An output that blocks while it is closed.
 #[derive(Clone, Default)]
@@ -62,8 +63,16 @@
     }
 }
 
-/// Logs more lines than may wait, while the output is closed.
+/// Logs more lines than may wait, while the output is closed, so that not even a warning has room.
 fn log_too_many(output: &Output) {
+    log_too_many_of_info(output);
+    for number in 0..RESERVED_LINES {
+        tracing::warn!(number, "a warning");
+    }
+}
+
+/// Logs more lines below the level of a warning than may wait, while the output is closed.
+fn log_too_many_of_info(output: &Output) {
     log_lines(FIRST_LINES);
     wait_until("a write is blocked", || output.lock().is_blocked);
     log_lines(MAX_BUFFERED_LINES + EXCESS_LINES);
@@ -131,6 +140,47 @@
     });
 }
 
+/// Guards against losing the few warnings of an incident in a flood of other lines.
+#[test]
+fn warnings_are_written_although_other_lines_are_dropped() {
+    let output = Output::default();
+    let (logs, subscriber) = logs::to(output.clone());
+    tracing::subscriber::with_default(subscriber, || {
+        log_too_many_of_info(&output);
+        let dropped = logs.dropped();
+        assert!(dropped > 0, "the output keeps up");
+        for number in 0..WARNINGS {
+            tracing::warn!(number, "a warning");
+            tracing::info!(number, "a line");
+        }
+        assert_eq!(logs.dropped(), dropped + WARNINGS);
+        output.set_open(true);
+        wait_until_written(&output, MAX_BUFFERED_LINES + WARNINGS);
+        drop(logs);
+        let lines = output.lines();
+        let warnings = lines.iter().filter(|l| l["message"] == "a warning");
+        let numbers: Vec<_> = warnings.filter_map(|l| l["number"].as_u64()).collect();
+        assert_eq!(numbers, (0..WARNINGS as u64).collect::<Vec<_>>());
+    });
+}
+
+/// Guards against memory that grows with warnings while the output is blocked.
+#[test]
+fn warnings_that_wait_are_limited() {
+    let output = Output::default();
+    let (logs, subscriber) = logs::to(output.clone());
+    tracing::subscriber::with_default(subscriber, || {
+        log_lines(FIRST_LINES);
+        wait_until("a write is blocked", || output.lock().is_blocked);
+        for number in 0..MAX_BUFFERED_LINES + RESERVED_LINES + EXCESS_LINES {
+            tracing::warn!(number, "a warning");
+        }
+        let dropped = logs.dropped();
+        assert!(dropped >= EXCESS_LINES - FIRST_LINES, "{dropped}");
+        output.set_open(true);
+    });
+}
+
 fn reports(output: &Output) -> Vec<serde_json::Value> {
     let lines = output.lines().into_iter();
     lines
