fix: a daemon whose output is blocked ends on SIGTERM

When it ends, the log output's guard sends a message through the same queue as the lines. With the queue full it printed an error with println!, to the output that was blocked, and waited for good. The queue has room for this message now.

--- a/pomelohitchd/src/fleet/logs.rs
+++ b/pomelohitchd/src/fleet/logs.rs
@@ -16,6 +16,9 @@
 pub const MAX_BUFFERED_LINES: usize = 8_192;
 /// Additional room for warnings and errors.
 pub const RESERVED_LINES: usize = 1_024;
+/// Room for the message that ends the output. Without it, the guard would print an error to an output
+/// that may be blocked.
+const SHUTDOWN_MESSAGES: usize = 1;
 /// Size of the write buffer in bytes. Waiting lines are written together, which saves a system call
 /// for each.
 const WRITE_BUFFER_BYTES: usize = 4 * 1024;
@@ -79,7 +82,7 @@
     };
     let (buffer, guard) = NonBlockingBuilder::default()
         .lossy(true)
-        .buffered_lines_limit(MAX_BUFFERED_LINES + RESERVED_LINES)
+        .buffered_lines_limit(MAX_BUFFERED_LINES + RESERVED_LINES + SHUTDOWN_MESSAGES)
         .finish(target);
     let writer = Admission {
         buffer,
--- a/pomelohitchd/tests/fleet/logs.rs
+++ b/pomelohitchd/tests/fleet/logs.rs
@@ -1,6 +1,7 @@
 //! Log lines that are dropped because the output is too slow.
 
 use std::io::{self, Write};
+use std::process::{Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -14,6 +15,8 @@
 /// Lines beyond those that wait.
 const EXCESS_LINES: usize = 1_000;
 const WARNINGS: usize = 100;
+/// Environment variable that is set for [`blocked_process`].
+const BLOCKED_PROCESS: &str = "POMELOHITCH_TEST_BLOCKED_PROCESS";
 
 /// An output that blocks while it is closed.
 #[derive(Clone, Default)]
@@ -181,6 +184,43 @@
     });
 }
 
+/// Guards against a process that doesn't end on a signal because nobody reads its output.
+#[test]
+fn a_process_with_a_blocked_output_ends() {
+    let program = std::env::current_exe().expect("the test has a program");
+    let mut process = Command::new(program)
+        .args(["--exact", "logs::blocked_process", "--nocapture"])
+        .env(BLOCKED_PROCESS, "1")
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program can be started");
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    let mut ended = None;
+    while ended.is_none() && Instant::now() < deadline {
+        std::thread::sleep(Duration::from_millis(20));
+        ended = process.try_wait().expect("the process is a child");
+    }
+    process.kill().expect("the process is a child");
+    process.wait().expect("the process is a child");
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+}
+
+/// The process that [`a_process_with_a_blocked_output_ends`] starts.
+#[test]
+fn blocked_process() {
+    if std::env::var_os(BLOCKED_PROCESS).is_none() {
+        return;
+    }
+    let (logs, subscriber) = logs::to(io::stdout());
+    tracing::subscriber::with_default(subscriber, || {
+        while logs.dropped() < EXCESS_LINES {
+            tracing::warn!("a warning");
+        }
+    });
+    drop(logs);
+    std::process::exit(0);
+}
+
 fn reports(output: &Output) -> Vec<serde_json::Value> {
     let lines = output.lines().into_iter();
     lines
