--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -319,6 +319,23 @@
     assert_eq!(response.status_code, 421);
 }
 
+/// Guards against running a job again that a later leader has run, when its submission is repeated at
+/// a leader that was suspended.
+#[test]
+fn a_repeated_submission_is_not_taken_by_a_leadership_that_is_known_to_be_over() {
+    const ACCEPTED_LATER: &str = "HTTP/1.1 200 OK\r\nX-Leader-Epoch: 2\r\n\
+        X-Effect-Possible: 1\r\nContent-Length: 2\r\n\r\n{}";
+    let shared = leader_without_jobs();
+    let (later, methods) = recording_leader(&[ACCEPTED_LATER]);
+    set_leader(&shared, 2, later);
+    assert_eq!(callers::answer(&shared, &post_request()).status_code, 200);
+    let incoming = request_with("POST", &format!("{}: 1\r\n", wire::FOR_EPOCH_HEADER));
+    let response = callers::answer_forwarded(&shared, &incoming, "/q/00000000000000a1");
+    assert_eq!(response.status_code, 421);
+    let methods = methods.lock().expect("no thread panics with the lock held");
+    assert_eq!(*methods, ["POST"]);
+}
+
 /// Guards against a 503, which says that the job never runs, although the leader says that an earlier
 /// attempt, at another member, may have taken effect: it couldn't read a record when it took over,
 /// and refuses new jobs while the log is down.
