test: a relay that a test starts has its address for itself

start_relay chose a free port and bound it later. Another test, in the same process or another one, could choose the same port in between: its relay failed to bind, unseen, and its leader used the other's relay. That relay holds one client per endpoint id, and the tests' endpoints share ids, so that each poll replaced the other's client and made a new connection.

Another run waited for its relay for good. The same address in two of the failed runs wasn't recorded.

--- a/pomelohitchd/tests/fleet/relays.rs
+++ b/pomelohitchd/tests/fleet/relays.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::mpsc::{self, Receiver};
 use std::time::Duration;
 
@@ -27,10 +27,40 @@
 const SLOW_LINK_BYTES_PER_S: f64 = 1_000.0;
 
 /// Starts a member that relays calls.
+///
+/// A member of another test may take the address before this one does, so the datagram that only
+/// this one answers with `OWN_NAME` shows whether it has the address.
 fn start_relay() -> SocketAddr {
-    let addr = site::nowhere();
-    std::thread::spawn(move || server::run(addr, Box::new(|_| Some(b"heard".to_vec()))));
-    addr
+    const OWN_NAME: &[u8] = b"own name";
+    static RELAYS: AtomicU32 = AtomicU32::new(0);
+    let number = RELAYS.fetch_add(1, Ordering::Relaxed);
+    let name = format!("{} {number}", std::process::id());
+    loop {
+        let (addr, own) = (site::nowhere(), name.clone());
+        let handler = move |datagram: &[u8]| {
+            let is_own = datagram == own.as_bytes();
+            Some(if is_own { OWN_NAME } else { b"heard" }.to_vec())
+        };
+        let member = std::thread::spawn(move || server::run(addr, Box::new(handler)));
+        while !member.is_finished() {
+            if datagram_reply(addr, name.as_bytes()).is_some_and(|reply| reply == OWN_NAME) {
+                return addr;
+            }
+        }
+    }
+}
+
+/// The reply of a member to a datagram, if one arrives soon.
+fn datagram_reply(member: SocketAddr, datagram: &[u8]) -> Option<Vec<u8>> {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a loopback port is free");
+    let timeout = Some(Duration::from_millis(100));
+    socket
+        .set_read_timeout(timeout)
+        .expect("the timeout isn't zero");
+    let mut buf = [0; 16];
+    socket.send_to(datagram, member).ok()?;
+    let len = socket.recv(&mut buf).ok()?;
+    Some(buf[..len].to_vec())
 }
 
 fn dispatcher(members: Vec<SocketAddr>) -> (Dispatcher, Receiver<Event>) {
