fix: an endpoint that is listed again is told at once which starts were given up

A start that was given up with its endpoint's instance, or when its leases had expired, ran beside its successor if the next incarnation carried it out before it answered a poll. The stops that make it reject such starts were sent only after the first answered poll, and while a poll of the former incarnation is in flight, up to 950 ms, no other is sent.

They now go out when the endpoint's entry appears again or shows a restart, and after each answered poll as before. A stop is sent with the incarnation that the entry names, so that its acknowledgement counts for that one only.

Open: an endpoint that carries a start out before its entry is read still runs it until a stop arrives.

--- a/crates/pomelohitch-emulator/src/fleet/endpoint.rs
+++ b/crates/pomelohitch-emulator/src/fleet/endpoint.rs
@@ -24,6 +24,8 @@
     pub is_silent: bool,
     /// Executes orders, but their answers are lost.
     pub loses_answers: bool,
+    /// Neither receives nor answers polls.
+    pub misses_polls: bool,
     /// Every run fails.
     pub fails: bool,
     /// Starts are refused as malformed.
@@ -69,6 +71,7 @@
             report,
             is_silent: false,
             loses_answers: false,
+            misses_polls: false,
             fails: false,
             refuses_starts: false,
             is_stalled: false,
--- a/crates/pomelohitch-emulator/src/fleet/polls.rs
+++ b/crates/pomelohitch-emulator/src/fleet/polls.rs
@@ -61,8 +61,9 @@
         let now = self.now.steady;
         let order = &poll.order;
         let endpoint = self.endpoints.get_mut(&order.target.id);
-        let reachable = endpoint
-            .filter(|e| !poll.is_lost && !e.is_silent && e.report.addr == order.target.addr);
+        let reachable = endpoint.filter(|e| {
+            !poll.is_lost && !e.is_silent && !e.misses_polls && e.report.addr == order.target.addr
+        });
         let link = self.link.as_ref();
         let has_arrived = link.is_none_or(|link| link.has_arrived(poll.end));
         let Some(endpoint) = reachable.filter(|_| has_arrived && poll.answer.is_none()) else {
--- a/crates/pomelohitch-sched/src/cell/lifecycle.rs
+++ b/crates/pomelohitch-sched/src/cell/lifecycle.rs
@@ -26,7 +26,8 @@
         if report.is_draining && !was_draining {
             info!(endpoint = %id, "endpoint is draining");
         }
-        if !endpoint.is_listed {
+        let is_new = !endpoint.is_listed;
+        if is_new {
             info!(endpoint = %id, service = %report.service, born = report.born, "endpoint listed");
         }
         if let Some(before) = endpoint.report.as_ref().map(|r| r.capacity)
@@ -42,6 +43,9 @@
         if has_restarted {
             self.endpoint_restarted(&id, born);
         }
+        if has_restarted || is_new {
+            self.reject_unanswered(&id);
+        }
     }
 
     /// Handles that all endpoint entries which existed at `as_of` were read.
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -347,9 +347,9 @@
         self.send_stop(id, task, run);
     }
 
-    /// Has an endpoint that has restarted reject the starts that were given up and sent to a former
-    /// incarnation.
-    fn reject_unanswered(&mut self, id: &EndpointId) {
+    /// Has an endpoint that has restarted, or is listed again, reject the starts that were given up and
+    /// may still arrive there.
+    pub(super) fn reject_unanswered(&mut self, id: &EndpointId) {
         let born = self.endpoints.get(id).map_or(0, |e| e.born);
         for Start { task, run, .. } in self.unanswered.take_due(id, born, self.now.steady) {
             if self.run(task, run).is_none() {
--- a/crates/pomelohitch-sched/tests/cell/restarts.rs
+++ b/crates/pomelohitch-sched/tests/cell/restarts.rs
@@ -246,3 +246,25 @@
     }
     assert_eq!(violations, []);
 }
+
+/// Guards against stops for given-up starts that wait until a later incarnation answers a poll: it
+/// may carry the starts out before.
+#[test]
+fn a_given_up_start_is_rejected_before_a_later_incarnation_answers_a_poll() {
+    let ways: [GiveUp; 2] = [
+        ("its instance is down", lose_instance),
+        ("its leases have expired", stay_silent),
+    ];
+    let mut violations = Vec::new();
+    for (way, give_up) in ways {
+        let mut fleet = with_unanswered_start(ordinary(), Duration::from_secs(12));
+        give_up(&mut fleet);
+        assert_eq!(running(&fleet), 1, "{way}: the task runs again");
+        fleet.restart("e0");
+        fleet.endpoint("e0").misses_polls = true;
+        fleet.list_endpoints();
+        fleet.advance(1_200);
+        violations.extend(fleet.violations.into_iter().map(|v| (way, v)));
+    }
+    assert_eq!(violations, []);
+}
