fix: calls to an endpoint end when it is gone or its entry shows a restart

When the leader had given up an endpoint, it closed the idle connections to it, but the calls that were in flight went on until their timeouts (orders up to 600 ms, polls up to 950 ms), and orders that waited for others were still sent. An endpoint that came back meanwhile under its id carried them out: starts whose tasks had been started elsewhere, and polls that renew a lease by the clock of the former incarnation.

These calls are now abandoned, which resets their connections, and waiting orders aren't sent. The same happens when an entry shows a restart, after which the poll of the former incarnation also no longer holds up the first one of the new. Endpoints are forgotten before the orders of the same pass are sent, since those may be for the next incarnation. Relays are told as before.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -259,8 +259,8 @@
     leader_since_ms: UnixMs,
     jobs: BTreeMap<JobId, Job>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
-    /// Endpoints removed since the last call of [`Cell::take_removed_endpoints`].
-    removed_endpoints: Vec<EndpointId>,
+    /// Endpoints that ended since the last call of [`Cell::take_ended_endpoints`].
+    ended_endpoints: Vec<EndpointId>,
     /// Number of entries visited by passes over all endpoints or all instances.
     visits: std::cell::Cell<u64>,
     /// Resources that each workspace's runs use, checked against its limit.
@@ -435,7 +435,7 @@
                 .unwrap_or(now.unix_ms.max(settings.fleet_ms_at_least.unwrap_or(0))),
             jobs: BTreeMap::new(),
             endpoints: BTreeMap::new(),
-            removed_endpoints: Vec::new(),
+            ended_endpoints: Vec::new(),
             visits: std::cell::Cell::default(),
             workspace_usage: BTreeMap::new(),
             ready_jobs: BTreeMap::new(),
--- a/crates/pomelohitch-sched/src/cell/lifecycle.rs
+++ b/crates/pomelohitch-sched/src/cell/lifecycle.rs
@@ -41,6 +41,7 @@
         endpoint.is_listed = true;
         endpoint.report = Some(report);
         if has_restarted {
+            self.ended_endpoints.push(id.clone());
             self.endpoint_restarted(&id, born);
         }
         if has_restarted || is_new {
@@ -196,13 +197,14 @@
     fn remove_endpoint(&mut self, id: &EndpointId) -> Option<Endpoint> {
         let removed = self.endpoints.remove(id);
         if removed.is_some() {
-            self.removed_endpoints.push(id.clone());
+            self.ended_endpoints.push(id.clone());
         }
         removed
     }
 
-    /// The endpoints that were removed since the last call.
-    pub fn take_removed_endpoints(&mut self) -> Vec<EndpointId> {
-        std::mem::take(&mut self.removed_endpoints)
+    /// The endpoints that were removed, or whose entries showed a restart, since the last call. Calls
+    /// to them that are in flight are for a process that has ended.
+    pub fn take_ended_endpoints(&mut self) -> Vec<EndpointId> {
+        std::mem::take(&mut self.ended_endpoints)
     }
 }
--- a/crates/pomelohitch-sched/tests/cell/restarts.rs
+++ b/crates/pomelohitch-sched/tests/cell/restarts.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use pomelohitch_sched::TaskId;
 use pomelohitch_sched::endpoint::Report;
 use pomelohitch_sched::instances::InstanceState;
 use pomelohitch_sched::job::StepSpec;
 use pomelohitch_sched::order::{Order, Outcome, Target};
 use pomelohitch_sched::progress::Phase;
+use pomelohitch_sched::{EndpointId, TaskId};
 
 use super::fleet::{Fleet, job, step};
 
@@ -268,3 +268,13 @@
     }
     assert_eq!(violations, []);
 }
+
+/// Guards against calls to a former incarnation that stay open and that the new one carries out.
+#[test]
+fn an_entry_that_shows_a_restart_ends_the_calls_to_the_former_incarnation() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(10);
+    assert_eq!(fleet.cell.take_ended_endpoints(), []);
+    restart(&mut fleet, First::Entry);
+    assert_eq!(fleet.cell.take_ended_endpoints(), [EndpointId::from("e0")]);
+}
--- a/pomelohitchd/src/fleet/calls.rs
+++ b/pomelohitchd/src/fleet/calls.rs
@@ -17,7 +17,7 @@
 use pomelohitch_sched::order::{Order, Outcome, PollFailure, PollOrder, Refusal, Target};
 use pomelohitch_sched::rto::{Limits, Rto};
 use pomelohitch_sched::{EndpointId, Epoch, Steady};
-use tokio::sync::Semaphore;
+use tokio::sync::{Notify, Semaphore};
 
 use super::clock;
 
@@ -56,7 +56,10 @@
 #[derive(Debug)]
 struct EndpointClient {
     connections: Connections,
+    /// Closed once the endpoint is forgotten.
     order_permits: Semaphore,
+    /// Ends the calls that are in flight when the endpoint is forgotten.
+    forgotten: Notify,
 }
 
 impl EndpointClient {
@@ -64,8 +67,15 @@
         EndpointClient {
             connections: Connections::new(addr, CONNECT_TIMEOUT, KEPT_CONNECTIONS),
             order_permits: Semaphore::new(MAX_CONCURRENT_ORDERS),
+            forgotten: Notify::new(),
         }
     }
+
+    /// Abandons all calls.
+    fn close(&self) {
+        self.order_permits.close();
+        self.forgotten.notify_waiters();
+    }
 }
 
 /// Makes calls to endpoints, on a single thread whose runtime must support local tasks.
@@ -95,15 +105,21 @@
             decided_at,
         } = outgoing;
         let client = self.client(target);
-        // The semaphore is never closed.
         let _permit = client.order_permits.acquire().await;
+        if client.order_permits.is_closed() {
+            return Outcome::Refused(Refusal::Unsent);
+        }
         let sent_at = clock::steady();
         let is_start = matches!(order, Order::Start { .. });
         if is_start && sent_at.saturating_sub(*decided_at) > MAX_START_AGE {
             return Outcome::Refused(Refusal::Unsent);
         }
         let timeout = self.rto.borrow().timeout();
-        let outcome = endpoints::order(&client.connections, target, order, *epoch, timeout).await;
+        let answer = endpoints::order(&client.connections, target, order, *epoch, timeout);
+        let outcome = tokio::select! {
+            outcome = answer => outcome,
+            () = client.forgotten.notified() => return Outcome::Unanswered,
+        };
         let took = clock::steady().saturating_sub(sent_at);
         self.rto.borrow_mut().add_sample(took);
         outcome
@@ -118,15 +134,21 @@
         let timeout = self.rto.borrow().timeout();
         let extra = timeout.saturating_sub(ORDER_TIMEOUT.shortest);
         let sent_at = clock::steady();
-        let mut reply = endpoints::poll(&client.connections, order, POLL_MARGIN + extra).await?;
+        let answer = endpoints::poll(&client.connections, order, POLL_MARGIN + extra);
+        let mut reply = tokio::select! {
+            reply = answer => reply?,
+            () = client.forgotten.notified() => return Err(PollFailure::Failed),
+        };
         reply.sent_at = sent_at;
         reply.answered_at = clock::steady();
         Ok(reply)
     }
 
-    /// Closes the connections to an endpoint.
+    /// Abandons the calls to an endpoint and closes the connections to it.
     pub fn forget(&self, id: &EndpointId) {
-        self.clients.borrow_mut().remove(id);
+        if let Some(client) = self.clients.borrow_mut().remove(id) {
+            client.close();
+        }
     }
 
     fn client(&self, target: &Target) -> Rc<EndpointClient> {
@@ -135,6 +157,7 @@
             .entry(target.id.clone())
             .or_insert_with(|| Rc::new(EndpointClient::new(target.addr)));
         if client.connections.peer() != target.addr {
+            client.close();
             *client = Rc::new(EndpointClient::new(target.addr));
         }
         client.clone()
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -286,6 +286,8 @@
             let actions = self.cell.tick(now);
             self.cell
                 .record_tick_duration(clock::steady().saturating_sub(now.steady));
+            // An endpoint that is back under its id may have new calls among the actions.
+            self.dispatcher.forget(self.cell.take_ended_endpoints());
             self.execute(actions);
             self.record_counts();
             self.update_gauges();
@@ -294,7 +296,6 @@
             self.check_store();
             self.check_larger_members();
             self.check_former_leader();
-            self.dispatcher.forget(self.cell.take_removed_endpoints());
             self.dispatcher.update_targets(self.cell.endpoints());
         }
     }
--- a/pomelohitchd/src/fleet/leader/dispatcher.rs
+++ b/pomelohitchd/src/fleet/leader/dispatcher.rs
@@ -46,7 +46,7 @@
 enum Command {
     Order(OutgoingOrder),
     Poll(PollOrder),
-    /// The endpoint no longer exists.
+    /// The endpoint no longer exists, or has restarted.
     Forget(EndpointId),
     /// New numbers of endpoints and services.
     Targets(CallTargets),
@@ -136,9 +136,10 @@
         let _ = self.commands.send(Command::Targets(targets));
     }
 
-    /// Closes connections to endpoints that no longer exist.
-    pub fn forget(&self, removed: Vec<EndpointId>) {
-        for id in removed {
+    /// Abandons the calls to endpoints that no longer exist or have restarted, and closes the
+    /// connections to them.
+    pub fn forget(&self, ended: Vec<EndpointId>) {
+        for id in ended {
             // Fails only if the thread has ended, which then has no connections.
             let _ = self.commands.send(Command::Forget(id));
         }
