--- a/pomelohitchd/tests/fleet/dispatcher.rs
+++ b/pomelohitchd/tests/fleet/dispatcher.rs
@@ -14,7 +14,7 @@
 use pomelohitchd::fleet::leader::dispatcher::{Dispatcher, Options};
 
 /// Wait of a poll that is longer than any test.
-const LONG_WAIT: Duration = Duration::from_secs(60);
+const LONG_WAIT: Duration = Duration::from_mins(1);
 /// Time limit for a call to end once its endpoint is forgotten; shorter than any timeout of a call.
 const FORGET_LIMIT: Duration = Duration::from_millis(140);
 
