--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -365,7 +365,7 @@
         self.record_crash(id);
         let endpoint = self.endpoint(id);
         endpoint.is_silent = true;
-        endpoint.runs.clear();
+        endpoint.drop_runs();
         for instance in self.instances.values_mut() {
             if instance.endpoint.as_deref() == Some(id) {
                 instance.endpoint = None;
--- a/crates/pomelohitch-emulator/src/fleet/endpoint.rs
+++ b/crates/pomelohitch-emulator/src/fleet/endpoint.rs
@@ -34,12 +34,17 @@
     pub slowness: f64,
     /// Time from a stop order to the end of the run.
     pub stop_grace: Duration,
+    /// Time from the check of a start until its run is listed and begins. If it isn't zero, starts
+    /// aren't answered in time.
+    pub listing_delay: Duration,
     /// Times of capacity changes, each with the capacity before it.
     pub(super) resized: Vec<(Steady, Resources)>,
     pub(super) clock: Duration,
     pub(super) epoch: u64,
     pub(super) lease: Duration,
     pub(super) runs: BTreeMap<(TaskId, u32), Run>,
+    /// Runs whose starts were checked, and when they are listed and begin.
+    unlisted: BTreeMap<(TaskId, u32), (Duration, Run)>,
     pub(super) ended: Vec<Ended>,
     next_completion: u64,
     /// Number of the last completion that was listed when the lease expired. By the platform's
@@ -74,11 +79,13 @@
             is_stalled: false,
             slowness: 1.0,
             stop_grace: Duration::ZERO,
+            listing_delay: Duration::ZERO,
             resized: Vec::new(),
             clock: Duration::from_secs(5),
             epoch: 0,
             lease: Duration::ZERO,
             runs: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
             ended: Vec::new(),
             next_completion: 1,
             last_lapsed: 0,
@@ -106,6 +113,18 @@
         self.ended.len()
     }
 
+    /// The current runs, and those that begin after their listing delay.
+    pub(super) fn accepted_runs(&self) -> impl Iterator<Item = (&(TaskId, u32), &Run)> {
+        let unlisted = self.unlisted.iter().map(|(key, (_, run))| (key, run));
+        self.runs.iter().chain(unlisted)
+    }
+
+    /// Ends all runs without a trace.
+    pub(super) fn drop_runs(&mut self) {
+        self.runs.clear();
+        self.unlisted.clear();
+    }
+
     fn end(&mut self, key: (TaskId, u32), reason: EndReason) {
         self.runs.remove(&key);
         let (task, run) = key;
@@ -125,6 +144,9 @@
     /// Advances the endpoint's clock: the lease may expire, and runs complete.
     pub(super) fn advance(&mut self, time: Duration) {
         self.clock += time;
+        let clock = self.clock;
+        let due = self.unlisted.extract_if(.., |_, (at, _)| *at <= clock);
+        self.runs.extend(due.map(|(key, (_, run))| (key, run)));
         if self.clock > self.lease {
             self.last_lapsed = self.next_completion - 1;
             let lapsed: Vec<_> = self.runs.keys().copied().collect();
@@ -132,7 +154,6 @@
                 self.end(key, EndReason::Lapsed);
             }
         }
-        let clock = self.clock;
         let stopped = self
             .runs
             .extract_if(.., |_, run| run.stops_at.is_some_and(|at| at <= clock));
@@ -225,13 +246,19 @@
             is_lasting: step.is_lasting,
             stops_at: None,
         };
-        self.runs.insert(key, run);
+        if self.listing_delay.is_zero() {
+            self.runs.insert(key, run);
+        } else {
+            let listed_at = self.clock + self.listing_delay;
+            self.unlisted.insert(key, (listed_at, run));
+        }
         Outcome::Taken
     }
 
     fn stop(&mut self, key: (TaskId, u32)) {
         let last_run = self.last_ended_runs.entry(key.0).or_default();
         *last_run = (*last_run).max(key.1);
+        self.unlisted.remove(&key);
         let stops_at = self.clock + self.stop_grace;
         if let Some(running) = self.runs.get_mut(&key) {
             running.stops_at.get_or_insert(stops_at);
--- a/crates/pomelohitch-emulator/src/fleet/orders.rs
+++ b/crates/pomelohitch-emulator/src/fleet/orders.rs
@@ -6,6 +6,7 @@
 use pomelohitch_sched::order::{Action, Order, Outcome, Refusal, Target};
 use pomelohitch_sched::{EndpointId, Resources, TaskId};
 
+use super::endpoint::Endpoint;
 use super::faults::{Delayed, FaultRng};
 use super::{COPY_GRACE, EVACUATION_GRACE, Fleet, ORDER_TIMEOUT, SHRINK_GRACE};
 
@@ -126,7 +127,9 @@
             _ => Duration::ZERO,
         };
         let outcome = endpoint.execute(order, epoch, duration);
-        let loses_answers = endpoint.loses_answers;
+        let is_start = matches!(order, Order::Start { .. });
+        let is_late = is_start && !endpoint.listing_delay.is_zero();
+        let loses_answers = endpoint.loses_answers || is_late;
         if let Order::Start {
             task, run, spec, ..
         } = order
@@ -148,8 +151,8 @@
         let runs = self
             .endpoints
             .values()
-            .flat_map(|e| e.runs.keys())
-            .filter(|(t, _)| *t == task)
+            .flat_map(Endpoint::accepted_runs)
+            .filter(|((t, _), _)| *t == task)
             .count();
         let max_runs = if step.may_copy { 2 } else { 1 };
         if runs > max_runs {
@@ -173,7 +176,7 @@
                 .push(format!("{task} starts in an evacuated zone"));
         }
         let mut used = Resources::default();
-        for run in endpoint.runs.values() {
+        for (_, run) in endpoint.accepted_runs() {
             used += &run.resources;
         }
         let resized = endpoint.resized.iter().rev();
