Merge the soak's and the emulator's busy endpoints; wait longer before a run counts as absent

Where only its absence speaks against a run (accepted, recorded, past its deadline, listed before) the time is a second now: endpoints of the soak list a run up to 650 ms after they checked its start. After an acknowledged stop it stays at 300 ms, since the endpoint has promised to reject the start.

--- a/crates/pomelohitch-emulator/src/fleet/endpoint.rs
+++ b/crates/pomelohitch-emulator/src/fleet/endpoint.rs
@@ -39,12 +39,17 @@
     /// Time from the acceptance of a start to the first answer that lists its run, and from the end of
     /// a run, which isn't listed as running any more, to the first answer that lists the end.
     pub listing_delay: Duration,
+    /// Time from the check of a start until its run is listed and begins. If it isn't zero, starts
+    /// aren't answered in time.
+    pub start_delay: Duration,
     /// Times of capacity changes, each with the capacity before it.
     pub(super) resized: Vec<(Steady, Resources)>,
     pub(super) clock: Duration,
     pub(super) epoch: u64,
     pub(super) lease: Duration,
     pub(super) runs: BTreeMap<(TaskId, u32), Run>,
+    /// Runs whose starts were checked, and when they are listed and begin.
+    unlisted: BTreeMap<(TaskId, u32), (Duration, Run)>,
     pub(super) ended: Vec<Ended>,
     /// Ends that aren't listed yet, and when they will be, on the endpoint's clock.
     unlisted_ends: Vec<(Duration, Ended)>,
@@ -85,11 +90,13 @@
             slowness: 1.0,
             stop_grace: Duration::ZERO,
             listing_delay: Duration::ZERO,
+            start_delay: Duration::ZERO,
             resized: Vec::new(),
             clock: Duration::from_secs(5),
             epoch: 0,
             lease: Duration::ZERO,
             runs: BTreeMap::new(),
+            unlisted: BTreeMap::new(),
             ended: Vec::new(),
             unlisted_ends: Vec::new(),
             next_completion: 1,
@@ -118,6 +125,18 @@
         self.ended.len()
     }
 
+    /// The current runs, and those that begin after their listing delay.
+    pub(super) fn accepted_runs(&self) -> impl Iterator<Item = (&(TaskId, u32), &Run)> {
+        let unlisted = self.unlisted.iter().map(|(key, (_, run))| (key, run));
+        self.runs.iter().chain(unlisted)
+    }
+
+    /// Ends all runs without a trace.
+    pub(super) fn drop_runs(&mut self) {
+        self.runs.clear();
+        self.unlisted.clear();
+    }
+
     fn end(&mut self, key: (TaskId, u32), reason: EndReason) {
         self.runs.remove(&key);
         let (task, run) = key;
@@ -148,6 +167,9 @@
     pub(super) fn advance(&mut self, time: Duration) {
         self.clock += time;
         self.list_ends();
+        let clock = self.clock;
+        let due = self.unlisted.extract_if(.., |_, (at, _)| *at <= clock);
+        self.runs.extend(due.map(|(key, (_, run))| (key, run)));
         if self.clock > self.lease {
             self.last_lapsed = self.next_completion - 1;
             let lapsed: Vec<_> = self.runs.keys().copied().collect();
@@ -155,7 +177,6 @@
                 self.end(key, EndReason::Lapsed);
             }
         }
-        let clock = self.clock;
         let stopped = self
             .runs
             .extract_if(.., |_, run| run.stops_at.is_some_and(|at| at <= clock));
@@ -246,16 +267,22 @@
             remaining: duration,
             resources: step.task_resources(),
             is_lasting: step.is_lasting,
-            listed_from: self.clock + self.listing_delay,
+            listed_from: self.clock + self.start_delay + self.listing_delay,
             stops_at: None,
         };
-        self.runs.insert(key, run);
+        if self.start_delay.is_zero() {
+            self.runs.insert(key, run);
+        } else {
+            let listed_at = self.clock + self.start_delay;
+            self.unlisted.insert(key, (listed_at, run));
+        }
         Outcome::Taken
     }
 
     fn stop(&mut self, key: (TaskId, u32)) {
         let last_run = self.last_ended_runs.entry(key.0).or_default();
         *last_run = (*last_run).max(key.1);
+        self.unlisted.remove(&key);
         let stops_at = self.clock + self.stop_grace;
         if let Some(running) = self.runs.get_mut(&key) {
             running.stops_at.get_or_insert(stops_at);
--- a/crates/pomelohitch-sched/tests/absence.rs
+++ b/crates/pomelohitch-sched/tests/absence.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pomelohitch_sched::absence::{MAX_LISTING_DELAY, decisive_from, is_void};
+use pomelohitch_sched::absence::{MAX_LISTING_DELAY, STOP_MARGIN, decisive_from, is_void};
 use pomelohitch_sched::progress::{Phase, RunView};
 use pomelohitch_sched::unanswered::MAX_ORDER_DELAY;
 
@@ -24,7 +24,7 @@
     };
     assert_eq!(decisive_from(&view(Phase::Ordered), Some(AT)), None);
     assert_eq!(decisive_from(&view(Phase::Unanswered), Some(AT)), None);
-    assert_eq!(decisive_from(&stopped, None), decisive);
+    assert_eq!(decisive_from(&stopped, None), Some(AT + STOP_MARGIN));
     let sent = RunView {
         sent_at: Some(AT),
         ..view(Phase::Unanswered)
--- a/crates/pomelohitch-sched/tests/cell/late_listings.rs
+++ b/crates/pomelohitch-sched/tests/cell/late_listings.rs
@@ -9,12 +9,13 @@
 const ID: &str = "00000000000000a1";
 const JOB: u64 = 0xa1;
 /// Durations of short tasks, whose ends let their endpoint answer polls at once, ms.
-const SHORT_TASKS_MS: [u64; 6] = [30, 70, 110, 150, 190, 230];
+const SHORT_TASKS_MS: [u64; 9] = [30, 70, 110, 150, 190, 230, 330, 430, 530];
 /// Times from the acceptance of a start to the first answer that lists its run.
-const LISTING_DELAYS: [Duration; 3] = [
+const LISTING_DELAYS: [Duration; 4] = [
     Duration::from_millis(20),
     Duration::from_millis(100),
     Duration::from_millis(250),
+    Duration::from_millis(650),
 ];
 
 fn ordinary() -> StepSpec {
