--- a/crates/pomelohitch-sched/src/cell/operations.rs
+++ b/crates/pomelohitch-sched/src/cell/operations.rs
@@ -29,8 +29,8 @@
 const MIN_SILENCE: Duration = Duration::from_millis(300);
 /// Time for which an endpoint may be suspended without counting as ended by lists that lack it.
 const MAX_SUSPENSION: Duration = Duration::from_secs(1);
-/// Minimum time between two lists that lack an endpoint, which an instance that moves from one page to another while
-/// they are read isn't missing from twice.
+/// Minimum time between two lists that lack an endpoint. An instance that moves from one page to
+/// another while they are read isn't missing from both.
 const MIN_LIST_SPACING: Duration = Duration::from_millis(200);
 
 /// An endpoint with runs that the newest lists of instances lack.
