fix: a new leader holds starts of the former one at endpoints that are gone

What callers could see: two runs of a task. The former leader's start lies in the socket of an endpoint without power; the new leader knows the run only from its record, gave it up 1.4 s after it took over, and the endpoint was back under its id and carried the start out. Cause: only starts that this leader had sent were held and remembered.

A recorded run counts as sent until this leader took over: it is held for as long as a start of this leader's, and later incarnations are told to reject it. A start that is given up beside a held one is remembered too (found by review; by reading it can't be reached while polls are answered, so no test shows it). An endpoint that is gone with held starts is polled at once and without growing delays, so that its next incarnation is found within the hold.

a_start_of_the_former_leader_that_an_endpoint_carries_out_late_is_the_only_run: 2 runs before, 1 after.

--- a/crates/pomelohitch-sched/src/cell/lifecycle.rs
+++ b/crates/pomelohitch-sched/src/cell/lifecycle.rs
@@ -10,7 +10,7 @@
 use crate::endpoint::{Endpoint, Report};
 use crate::id::{EndpointId, RunNumber, TaskId};
 use crate::loss::LossCause;
-use crate::progress::Phase;
+use crate::progress::{Phase, Run};
 use crate::unanswered;
 
 impl Cell {
@@ -185,6 +185,7 @@
         }
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.gone_since = Some(now);
+            endpoint.poll.expedite(now);
             self.ended_endpoints.push(id.clone());
         }
         for (task, run, loss) in held {
@@ -193,6 +194,7 @@
             }
         }
         for (task, run, loss) in lost {
+            self.remember_unanswered(task, run, 0);
             self.run_lost(task, run, loss);
         }
     }
@@ -214,16 +216,25 @@
     }
 
     /// Whether a start was sent so recently, and not answered, that its task waits for what becomes of
-    /// it.
+    /// it. Starts that a former leader has recorded may have been sent until this one took over.
     fn is_start_held(&self, task: TaskId, run: RunNumber) -> bool {
         let Some(r) = self.run(task, run) else {
             return false;
         };
-        let is_undecided = matches!(r.view.phase, Phase::Ordered | Phase::Unanswered);
         let is_lasting = self.step(task).is_some_and(|s| s.is_lasting);
         let hold = unanswered::hold(is_lasting);
         let is_recent = |at: Steady| self.now.steady <= at + hold;
-        is_undecided && r.view.sent_at.is_some_and(is_recent)
+        self.undecided_since(r).is_some_and(is_recent)
+    }
+
+    /// When a start was sent, at the latest, of which isn't known whether it was carried out; `None` if
+    /// that is known, or if it wasn't sent.
+    pub(super) fn undecided_since(&self, run: &Run) -> Option<Steady> {
+        match run.view.phase {
+            Phase::Recorded => Some(self.leader_since),
+            Phase::Ordered | Phase::Unanswered => run.view.sent_at,
+            Phase::Taken { .. } => None,
+        }
     }
 
     /// Gives up the held starts whose time has passed, and removes their endpoints.
--- a/crates/pomelohitch-sched/src/cell/losses.rs
+++ b/crates/pomelohitch-sched/src/cell/losses.rs
@@ -115,8 +115,7 @@
         let Some(r) = self.run(task, run) else {
             return;
         };
-        let is_unanswered = matches!(r.view.phase, Phase::Ordered | Phase::Unanswered);
-        if let Some(sent_at) = r.view.sent_at.filter(|_| is_unanswered) {
+        if let Some(sent_at) = self.undecided_since(r) {
             let start = Start {
                 task,
                 run,
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -197,8 +197,12 @@
             Err(failure) => {
                 schedule.failures = (schedule.failures + 1).min(MAX_RETRY_STEPS);
                 // The first failure may be a lost packet, so the poll is repeated at once. On a
-                // congested link all polls are late, and immediate retries would add to the load.
-                let steps = schedule.failures - u32::from(!is_congested);
+                // congested link all polls are late, and immediate retries would add to the load. The
+                // task of a held start waits for an endpoint that is gone.
+                let steps = match endpoint.gone_since {
+                    Some(_) => 1,
+                    None => schedule.failures - u32::from(!is_congested),
+                };
                 schedule.due = now + self.settings.poll_retry_delay * steps;
                 if schedule.failures == 1 {
                     warn!(endpoint = %target.id, addr = %target.addr, ?failure, "poll failed");
--- a/crates/pomelohitch-sched/tests/cell/restarts.rs
+++ b/crates/pomelohitch-sched/tests/cell/restarts.rs
@@ -306,3 +306,23 @@
     restart(&mut fleet, First::Entry);
     assert_eq!(fleet.cell.take_ended_endpoints(), [EndpointId::from("e0")]);
 }
+
+/// Guards against a new leader that doesn't hold the start of the former one, which an endpoint
+/// without power may still carry out.
+#[test]
+fn a_start_of_the_former_leader_that_an_endpoint_carries_out_late_is_the_only_run() {
+    let mut fleet = Fleet::new(1);
+    fleet.advance(600);
+    fleet.faults.orders_late = Duration::from_millis(1_700);
+    fleet.submit(ID, job(vec![ordinary()]));
+    fleet.advance(5);
+    fleet.faults.orders_late = Duration::ZERO;
+    fleet.add("e1", 1);
+    fleet.cut_power("e0");
+    fleet.change_leader();
+    fleet.advance(155);
+    restart(&mut fleet, First::Poll);
+    fleet.advance(500);
+    assert_eq!(running(&fleet), 1);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
