fix: an endpoint that answers orders isn't silent

Found by review, by reading: whether an endpoint is silent followed from its polls alone, so that one which had just accepted a start could be taken for ended by a list from before, and a start that was held was given up once it had been accepted. An answered order counts as a sign of life now and ends the state in which its endpoint counts as gone. Free room for refusals doesn't include endpoints that are gone. No test shows the race before: orders of the emulator are answered at once.

--- a/crates/pomelohitch-sched/src/cell/admit.rs
+++ b/crates/pomelohitch-sched/src/cell/admit.rs
@@ -70,7 +70,8 @@
         }
         let mut free: BTreeMap<ServiceName, u64> = BTreeMap::new();
         for (_, endpoint) in self.all_endpoints() {
-            if let Some(report) = endpoint.report.as_ref().filter(|_| endpoint.is_listed) {
+            let is_present = endpoint.is_listed && endpoint.gone_since.is_none();
+            if let Some(report) = endpoint.report.as_ref().filter(|_| is_present) {
                 let room = report.capacity.cpu.saturating_sub(endpoint.used.cpu);
                 *free.entry(report.service.clone()).or_default() += room;
             }
--- a/crates/pomelohitch-sched/src/cell/operations.rs
+++ b/crates/pomelohitch-sched/src/cell/operations.rs
@@ -126,8 +126,8 @@
     }
 
     fn has_ended(&self, endpoint: &Endpoint, absence: &Absence, asked_at: Steady) -> bool {
-        let answered_at = endpoint.answered_at.max(endpoint.restarted_at);
-        let silent_since = answered_at.unwrap_or_default().max(self.leader_since);
+        let heard_at = endpoint.last_heard_at();
+        let silent_since = heard_at.unwrap_or_default().max(self.leader_since);
         let silence = asked_at.saturating_sub(silent_since);
         if self.is_known_down(endpoint, absence, asked_at) {
             return silence > MIN_SILENCE && endpoint.poll.failures > 0;
--- a/crates/pomelohitch-sched/src/cell/orders.rs
+++ b/crates/pomelohitch-sched/src/cell/orders.rs
@@ -27,6 +27,8 @@
             && let Some(endpoint) = self.endpoints.get_mut(&target.id)
         {
             endpoint.is_unresponsive = false;
+            endpoint.order_answered_at = Some(self.now.steady);
+            endpoint.gone_since = None;
         }
         match order {
             Order::Start { task, run, .. } => self.start_result(target, *task, *run, outcome),
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -177,6 +177,8 @@
     pub polled_at: Option<Steady>,
     /// When it last answered a poll.
     pub answered_at: Option<Steady>,
+    /// When it last answered an order.
+    pub order_answered_at: Option<Steady>,
     /// When this incarnation first answered a poll of this leader.
     pub known_since: Option<Steady>,
     /// Whether a poll that requested a lease was answered. Before that, only starts hold a lease,
@@ -231,6 +233,7 @@
             lists_completions: false,
             polled_at: None,
             answered_at: None,
+            order_answered_at: None,
             known_since: None,
             lease_confirmed: false,
             avoided_until: Steady::ZERO,
@@ -349,12 +352,19 @@
             .is_some_and(|at| now.saturating_sub(at) <= window)
     }
 
-    /// Whether this incarnation hasn't answered a poll since `at`.
+    /// When this incarnation last gave a sign of life: the answer to a poll or an order, or the entry
+    /// that showed a restart.
     #[must_use]
-    pub fn is_silent_since(&self, at: Steady) -> bool {
+    pub fn last_heard_at(&self) -> Option<Steady> {
         self.answered_at
+            .max(self.order_answered_at)
             .max(self.restarted_at)
-            .is_none_or(|last| last < at)
+    }
+
+    /// Whether this incarnation has given no sign of life since `at`.
+    #[must_use]
+    pub fn is_silent_since(&self, at: Steady) -> bool {
+        self.last_heard_at().is_none_or(|last| last < at)
     }
 
     /// Rack, the second label.
