fix: a late order to a former address doesn't end the calls to the present incarnation

Found by review, by reading: an order decided before an endpoint restarted at another address replaced the client of the new incarnation, which since 'calls to an endpoint end when it is gone' abandons all its calls; the next call replaced it back. Not shown by a test; tests of fleet and dispatcher pass.

--- a/pomelohitchd/src/fleet/calls.rs
+++ b/pomelohitchd/src/fleet/calls.rs
@@ -7,7 +7,6 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -55,6 +54,8 @@
 /// Connections to one endpoint, and the limit of concurrent orders to it.
 #[derive(Debug)]
 struct EndpointClient {
+    /// Incarnation of the endpoint that it was opened for.
+    born: u64,
     connections: Connections,
     /// Closed once the endpoint is forgotten.
     order_permits: Semaphore,
@@ -63,9 +64,10 @@
 }
 
 impl EndpointClient {
-    fn new(addr: SocketAddr) -> EndpointClient {
+    fn new(target: &Target) -> EndpointClient {
         EndpointClient {
-            connections: Connections::new(addr, CONNECT_TIMEOUT, KEPT_CONNECTIONS),
+            born: target.born,
+            connections: Connections::new(target.addr, CONNECT_TIMEOUT, KEPT_CONNECTIONS),
             order_permits: Semaphore::new(MAX_CONCURRENT_ORDERS),
             forgotten: Notify::new(),
         }
@@ -151,15 +153,21 @@
         }
     }
 
+    /// The client for calls to `target`. A call to another address of a former incarnation gets one of
+    /// its own, so that it doesn't end the calls to the present one.
     fn client(&self, target: &Target) -> Rc<EndpointClient> {
         let mut clients = self.clients.borrow_mut();
         let client = clients
             .entry(target.id.clone())
-            .or_insert_with(|| Rc::new(EndpointClient::new(target.addr)));
-        if client.connections.peer() != target.addr {
+            .or_insert_with(|| Rc::new(EndpointClient::new(target)));
+        if client.connections.peer() == target.addr {
+            return client.clone();
+        }
+        let other = Rc::new(EndpointClient::new(target));
+        if target.born >= client.born {
             client.close();
-            *client = Rc::new(EndpointClient::new(target.addr));
+            *client = other.clone();
         }
-        client.clone()
+        other
     }
 }
