--- a/crates/pomelohitch-sched/src/cell/lifecycle.rs
+++ b/crates/pomelohitch-sched/src/cell/lifecycle.rs
@@ -296,8 +296,8 @@
         removed
     }
 
-    /// The endpoints that were removed or are gone, or whose entries showed a restart, since the last call. Calls
-    /// to them that are in flight are for a process that has ended.
+    /// The endpoints that were removed or are gone, or whose entries showed a restart, since the last
+    /// call. Calls to them that are in flight are for a process that has ended.
     pub fn take_ended_endpoints(&mut self) -> Vec<EndpointId> {
         std::mem::take(&mut self.ended_endpoints)
     }
--- a/crates/pomelohitch-sched/tests/cell/instance_lists.rs
+++ b/crates/pomelohitch-sched/tests/cell/instance_lists.rs
@@ -43,7 +43,8 @@
     }
 }
 
-/// A fleet of two endpoints that have just started, of which one runs the only task of the given step; returns that one.
+/// A fleet of two endpoints that have just started, of which one runs the only task of the given
+/// step; returns that one.
 fn with_run(step: StepSpec) -> (Fleet, EndpointId) {
     let mut fleet = Fleet::new(2);
     for id in ["e0", "e1"] {
--- a/crates/pomelohitch-sched/tests/cell/late_listings.rs
+++ b/crates/pomelohitch-sched/tests/cell/late_listings.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use pomelohitch_sched::job::StepSpec;
-
 use super::fleet::{Fleet, job, step};
+use super::restarts::{lasting, ordinary};
 
 const ID: &str = "00000000000000a1";
 const JOB: u64 = 0xa1;
@@ -18,18 +17,6 @@
     Duration::from_millis(650),
 ];
 
-fn ordinary() -> StepSpec {
-    step(1, 500, 60_000)
-}
-
-fn lasting() -> StepSpec {
-    StepSpec {
-        is_lasting: true,
-        may_miss: 1,
-        ..ordinary()
-    }
-}
-
 /// A fleet of three endpoints that list runs late.
 fn fleet(listing_delay: Duration) -> Fleet {
     let mut fleet = Fleet::new(3);
--- a/crates/pomelohitch-sched/tests/cell/restarts.rs
+++ b/crates/pomelohitch-sched/tests/cell/restarts.rs
@@ -29,11 +29,11 @@
     Poll,
 }
 
-fn ordinary() -> StepSpec {
+pub(super) fn ordinary() -> StepSpec {
     step(1, 500, 60_000)
 }
 
-fn lasting() -> StepSpec {
+pub(super) fn lasting() -> StepSpec {
     StepSpec {
         is_lasting: true,
         may_miss: 1,
