fix: leases are bounded by confirmations of the leadership

Callers saw tasks run twice at once (TWICE), limits broken (LIMIT) and more attempts than allowed (BUDGET) for as long as a leader was cut off from the store together with a member that answers it.

Cause: a new leader takes all leases of former ones for expired 10 s after its takeover, which rests on the former one having stopped renewing. A leader that lost the store stopped only if a member named a later leader or had the store, or if no member answered. A neighbour on its side of the cut answers, has no store and knows no later leader.

Now a lease ends at most 7.5 s after the moment as of which the leadership was confirmed: by an append of its epoch, or by a majority of the registered members that know no later leader and have read its record. Heartbeats carry the time at which they were sent, and acknowledgements echo it. A new leader counts leases that it doesn't know as expired 10 s after the moment from which fewer members than any earlier leader's quorum haven't acknowledged it; two such sets share a member. The quorum is in the leader's record and in its liveness record. Work goes on while the store is away for all.

While it isn't confirmed, a leader reports no states of jobs; after 9 s it ends.

--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -86,6 +86,10 @@
     pub log: BTreeMap<Box<str>, Box<[u8]>>,
     /// Whether the log is available; while false, nothing becomes durable.
     pub is_log_up: bool,
+    /// Whether the leadership is confirmed at each step, by the store or by a majority of the members.
+    pub is_confirmed: bool,
+    /// Whether a new leader knows at once that no former one can be confirmed.
+    pub bounds_former_leaders: bool,
     /// Duration of an append to the log.
     pub log_delay: Duration,
     /// Largest number of appends in flight.
@@ -254,6 +258,8 @@
             instances: BTreeMap::new(),
             log: BTreeMap::new(),
             is_log_up: true,
+            is_confirmed: true,
+            bounds_former_leaders: true,
             log_delay: Duration::ZERO,
             appends_at_once: 4,
             evacuated: BTreeMap::new(),
@@ -445,6 +451,9 @@
         let (cell, faults) = Cell::restore(settings, epoch, self.now, &records);
         assert!(faults.is_empty(), "{faults:?}");
         self.cell = cell;
+        if self.bounds_former_leaders {
+            self.cell.former_leaders_bounded(self.now.steady);
+        }
         self.pending.clear();
         self.polls.clear();
         self.cell.configure(self.cfg.clone());
@@ -511,6 +520,9 @@
             self.process_polls();
             self.read_entries();
             self.advance_log();
+            if self.is_confirmed {
+                self.cell.leadership_confirmed(self.now.steady);
+            }
             let actions = self.decide(Cell::tick);
             self.execute_actions(actions);
         }
--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -134,8 +134,10 @@
     pub max_entry_age: Duration,
     /// An endpoint that hasn't answered a poll for this long receives no new tasks.
     pub max_silence: Duration,
-    /// Time after a change of leader by which every lease of the former leader has expired: its
-    /// last renewal without the store, plus the longest lease, by the slowest clock.
+    /// Leases end at most `lease` plus this after the leadership was last confirmed.
+    pub confirmation_grace: Duration,
+    /// Time by which every lease of former leaders has expired, from the moment when none of them can
+    /// be confirmed any more: `lease` plus `confirmation_grace`, by the slowest clock.
     pub former_lease_expiry: Duration,
     /// Retention of ended jobs.
     pub job_retention: Duration,
@@ -168,6 +170,7 @@
     fn default() -> Self {
         Settings {
             lease: Duration::from_secs(6),
+            confirmation_grace: Duration::from_millis(1500),
             start_validity: Duration::from_millis(700),
             start_send_timeout: Duration::from_millis(800),
             poll_wait: Duration::from_millis(700),
@@ -256,6 +259,10 @@
     now: Now,
     /// Start of this leadership.
     leader_since: Steady,
+    /// As of when the leadership is known to be the only one, if it was ever confirmed.
+    confirmed_at: Option<Steady>,
+    /// Since when no former leader can be confirmed, if that is known.
+    formers_bounded_at: Option<Steady>,
     /// The fleet's time at the start of this leadership.
     leader_since_ms: UnixMs,
     jobs: BTreeMap<JobId, Job>,
@@ -437,6 +444,8 @@
             passes: 0,
             now,
             leader_since: now.steady,
+            confirmed_at: None,
+            formers_bounded_at: None,
             leader_since_ms: settings
                 .fleet_ms
                 .unwrap_or(now.unix_ms.max(settings.fleet_ms_at_least.unwrap_or(0))),
@@ -590,6 +599,22 @@
         self.cfg.as_ref()?.queues.get(*self.queues.get(name)?)
     }
 
+    /// Handles that the store or a majority of the members has confirmed the leadership, asked at
+    /// `at`. Leases are requested only for a limited time after that.
+    pub fn leadership_confirmed(&mut self, at: Steady) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+    }
+
+    /// Handles that from `at` on no former leader can be confirmed.
+    pub fn former_leaders_bounded(&mut self, at: Steady) {
+        self.formers_bounded_at.get_or_insert(at);
+    }
+
+    /// Latest end of the leases that may be requested now.
+    fn lease_limit(&self) -> Option<Steady> {
+        Some(self.confirmed_at? + self.settings.lease + self.settings.confirmation_grace)
+    }
+
     /// Sets whether the log rejects records. While it does, no jobs or cancellations are accepted.
     pub fn set_log_down(&mut self, is_down: bool) {
         self.is_log_down = is_down;
--- a/crates/pomelohitch-sched/src/cell/commits.rs
+++ b/crates/pomelohitch-sched/src/cell/commits.rs
@@ -99,6 +99,10 @@
             return true;
         };
         let (now, valid) = (self.now.steady, self.settings.start_validity);
+        // A start also grants a lease up to its deadline.
+        if self.lease_limit().is_none_or(|limit| now + valid > limit) {
+            return false;
+        }
         let Some(endpoint) = self.endpoints.get_mut(&target.id) else {
             return false;
         };
--- a/crates/pomelohitch-sched/src/cell/lifecycle.rs
+++ b/crates/pomelohitch-sched/src/cell/lifecycle.rs
@@ -262,7 +262,9 @@
     /// these endpoints that aren't listed.
     pub(super) fn release_expired_leases(&mut self) {
         let now = self.now.steady;
-        let unread_until = self.leader_since + self.settings.former_lease_expiry;
+        let unread_until = self
+            .formers_bounded_at
+            .map(|at| at + self.settings.former_lease_expiry);
         let max_silence = self.settings.max_silence;
         // Orders to the former incarnation may grant leases to the new one, which aren't known.
         let known_for = self.settings.former_lease_expiry;
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -64,7 +64,7 @@
     /// lease.
     fn poll(&mut self, id: &EndpointId) {
         let now = self.now.steady;
-        let lease_for = self.settings.lease;
+        let lease_until = self.lease_limit().map(|l| l.min(now + self.settings.lease));
         let Some(target) = self.target(id) else {
             return;
         };
@@ -74,11 +74,9 @@
         };
         // A poll of a silent endpoint requests no lease, so that the last one expires and its tasks
         // can be started elsewhere.
-        let lease = if endpoint.poll.failures == 0 {
-            endpoint.clock_ahead(now, lease_for)
-        } else {
-            None
-        };
+        let lease = lease_until
+            .filter(|until| endpoint.poll.failures == 0 && *until > now)
+            .and_then(|until| endpoint.clock_ahead(now, until.saturating_sub(now)));
         if let Some(end) = lease {
             endpoint.lease_requested(end);
         }
--- a/crates/pomelohitch-sched/src/endpoint.rs
+++ b/crates/pomelohitch-sched/src/endpoint.rs
@@ -323,12 +323,12 @@
     /// Whether every lease has certainly expired, so that nothing runs there.
     ///
     /// `unread_until` is the limit if the clock was never read: a former leader may have requested
-    /// leases that are unknown to this one.
+    /// leases that are unknown to this one. Without a limit, it may still request some.
     #[must_use]
-    pub fn is_lapsed(&self, now: Steady, unread_until: Steady) -> bool {
+    pub fn is_lapsed(&self, now: Steady, unread_until: Option<Steady>) -> bool {
         match self.clock_at_least(now) {
             Some(clock) => clock > self.lease_end + LEASE_EXPIRY_MARGIN,
-            None => now > unread_until,
+            None => unread_until.is_some_and(|limit| now > limit),
         }
     }
 
--- a/crates/pomelohitch-sched/src/lib.rs
+++ b/crates/pomelohitch-sched/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod avoidance;
 pub mod cell;
 pub mod config;
+pub mod confirmation;
 pub mod copies;
 pub mod demand;
 pub mod endpoint;
--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -11,7 +11,7 @@
 use pomelohitch_sched::progress::JobState;
 use pomelohitch_sched::{Cell, Settings};
 
-use super::fleet::{Fleet, job, step};
+use super::fleet::{Fleet, STEP, job, step};
 
 const ID: &str = "00000000000000a1";
 
@@ -61,6 +61,78 @@
     fleet.assert_invariants();
 }
 
+/// Guards against a second run of each task that a former leader still keeps running, where it can be
+/// confirmed without its successor's knowledge.
+#[test]
+fn a_new_leader_gives_up_nothing_unread_while_a_former_one_may_be_confirmed() {
+    let mut fleet = Fleet::new(2);
+    fleet.bounds_former_leaders = false;
+    fleet.submit(ID, job(vec![step(1, 500, 30_000)]));
+    fleet.advance(20);
+    let (_, _, at) = fleet.starts[0].clone();
+    fleet.endpoint(&at).is_silent = true;
+    fleet.change_leader();
+    fleet.advance(2_000);
+    assert_eq!(fleet.starts.len(), 1);
+    fleet.cell.former_leaders_bounded(fleet.now.steady);
+    fleet.advance(900);
+    assert_eq!(fleet.starts.len(), 1);
+    fleet.advance(300);
+    assert_eq!(fleet.starts.len(), 2);
+    fleet.assert_invariants();
+}
+
+/// Guards against leases that a leader renews after a later one may have given up their runs.
+#[test]
+fn leases_expire_where_the_leader_is_not_confirmed() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(ID, job(vec![step(1, 500, 60_000)]));
+    fleet.advance(20);
+    let (_, _, at) = fleet.starts[0].clone();
+    let last_confirmed = fleet.now.steady;
+    fleet.is_confirmed = false;
+    while !fleet.endpoints[&at].running().is_empty() {
+        fleet.advance(1);
+    }
+    let expired_after = fleet.now.steady.saturating_sub(last_confirmed);
+    let longest = fleet.settings.lease + fleet.settings.confirmation_grace;
+    // The clock was read at an unknown moment of the poll.
+    let longest = longest + fleet.settings.poll_wait_for_ends / 2 + STEP;
+    assert!(expired_after <= longest, "{expired_after:?}");
+    assert!(expired_after > fleet.settings.lease, "{expired_after:?}");
+}
+
+/// Guards against a start that a leader sends after a suspension during which another one took over.
+#[test]
+fn nothing_starts_where_the_leader_is_not_confirmed() {
+    let mut fleet = Fleet::new(2);
+    fleet.advance(20);
+    fleet.is_confirmed = false;
+    fleet.advance(1_000);
+    fleet.submit(ID, job(vec![step(4, 500, 500)]));
+    fleet.advance(300);
+    assert_eq!(fleet.starts.len(), 0);
+    fleet.is_confirmed = true;
+    fleet.advance(300);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    fleet.assert_invariants();
+}
+
+/// Guards against tasks that end because the store is away for longer than a lease.
+#[test]
+fn tasks_run_on_without_the_store_where_the_members_confirm_the_leader() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(ID, job(vec![step(2, 500, 20_000)]));
+    fleet.advance(20);
+    fleet.is_log_up = false;
+    fleet.advance(1_500);
+    fleet.is_log_up = true;
+    fleet.advance(900);
+    assert_eq!(fleet.state(ID), Answer::State(JobState::Completed));
+    assert_eq!(fleet.starts.len(), 2);
+    fleet.assert_invariants();
+}
+
 /// All entry instances lose power after a job was accepted and before any of its tasks runs.
 #[test]
 fn an_accepted_job_outlives_every_leader() {
--- a/pomelohitchd/src/fleet/callers.rs
+++ b/pomelohitchd/src/fleet/callers.rs
@@ -14,6 +14,7 @@
 use tracing::{info, warn};
 
 use super::leader::core::{self, Event, Incoming as LeaderCall};
+use super::leader::handover::UNCONFIRMED_AFTER;
 use super::shared::{Leadership, Shared};
 use super::{forwarding, wire};
 use crate::front::{Incoming, Limits, Service};
@@ -83,7 +84,11 @@
 fn is_ready(shared: &Shared) -> bool {
     let silent_for = super::clock::steady().saturating_sub(shared.view().leader_heard_at);
     let knows_leader = shared.view().leader.is_some() && silent_for < MAX_LEADER_SILENCE;
-    !shared.is_leaving() && (shared.leadership().is_some() || knows_leader)
+    let has_leader = match shared.leadership() {
+        Some(own) => is_confirmed(&own),
+        None => knows_leader,
+    };
+    !shared.is_leaving() && has_leader
 }
 
 /// Result of one attempt to have the leader execute a request.
@@ -231,7 +236,7 @@
     if remaining.is_zero() {
         return Attempt::NotExecuted;
     }
-    if let Some(leadership) = current_leadership(shared) {
+    if let Some(leadership) = current_leadership(shared, &incoming.head.method) {
         let host = incoming.head.headers.get("Host").unwrap_or_default();
         return ask_local_leader(
             &leadership,
@@ -250,12 +255,21 @@
     }
 }
 
-/// The own leadership, unless a later leader is known: then it is over, though it may not have ended
-/// yet.
-fn current_leadership(shared: &Shared) -> Option<Leadership> {
+/// The own leadership as far as it may answer the request, unless a later leader is known: then it is
+/// over, though it may not have ended yet.
+///
+/// While it isn't confirmed, another member may lead, so that it reports nothing. Requests with an effect
+/// need an append, or are refused while the store is away.
+fn current_leadership(shared: &Shared, method: &str) -> Option<Leadership> {
     let leader = shared.view().leader;
     let is_current = |own: &Leadership| leader.is_none_or(|l| l.epoch <= own.epoch);
-    shared.leadership().filter(is_current)
+    let leadership = shared.leadership().filter(is_current);
+    leadership.filter(|own| has_effect(method) || is_confirmed(own))
+}
+
+fn is_confirmed(leadership: &Leadership) -> bool {
+    let age = super::clock::steady().saturating_sub(leadership.confirmation.at());
+    age < UNCONFIRMED_AFTER
 }
 
 /// Answers a request that another entry instance forwarded.
@@ -264,7 +278,7 @@
     let host = host.unwrap_or_default();
     let for_epoch = incoming.head.headers.get(wire::FOR_EPOCH_HEADER);
     let for_epoch: Option<Epoch> = for_epoch.and_then(|epoch| epoch.parse().ok());
-    let leadership = current_leadership(shared);
+    let leadership = current_leadership(shared, &incoming.head.method);
     let leadership = leadership.filter(|l| for_epoch.is_none_or(|epoch| epoch == l.epoch));
     let Some(leadership) = leadership else {
         return Response::text("").with_status_code(421);
--- a/pomelohitchd/src/fleet/internal.rs
+++ b/pomelohitchd/src/fleet/internal.rs
@@ -70,10 +70,12 @@
             return None;
         }
     };
-    let HeartbeatReply { epoch } = handle_heartbeat(shared, &heartbeat);
+    let HeartbeatReply { epoch, confirms } = handle_heartbeat(shared, &heartbeat);
     let ack = HeartbeatAck {
         epoch,
         member: shared.site.load().internal,
+        sent_ms: heartbeat.sent_ms,
+        confirms,
     };
     postcard::to_allocvec(&ack)
         .map_err(|error| warn!(%error, "reply can't be encoded"))
@@ -90,8 +92,11 @@
             view.leader_alive_at = now;
         });
     }
+    let view = shared.view();
+    let epoch = view.leader.map_or(0, |l| l.epoch);
     HeartbeatReply {
-        epoch: known_epoch(shared),
+        epoch,
+        confirms: view.is_loaded && epoch == heartbeat.leader.epoch,
     }
 }
 
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -4,6 +4,7 @@
 //! * [`journal`]: appends records to the store.
 //! * [`in_flight`]: batches whose records aren't durable yet.
 //! * [`append_timeout`]: timeout of an append.
+//! * [`confirmation`]: when the store or the members last confirmed the leadership.
 //! * [`dispatcher`]: sends calls to endpoints, directly or through other members.
 //! * [`watch`]: reads the records that operators and endpoints write to the store.
 //! * [`platform_calls`]: calls to the platform's instances and policy services, and wave status.
@@ -17,12 +18,14 @@
 
 use pomelohitch_adapter::records::{self, OperatorRecord};
 use pomelohitch_adapter::store::{AppendCondition, Appended, Newest, Store, Topic};
+use pomelohitch_sched::confirmation::majority;
 use pomelohitch_sched::policy::Policy;
 use pomelohitch_sched::progress;
 use pomelohitch_sched::{Cell, Epoch, Settings};
 use snafu::{ResultExt, Snafu, ensure};
 use tracing::{info, warn};
 
+use self::confirmation::Confirmation;
 use self::heartbeats::Heartbeats;
 use super::clock;
 use super::shared::{Leadership, Shared, spawn, spawn_with};
@@ -30,6 +33,7 @@
 use super::{members, peers, succession};
 
 pub mod append_timeout;
+pub mod confirmation;
 pub mod core;
 pub mod dispatcher;
 pub mod handover;
@@ -127,6 +131,7 @@
         core::hand_over(peer, Claim { has_ended: false });
         return YieldedSnafu { peer }.fail();
     }
+    let fence_sent_at = clock::steady();
     let appended =
         retry(|| store.append(Topic::Jobs, &[], epoch_condition(epoch, 0), APPEND_TIMEOUT))?;
     ensure!(matches!(appended, Appended::Done { .. }), FencedSnafu);
@@ -172,8 +177,10 @@
         "leadership taken over"
     );
     shared.observe_leader(&leader, true);
+    let confirmation = Arc::new(Confirmation::new(fence_sent_at, leader.quorum));
     shared.set_leadership(Some(Leadership {
         epoch,
+        confirmation: confirmation.clone(),
         events: tx.clone(),
     }));
     let offsets = (records.operators.end, records.endpoints.end);
@@ -182,6 +189,7 @@
         tx,
         rx,
         leader,
+        confirmation,
         former,
         offsets,
     };
@@ -285,11 +293,15 @@
     let known = former.as_ref().map_or(0, |l| l.epoch);
     ensure!(known <= replaced, RacedSnafu);
     let site = shared.site.load();
+    let view = shared.view();
+    let own_quorum = majority(shared.others().len() + view.unreadable_members.len() + 1);
+    let former_quorum = view.leader_quorum();
     let leader = Leader {
         epoch: known + 1,
         member: site.member.clone(),
         addr: site.internal,
         began_ms: shared.started_ms,
+        quorum: former_quorum.map_or(own_quorum, |former| former.min(own_quorum)),
     };
     let record = progress::encode(wire::LEADER_KEY.into(), &leader).context(RecordSnafu)?;
     let condition = AppendCondition::EndsAt(end.unwrap_or_default());
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, SyncSender};
 use std::time::Duration;
 
@@ -22,6 +21,7 @@
 use super::super::peers;
 use super::super::shared::{Shared, spawn_with};
 use super::super::wire::{self, Claim, Leader, ProbeReply};
+use super::confirmation::Confirmation;
 use super::dispatcher::{self, Dispatcher};
 use super::in_flight::InFlight;
 use super::journal::{self, Journal, Sequence};
@@ -110,6 +110,8 @@
     StoreProbed(Vec<(SocketAddr, ProbeReply)>, bool),
     /// The answers of larger members on whether they can lead.
     LargerMembersProbed(Vec<(SocketAddr, ProbeReply)>),
+    /// From this time on no former leader can be confirmed by a majority of the members.
+    FormersBounded(Steady),
     /// A later leader is known, or the store permanently refuses appends; with the reason that is
     /// logged.
     Deposed(&'static str),
@@ -139,6 +141,8 @@
     pub rx: Receiver<Event>,
     /// This process as the leader.
     pub leader: Leader,
+    /// Confirmations of the leadership.
+    pub confirmation: Arc<Confirmation>,
     /// Former leader, if any.
     pub former: Option<Leader>,
     /// Offsets from which to continue reading the topics of operators and of endpoints.
@@ -172,6 +176,9 @@
     pub(super) members_probed_at: Steady,
     pub(super) larger_checked_at: Steady,
     pub(super) former: Option<Leader>,
+    pub(super) confirmation: Arc<Confirmation>,
+    /// Since when the leadership isn't confirmed, as last logged.
+    pub(super) unconfirmed_since: Option<Steady>,
     end: Option<End>,
 }
 
@@ -179,12 +186,12 @@
 /// or don't answer, a larger member can lead, or the process shuts down.
 pub fn run(shared: &Arc<Shared>, initial: InitialState) {
     let epoch = initial.leader.epoch;
-    let confirmed = Arc::new(AtomicU64::new(millis(clock::steady())));
+    let confirmation = initial.confirmation;
     let tx = initial.tx;
-    let started = Journal::start(shared, epoch, &tx, &confirmed).and_then(|journal| {
-        let platform_calls = PlatformCalls::start(shared, epoch, &tx, &confirmed)?;
+    let started = Journal::start(shared, epoch, &tx, &confirmation).and_then(|journal| {
+        let platform_calls = PlatformCalls::start(shared, epoch, &tx, &confirmation)?;
         watch::start(shared, epoch, &tx, initial.offsets)?;
-        heartbeats::start(shared, &initial.leader, &tx)?;
+        heartbeats::start(shared, &initial.leader, &confirmation, &tx)?;
         Ok((
             journal,
             platform_calls,
@@ -218,6 +225,8 @@
         members_probed_at: Steady::ZERO,
         larger_checked_at: handover::initial_larger_checked_at(),
         former: initial.former,
+        confirmation,
+        unconfirmed_since: None,
         end: None,
     };
     core.update_evacuation_gauge();
@@ -282,6 +291,7 @@
             if let Some(end) = self.end {
                 return end;
             }
+            self.check_confirmation();
             let now = clock::now();
             let actions = self.cell.tick(now);
             self.cell
@@ -368,6 +378,7 @@
                 self.handle_probe_answers(&answers, has_store);
             }
             Event::LargerMembersProbed(answers) => self.yield_to_larger(&answers),
+            Event::FormersBounded(at) => self.cell.former_leaders_bounded(at),
             Event::Deposed(reason) => self.stop(reason, None),
             Event::Shutdown => self.end_for_shutdown(),
         }
@@ -531,18 +542,6 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Records that the store has just confirmed the leadership.
-pub fn mark_confirmed(confirmed: &AtomicU64) {
-    confirmed.store(millis(clock::steady()), Ordering::Release);
-}
-
-/// Time since the store last confirmed the leadership.
-#[must_use]
-pub fn time_since_confirmed(confirmed: &AtomicU64) -> Duration {
-    let at = Duration::from_millis(confirmed.load(Ordering::Acquire));
-    clock::steady().saturating_sub(at)
-}
-
 /// Starts a thread that repeats `step` until the leadership of `epoch` ends.
 ///
 /// # Errors
--- a/pomelohitchd/src/fleet/leader/handover.rs
+++ b/pomelohitchd/src/fleet/leader/handover.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use pomelohitch_sched::Steady;
-use tracing::warn;
+use tracing::{info, warn};
 
 use super::core::{Core, Event, millis};
 use crate::fleet::shared::spawn;
@@ -32,6 +32,9 @@
 /// Timeout of the answers of larger members. Long, since a small leader that is out of processor
 /// time has the most need to hand over and is slow to read the answers.
 const LARGER_CHECK_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without a confirmation after which this process stops leading: the longest lease that it may
+/// have requested has expired.
+const MAX_UNCONFIRMED: Duration = Duration::from_secs(9);
 /// Time without the store and without an answer of any other member after which this process stops
 /// leading. The other members may have elected another leader, which relies on leases not being
 /// renewed for longer.
@@ -43,7 +46,50 @@
     (clock::steady() + LARGER_CHECK_DELAY).saturating_sub(LARGER_CHECK_INTERVAL)
 }
 
+/// Time without a confirmation after which the leadership counts as unconfirmed, and reports no states
+/// of jobs.
+pub const UNCONFIRMED_AFTER: Duration = Duration::from_millis(1500);
+
 impl Core<'_> {
+    /// Passes the newest confirmation on to the scheduler, and ends a leadership that hasn't been
+    /// confirmed for so long that all of its leases have expired.
+    pub(super) fn check_confirmation(&mut self) {
+        let now = clock::steady();
+        let at = self.confirmation.at();
+        self.cell.leadership_confirmed(at);
+        let is_confirmed = now.saturating_sub(at) < UNCONFIRMED_AFTER;
+        let age_ms = |at: Steady| now.saturating_sub(at).as_millis();
+        let store_ms = age_ms(self.confirmation.store_at());
+        let members_ms = age_ms(self.confirmation.members_at());
+        match self.unconfirmed_since {
+            None if !is_confirmed => {
+                self.unconfirmed_since = Some(now);
+                let epoch = self.epoch;
+                warn!(epoch, store_ms, members_ms, "leadership unconfirmed");
+            }
+            Some(since) if is_confirmed => {
+                self.unconfirmed_since = None;
+                let unconfirmed_ms = age_ms(since);
+                info!(
+                    epoch = self.epoch,
+                    unconfirmed_ms, store_ms, members_ms, "leadership confirmed again"
+                );
+            }
+            _ => {}
+        }
+        metrics::gauge!("leadership_confirmed_age_seconds", "by" => "store").set(
+            now.saturating_sub(self.confirmation.store_at())
+                .as_secs_f64(),
+        );
+        metrics::gauge!("leadership_confirmed_age_seconds", "by" => "members").set(
+            now.saturating_sub(self.confirmation.members_at())
+                .as_secs_f64(),
+        );
+        if now.saturating_sub(at) > MAX_UNCONFIRMED {
+            self.stop("neither store nor majority of members confirms it", None);
+        }
+    }
+
     /// While the store doesn't answer, probes whether it answers the other members.
     pub(super) fn check_store(&mut self) {
         let now = clock::steady();
--- a/pomelohitchd/src/fleet/leader/heartbeats.rs
+++ b/pomelohitchd/src/fleet/leader/heartbeats.rs
@@ -9,12 +9,14 @@
 use std::time::Duration;
 
 use pomelohitch_adapter::store::{AppendCondition, Topic};
-use pomelohitch_sched::Epoch;
 use pomelohitch_sched::acks::Acks;
+use pomelohitch_sched::confirmation::Confirmations;
 use pomelohitch_sched::progress;
+use pomelohitch_sched::{Epoch, Steady};
 use tracing::{info, warn};
 
-use super::core::{Event, spawn_while_leading};
+use super::confirmation::{Confirmation, ConfirmationWatch};
+use super::core::{Event, millis, spawn_while_leading};
 use crate::fleet::clock;
 use crate::fleet::peers;
 use crate::fleet::shared::{Shared, spawn_with};
@@ -39,8 +41,16 @@
 /// Timeout of the append of the liveness record.
 const LIVENESS_APPEND_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// An answer to a heartbeat: the member's address, and the highest epoch that it knows.
-type HeartbeatAnswer = (SocketAddr, Epoch);
+/// A member's answer to a heartbeat.
+#[derive(Debug, Clone, Copy)]
+struct HeartbeatAnswer {
+    member: SocketAddr,
+    /// The highest epoch that it knows.
+    epoch: Epoch,
+    /// When the heartbeat was sent.
+    sent_at: Steady,
+    confirms: bool,
+}
 
 /// Sends heartbeats to the other members. The threads that call members over connections end when
 /// this is dropped.
@@ -53,6 +63,7 @@
     /// The group of members that is next.
     group: u32,
     acks: Acks<SocketAddr>,
+    confirmations: Confirmations<SocketAddr>,
     calls: SyncSender<SocketAddr>,
     answers: Receiver<HeartbeatAnswer>,
     /// Dropped with this, so that calls that are still queued aren't made.
@@ -76,8 +87,8 @@
                 while let Some(peer) = next_call(&rx)
                     && alive.strong_count() > 0
                 {
-                    let epoch = call_member(shared, &leader, peer);
-                    if epoch.is_some_and(|epoch| tx.send((peer, epoch)).is_err()) {
+                    let answer = call_member(shared, &leader, peer);
+                    if answer.is_some_and(|answer| tx.send(answer).is_err()) {
                         return;
                     }
                 }
@@ -89,6 +100,7 @@
             peers: Vec::new(),
             group: 0,
             acks: Acks::default(),
+            confirmations: Confirmations::default(),
             calls,
             answers,
             _alive: alive,
@@ -115,6 +127,9 @@
     fn begin_interval(&mut self, shared: &Shared) {
         let now = clock::steady();
         self.peers = shared.peers();
+        let unreadable = shared.view().unreadable_members.len();
+        let peers = self.peers.iter().copied();
+        self.confirmations.set_members(peers, unreadable);
         self.acks.set_members(self.peers.iter().copied(), now);
         for peer in self.acks.take_overdue(now, MAX_CALLS) {
             // If the queue is full, the member is called in a later interval.
@@ -126,16 +141,35 @@
     fn receive_answers(&mut self) -> bool {
         let now = clock::steady();
         let mut newest = 0;
-        while let Some((peer, epoch)) = self.datagrams.as_ref().and_then(Datagrams::receive) {
-            newest = newest.max(epoch);
-            self.acks.acknowledged(&peer, now);
+        while let Some(answer) = self.datagrams.as_ref().and_then(Datagrams::receive) {
+            newest = newest.max(answer.epoch);
+            self.acks.acknowledged(&answer.member, now);
+            record_answer(&mut self.confirmations, &answer, self.leader.epoch);
         }
-        for (peer, epoch) in self.answers.try_iter() {
-            newest = newest.max(epoch);
-            self.acks.answered(&peer, now);
+        for answer in self.answers.try_iter() {
+            newest = newest.max(answer.epoch);
+            self.acks.answered(&answer.member, now);
+            record_answer(&mut self.confirmations, &answer, self.leader.epoch);
         }
         newest > self.leader.epoch
     }
+
+    /// What the members have answered so far.
+    #[must_use]
+    pub fn confirmations(&self) -> &Confirmations<SocketAddr> {
+        &self.confirmations
+    }
+}
+
+/// Records an answer to a heartbeat of the leader of `epoch`.
+fn record_answer(
+    confirmations: &mut Confirmations<SocketAddr>,
+    answer: &HeartbeatAnswer,
+    epoch: Epoch,
+) {
+    if answer.epoch >= epoch {
+        confirmations.acknowledged(&answer.member, answer.sent_at, answer.confirms);
+    }
 }
 
 /// The next member to call; `None` once the queue is closed.
@@ -144,13 +178,17 @@
     queue.recv().ok()
 }
 
-/// Sends a heartbeat over a connection; returns the highest epoch that the member knows, if it
-/// answers.
-fn call_member(shared: &Shared, leader: &Leader, peer: SocketAddr) -> Option<Epoch> {
+/// Sends a heartbeat over a connection; returns the member's answer, if there is one.
+fn call_member(shared: &Shared, leader: &Leader, peer: SocketAddr) -> Option<HeartbeatAnswer> {
     let message = heartbeat_of(shared, leader);
     let client = peers::client(peer);
     let reply = peers::ask::<HeartbeatReply>(&client, wire::HEARTBEAT_PATH, &message, TIMEOUT);
-    reply.ok().map(|reply| reply.epoch)
+    reply.ok().map(|reply| HeartbeatAnswer {
+        member: peer,
+        epoch: reply.epoch,
+        sent_at: Duration::from_millis(message.sent_ms),
+        confirms: reply.confirms,
+    })
 }
 
 /// Builds a heartbeat of `leader` with the current time of the fleet.
@@ -158,6 +196,7 @@
     Heartbeat {
         leader: leader.clone(),
         fleet_ms: shared.fleet_ms(),
+        sent_ms: millis(clock::steady()),
     }
 }
 
@@ -204,7 +243,12 @@
         loop {
             let len = self.socket.recv(&mut buf).ok()?;
             if let Ok(ack) = postcard::from_bytes::<HeartbeatAck>(&buf[..len]) {
-                return Some((ack.member, ack.epoch));
+                return Some(HeartbeatAnswer {
+                    member: ack.member,
+                    epoch: ack.epoch,
+                    sent_at: Duration::from_millis(ack.sent_ms),
+                    confirms: ack.confirms,
+                });
             }
         }
     }
@@ -215,17 +259,29 @@
 ///
 /// # Errors
 /// If a thread can't be started.
-pub fn start(shared: &Arc<Shared>, leader: &Leader, events: &Sender<Event>) -> std::io::Result<()> {
+pub fn start(
+    shared: &Arc<Shared>,
+    leader: &Leader,
+    confirmation: &Arc<Confirmation>,
+    events: &Sender<Event>,
+) -> std::io::Result<()> {
     let epoch = leader.epoch;
     let tx = events.clone();
     let mut heartbeats = Heartbeats::start(shared, leader)?;
+    let mut watch = ConfirmationWatch::new(leader, confirmation);
     spawn_while_leading("members", shared, epoch, move |shared| {
         if heartbeats.send_next(shared) {
             // Fails only if the leadership has ended.
             let _ = tx.send(Event::Deposed("a member knows a later leader"));
         }
+        let now = clock::steady();
+        let knows_later = shared.view().leader.is_some_and(|l| l.epoch > epoch);
+        if !knows_later && watch.update(heartbeats.confirmations(), now) {
+            let _ = tx.send(Event::FormersBounded(now));
+        }
         std::thread::sleep(GROUP_INTERVAL);
     })?;
+    let confirmation = confirmation.clone();
     let store = shared.store();
     let mut count = 0;
     spawn_while_leading("signs", shared, epoch, move |shared| {
@@ -234,6 +290,7 @@
             epoch,
             count,
             fleet_ms: shared.fleet_ms(),
+            quorum: confirmation.quorum(),
         };
         let record = progress::encode(wire::LIVENESS_KEY.into(), &record);
         let written = record.map(|r| {
--- a/pomelohitchd/src/fleet/leader/journal.rs
+++ b/pomelohitchd/src/fleet/leader/journal.rs
@@ -15,7 +15,8 @@
 use tracing::{info, warn};
 
 use super::append_timeout::AppendTimeout;
-use super::core::{Event, mark_confirmed};
+use super::confirmation::Confirmation;
+use super::core::Event;
 use super::epoch_condition;
 use crate::fleet::clock;
 use crate::fleet::shared::{Shared, spawn};
@@ -63,7 +64,7 @@
         shared: &Arc<Shared>,
         epoch: Epoch,
         events: &Sender<Event>,
-        confirmed: &Arc<AtomicU64>,
+        confirmation: &Arc<Confirmation>,
     ) -> std::io::Result<Journal> {
         let (appends, rx) = mpsc::channel();
         let common = Arc::new(Common {
@@ -73,7 +74,7 @@
             queue: Mutex::new(rx),
             durable: AtomicU64::new(0),
             is_available: AtomicBool::new(true),
-            confirmed: confirmed.clone(),
+            confirmation: confirmation.clone(),
         });
         for _ in 0..MAX_IN_FLIGHT {
             let writer = Writer {
@@ -138,7 +139,7 @@
     durable: AtomicU64,
     /// Whether the store accepts appends, as last reported.
     is_available: AtomicBool,
-    confirmed: Arc<AtomicU64>,
+    confirmation: Arc<Confirmation>,
 }
 
 struct Writer {
@@ -240,7 +241,7 @@
         let took = clock::steady().saturating_sub(started_at);
         lock(&self.common.timeout).add_sample(took);
         metrics::histogram!("journal_append_seconds").record(took.as_secs_f64());
-        mark_confirmed(&self.common.confirmed);
+        self.common.confirmation.confirmed_by_store(clock::steady());
         self.common.durable.fetch_max(sequence, Ordering::AcqRel);
         self.report_availability(true)?;
         self.events
--- a/pomelohitchd/src/fleet/leader/platform_calls.rs
+++ b/pomelohitchd/src/fleet/leader/platform_calls.rs
@@ -1,6 +1,5 @@
 //! Calls to the platform's instances and policy services, and the status of waves.
 
-use std::sync::atomic::AtomicU64;
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -12,7 +11,8 @@
 use pomelohitch_sched::{EndpointId, Epoch, InstanceId, Steady, TaskId};
 use tracing::{info, warn};
 
-use super::core::{Event, time_since_confirmed};
+use super::confirmation::Confirmation;
+use super::core::Event;
 use crate::fleet::clock;
 use crate::fleet::shared::{Shared, spawn};
 
@@ -56,11 +56,11 @@
         shared: &Arc<Shared>,
         epoch: Epoch,
         events: &Sender<Event>,
-        confirmed: &Arc<AtomicU64>,
+        confirmation: &Arc<Confirmation>,
     ) -> std::io::Result<PlatformCalls> {
         Ok(PlatformCalls {
             list_requests: start_list_requests(shared, events.clone())?,
-            operations: start_operations(shared, epoch, events, confirmed)?,
+            operations: start_operations(shared, epoch, events, confirmation)?,
             statuses: start_statuses(shared, epoch)?,
             policy_requests: start_policy_requests(shared, events.clone())?,
         })
@@ -106,13 +106,13 @@
     shared: &Arc<Shared>,
     epoch: Epoch,
     events: &Sender<Event>,
-    confirmed: &Arc<AtomicU64>,
+    confirmation: &Arc<Confirmation>,
 ) -> std::io::Result<Sender<DecidedOperation>> {
     let (tx, rx) = mpsc::channel::<DecidedOperation>();
     let rx = Arc::new(Mutex::new(rx));
     for _ in 0..operation_threads(shared.site.load().operations_per_s) {
-        let (rx, events, confirmed) = (rx.clone(), events.clone(), confirmed.clone());
-        let mut worker = OperationWorker::new(shared, epoch, confirmed);
+        let (rx, events) = (rx.clone(), events.clone());
+        let mut worker = OperationWorker::new(shared, epoch, confirmation.clone());
         spawn("operations", move || {
             while let Ok((id, operation, at)) = next_operation(&rx) {
                 let Some(outcome) = worker.operate(&id, &operation, at) else {
@@ -153,11 +153,11 @@
     epoch: Epoch,
     member: Box<str>,
     client: Option<Client>,
-    confirmed: Arc<AtomicU64>,
+    confirmation: Arc<Confirmation>,
 }
 
 impl OperationWorker {
-    fn new(shared: &Arc<Shared>, epoch: Epoch, confirmed: Arc<AtomicU64>) -> OperationWorker {
+    fn new(shared: &Arc<Shared>, epoch: Epoch, confirmation: Arc<Confirmation>) -> OperationWorker {
         let site = shared.site.load();
         OperationWorker {
             shared: shared.clone(),
@@ -169,7 +169,7 @@
             client: site
                 .instances
                 .map(|addr| Client::resetting(addr, CONNECT_TIMEOUT)),
-            confirmed,
+            confirmation,
         }
     }
 
@@ -188,8 +188,10 @@
         if !is_leader {
             return None;
         }
-        let is_stale = clock::steady().saturating_sub(at) > MAX_OPERATION_AGE;
-        let is_confirmed = time_since_confirmed(&self.confirmed) < MAX_CONFIRMATION_AGE;
+        let now = clock::steady();
+        let is_stale = now.saturating_sub(at) > MAX_OPERATION_AGE;
+        let confirmed_for = now.saturating_sub(self.confirmation.store_at());
+        let is_confirmed = confirmed_for < MAX_CONFIRMATION_AGE;
         Some(match &self.client {
             None => OperationOutcome::Refused,
             Some(_) if is_stale || !is_confirmed => OperationOutcome::Later,
--- a/pomelohitchd/src/fleet/members.rs
+++ b/pomelohitchd/src/fleet/members.rs
@@ -82,14 +82,16 @@
     let newest = store.newest(Topic::Members)?;
     let records = newest.records.iter();
     let records: Vec<_> = records.map(|(k, v)| (&**k, Some(&**v))).collect();
+    // First, since a process that knows its members or has loaded them may confirm a leader.
+    apply_leaders(shared, &records, false);
     shared.update(|view| {
         view.members = Arc::default();
+        view.unreadable_members.clear();
         apply_members(view, &records);
         view.store_answered_at = clock::steady();
         view.members_end = newest.end;
         view.is_loaded = true;
     });
-    apply_leaders(shared, &records, false);
     Ok(Some(newest.end))
 }
 
@@ -99,12 +101,12 @@
         Read::Records { records, next } => {
             let records = records.iter();
             let records: Vec<_> = records.map(|r| (&*r.key, r.value.as_deref())).collect();
+            apply_leaders(shared, &records, true);
             shared.update(|view| {
                 apply_members(view, &records);
                 view.store_answered_at = clock::steady();
                 view.members_end = next;
             });
-            apply_leaders(shared, &records, true);
             Ok(Some(next))
         }
     }
@@ -119,12 +121,21 @@
         let Some(name) = wire::member_name(key) else {
             continue;
         };
-        let member = value.and_then(|v| postcard::from_bytes::<Member>(v).ok());
+        let member = value.map(postcard::from_bytes::<Member>);
         let members = Arc::make_mut(&mut view.members);
+        view.unreadable_members.remove(name);
         match member {
-            Some(member) => members.insert(name.into(), member),
-            None => members.remove(name),
-        };
+            Some(Ok(member)) => {
+                members.insert(name.into(), member);
+            }
+            Some(Err(_)) => {
+                members.remove(name);
+                view.unreadable_members.insert(name.into());
+            }
+            None => {
+                members.remove(name);
+            }
+        }
     }
 }
 
@@ -160,6 +171,9 @@
         if view.leader.as_ref().is_some_and(|l| l.epoch == alive.epoch) {
             view.leader_alive_at = clock::steady();
         }
+        if view.quorum.is_none_or(|(epoch, _)| epoch <= alive.epoch) {
+            view.quorum = Some((alive.epoch, alive.quorum));
+        }
     });
 }
 
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -1,6 +1,6 @@
 //! State shared between the threads of one process.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::Sender;
@@ -16,6 +16,7 @@
 
 use super::clock::{self, FleetTime};
 use super::forwarding::Forwarding;
+use super::leader::confirmation::Confirmation;
 use super::leader::core::Event;
 use super::wire::{Claim, Leader, Member};
 
@@ -36,6 +37,8 @@
 pub struct View {
     /// Every member, by name. Shared by all copies of the view, which are made many times a second.
     pub members: Arc<BTreeMap<Box<str>, Member>>,
+    /// Names of registered members whose records can't be decoded.
+    pub unreadable_members: BTreeSet<Box<str>>,
     /// The leader with the highest known epoch.
     pub leader: Option<Leader>,
     /// When this process last heard from the leader.
@@ -52,6 +55,18 @@
     pub fleet_time: Option<FleetTime>,
     /// Lower bound of the fleet's time, from a liveness record of unknown age.
     pub min_fleet_time: Option<FleetTime>,
+    /// Epoch and quorum of the newest liveness record.
+    pub quorum: Option<(Epoch, usize)>,
+}
+
+impl View {
+    /// The quorum that the known leader has recorded last.
+    #[must_use]
+    pub fn leader_quorum(&self) -> Option<usize> {
+        let leader = self.leader.as_ref()?;
+        let recorded = self.quorum.filter(|(epoch, _)| *epoch == leader.epoch);
+        Some(recorded.map_or(leader.quorum, |(_, quorum)| quorum))
+    }
 }
 
 /// The leadership that this process holds.
@@ -59,6 +74,8 @@
 pub struct Leadership {
     /// Epoch of the leadership.
     pub epoch: Epoch,
+    /// When it was last confirmed.
+    pub confirmation: Arc<Confirmation>,
     /// Sends events to the leader's thread; closed when the leadership ends.
     pub events: Sender<Event>,
 }
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -46,6 +46,9 @@
     pub addr: SocketAddr,
     /// When its process started, milliseconds since 1970.
     pub began_ms: u64,
+    /// Smallest number of members, itself included, by which it or an earlier leader may be confirmed
+    /// when it begins to lead.
+    pub quorum: usize,
 }
 
 /// The leader's heartbeat.
@@ -55,6 +58,8 @@
     pub leader: Leader,
     /// The fleet's time, milliseconds since 1970, if it is known yet.
     pub fleet_ms: Option<UnixMs>,
+    /// When it was sent, milliseconds of the sender's steady clock.
+    pub sent_ms: u64,
 }
 
 /// Answer to a heartbeat.
@@ -62,6 +67,9 @@
 pub struct HeartbeatReply {
     /// The highest epoch that the member knows.
     pub epoch: Epoch,
+    /// Whether it confirms that this is the leader of the heartbeat: it has read the leader's record
+    /// since its process started.
+    pub confirms: bool,
 }
 
 /// Answer to a heartbeat that arrived as a datagram.
@@ -71,6 +79,10 @@
     pub epoch: Epoch,
     /// The member's address for calls of other entry instances.
     pub member: SocketAddr,
+    /// [`Heartbeat::sent_ms`] of the heartbeat.
+    pub sent_ms: u64,
+    /// See [`HeartbeatReply::confirms`].
+    pub confirms: bool,
 }
 
 /// Asks a member for its view of the leader and the store.
@@ -131,6 +143,9 @@
     pub count: u64,
     /// The fleet's time, milliseconds since 1970, if it is known yet.
     pub fleet_ms: Option<UnixMs>,
+    /// Smallest number of members, the leader included, by which it or an earlier leader may be
+    /// confirmed.
+    pub quorum: usize,
 }
 
 /// Key of the record of the current leader, a [`Leader`].
--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -4,6 +4,8 @@
 mod callers;
 #[path = "fleet/clock.rs"]
 mod clock;
+#[path = "fleet/confirmations.rs"]
+mod confirmations;
 #[path = "fleet/dispatcher.rs"]
 mod dispatcher;
 #[path = "fleet/heartbeats.rs"]
--- a/pomelohitchd/tests/fleet/callers.rs
+++ b/pomelohitchd/tests/fleet/callers.rs
@@ -10,15 +10,17 @@
 
 use pomelohitch_route::{Head, head};
 use pomelohitch_sched::order::Answer;
-use pomelohitchd::fleet::callers;
+use pomelohitchd::fleet::leader::confirmation::Confirmation;
 use pomelohitchd::fleet::leader::core::{self, Event};
+use pomelohitchd::fleet::leader::handover::UNCONFIRMED_AFTER;
 use pomelohitchd::fleet::shared::{Leadership, Shared};
 use pomelohitchd::fleet::wire::{self, Leader};
+use pomelohitchd::fleet::{callers, clock};
 use pomelohitchd::front::{self, Incoming, Limits};
 
 use rouille::Response;
 
-use super::site::{nowhere, site};
+use super::site::{confirmed, nowhere, site};
 
 const ACCEPTED: &str = "HTTP/1.1 200 OK\r\nX-Leader-Epoch: 1\r\nContent-Length: 2\r\n\r\n{}";
 const REFUSED: &str =
@@ -132,6 +134,7 @@
         member: "front-a-2".into(),
         addr,
         began_ms: 1,
+        quorum: 2,
     };
     assert!(shared.observe_leader(&leader, true));
 }
@@ -268,18 +271,47 @@
 fn a_request_for_another_leadership_is_rejected() {
     let shared = Shared::new(site());
     let (events, received) = std::sync::mpsc::channel();
-    shared.set_leadership(Some(Leadership { epoch: 7, events }));
+    shared.set_leadership(Some(Leadership {
+        epoch: 7,
+        confirmation: confirmed(),
+        events,
+    }));
     let incoming = request_with("POST", &format!("{}: 6\r\n", wire::FOR_EPOCH_HEADER));
     let response = callers::answer_forwarded(&shared, &incoming, "/q/00000000000000a1");
     assert_eq!(response.status_code, 421);
     assert!(received.try_recv().is_err());
 }
 
+/// Guards against the report of an outdated state by a leader that is cut off from the store and from most members, after
+/// another one has taken over.
+#[test]
+fn a_leader_that_is_not_confirmed_reports_no_states() {
+    let shared = Shared::new(site());
+    let (events, received) = std::sync::mpsc::channel();
+    let age = UNCONFIRMED_AFTER + Duration::from_millis(1);
+    let confirmed_at = clock::steady().saturating_sub(age);
+    shared.set_leadership(Some(Leadership {
+        epoch: 7,
+        confirmation: Arc::new(Confirmation::new(confirmed_at, 1)),
+        events,
+    }));
+    for method in ["GET", "HEAD"] {
+        let incoming = request_with(method, &format!("{}: 7\r\n", wire::FOR_EPOCH_HEADER));
+        let response = callers::answer_forwarded(&shared, &incoming, "/q/00000000000000a1");
+        assert_eq!(response.status_code, 421, "{method}");
+    }
+    assert!(received.try_recv().is_err());
+}
+
 /// A member that leads with epoch 1 and holds no job.
 fn leader_without_jobs() -> Shared {
     let shared = Shared::new(site());
     let (events, received) = std::sync::mpsc::channel();
-    shared.set_leadership(Some(Leadership { epoch: 1, events }));
+    shared.set_leadership(Some(Leadership {
+        epoch: 1,
+        confirmation: confirmed(),
+        events,
+    }));
     std::thread::spawn(move || {
         for event in received {
             if let Event::Call(call) = event {
--- a/pomelohitchd/tests/fleet/heartbeats.rs
+++ b/pomelohitchd/tests/fleet/heartbeats.rs
@@ -42,11 +42,14 @@
     fn serve(&mut self, epoch: u64) {
         let mut buf = [0; 1_500];
         while let Ok((len, leader)) = self.datagrams.recv_from(&mut buf) {
-            postcard::from_bytes::<Heartbeat>(&buf[..len]).expect("a heartbeat arrives");
+            let heartbeat: Heartbeat =
+                postcard::from_bytes(&buf[..len]).expect("a heartbeat arrives");
             self.heartbeat_count += 1;
             let ack = HeartbeatAck {
                 epoch,
                 member: self.addr,
+                sent_ms: heartbeat.sent_ms,
+                confirms: true,
             };
             let ack = postcard::to_allocvec(&ack).expect("the answer can be encoded");
             if self.acknowledges {
@@ -86,6 +89,7 @@
         member: "front-a-1".into(),
         addr: own,
         began_ms: 1,
+        quorum: 2,
     };
     (shared, leader, members)
 }
--- a/pomelohitchd/tests/fleet/journal.rs
+++ b/pomelohitchd/tests/fleet/journal.rs
@@ -2,10 +2,13 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, mpsc};
+use std::time::Duration;
 
+use pomelohitch_sched::Steady;
 use pomelohitch_sched::progress::Record;
+use pomelohitchd::fleet::clock;
+use pomelohitchd::fleet::leader::confirmation::Confirmation;
 use pomelohitchd::fleet::leader::core::Event;
 use pomelohitchd::fleet::leader::journal::{Journal, Sequence};
 use pomelohitchd::fleet::shared::{Leadership, Shared};
@@ -21,6 +24,8 @@
     sequences: Vec<Sequence>,
     /// Accepted, but the first answer is lost.
     lose_answers_to: Vec<Sequence>,
+    /// Delay of the answers.
+    answers_after: Duration,
     /// The first attempt is neither accepted nor answered.
     ignore_first: Vec<Sequence>,
 }
@@ -59,6 +64,11 @@
                 .expect("no thread panics while holding the lock"),
             sequence,
         );
+        let answers_after = state
+            .lock()
+            .expect("no thread panics while holding the lock")
+            .answers_after;
+        std::thread::sleep(answers_after);
         if let Some(answer) = answer
             && stream.write_all(answer.as_bytes()).is_err()
         {
@@ -96,6 +106,7 @@
     journal: Journal,
     events: mpsc::Receiver<Event>,
     shared: Arc<Shared>,
+    confirmation: Arc<Confirmation>,
 }
 
 impl RunningJournal {
@@ -104,16 +115,18 @@
         site.store = addr;
         let shared = Arc::new(Shared::new(site));
         let (tx, events) = mpsc::channel();
+        let confirmation = Arc::new(Confirmation::new(Steady::ZERO, 1));
         shared.set_leadership(Some(Leadership {
             epoch: EPOCH,
+            confirmation: confirmation.clone(),
             events: tx.clone(),
         }));
-        let confirmed = Arc::new(AtomicU64::new(0));
-        let journal = Journal::start(&shared, EPOCH, &tx, &confirmed);
+        let journal = Journal::start(&shared, EPOCH, &tx, &confirmation);
         RunningJournal {
             journal: journal.expect("the threads start"),
             events,
             shared,
+            confirmation,
         }
     }
 
@@ -216,6 +229,7 @@
         journal,
         events,
         shared,
+        ..
     } = running;
     let is_last = |event: &Event| matches!(event, Event::Committed(3));
     assert!(events.iter().any(|event| is_last(&event)));
--- a/pomelohitchd/tests/fleet/leaders.rs
+++ b/pomelohitchd/tests/fleet/leaders.rs
@@ -118,6 +118,7 @@
         member: "front-a-2".into(),
         addr: nowhere(),
         began_ms: 1,
+        quorum: 2,
     };
     assert!(shared.observe_leader(&leader, false));
     assert_eq!(shared.view().leader_heard_at, began);
--- a/pomelohitchd/tests/fleet/lost_answers.rs
+++ b/pomelohitchd/tests/fleet/lost_answers.rs
@@ -13,7 +13,7 @@
 use pomelohitchd::fleet::{callers, internal};
 use pomelohitchd::front::{self, Incoming, Service};
 
-use super::site::{nowhere, site};
+use super::site::{confirmed, nowhere, site};
 
 const ACCEPTED: &[u8] = b"HTTP/1.1 200 OK\r\nX-Leader-Epoch: 1\r\nContent-Length: 2\r\n\r\n{}";
 const REFUSED: &[u8] =
@@ -45,6 +45,7 @@
         member: "front-a-2".into(),
         addr,
         began_ms: 1,
+        quorum: 2,
     };
     assert!(shared.observe_leader(&leader, true));
     shared
@@ -60,7 +61,11 @@
 fn leading_member() -> (Arc<Shared>, SocketAddr, Receiver<Event>) {
     let shared = Arc::new(Shared::new(site()));
     let (events, received) = mpsc::channel();
-    shared.set_leadership(Some(Leadership { epoch: 1, events }));
+    shared.set_leadership(Some(Leadership {
+        epoch: 1,
+        confirmation: confirmed(),
+        events,
+    }));
     let (listener, addr) = listener();
     front::serve_in_background(internal::service(&shared), listener, internal::limits());
     (shared, addr, received)
--- a/pomelohitchd/tests/fleet/site.rs
+++ b/pomelohitchd/tests/fleet/site.rs
@@ -1,8 +1,11 @@
 //! Settings for tests.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use pomelohitch_adapter::settings::{self, Site};
+use pomelohitchd::fleet::clock;
+use pomelohitchd::fleet::leader::confirmation::Confirmation;
 
 /// Settings of a process as the platform writes them, with addresses that nothing listens on.
 pub fn site() -> Site {
@@ -31,3 +34,8 @@
         .local_addr()
         .expect("a bound listener has an address")
 }
+
+/// Confirmations of a leadership that the store has just confirmed.
+pub fn confirmed() -> Arc<Confirmation> {
+    Arc::new(Confirmation::new(clock::steady(), 1))
+}
