fix: a new leader knows how long leases may last at endpoints that it has read

Cause: the end of a lease is known as zero until the leader has requested one itself, with its second poll. A new leader that is suspended for 1.8 s or more after an endpoint has answered the first one gives its runs up as soon as it wakes, before it polls again. If the endpoint doesn't answer then, its tasks start elsewhere while the lease of the former leader lasts.

Change: the first answer to a leader bounds the lease: from then on the endpoint refuses former leaders.

The test failed before (2 starts in place of 1).

--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -528,6 +528,18 @@
         }
     }
 
+    /// Lets time pass while the leader's process is suspended.
+    pub fn suspend_leader(&mut self, steps: u32) {
+        for _ in 0..steps {
+            self.now.steady += STEP;
+            self.now.unix_ms +=
+                u64::try_from(STEP.as_millis()).expect("a time step fits u64 milliseconds");
+            for endpoint in self.endpoints.values_mut() {
+                endpoint.advance(STEP);
+            }
+        }
+    }
+
     fn decide<T>(&mut self, decide: impl FnOnce(&mut Cell, Now) -> T) -> T {
         let began = std::time::Instant::now();
         let decided = decide(&mut self.cell, self.now);
--- a/crates/pomelohitch-sched/src/cell/polls.rs
+++ b/crates/pomelohitch-sched/src/cell/polls.rs
@@ -27,6 +27,8 @@
 const POLL_DELAY_FACTOR: u32 = 4;
 /// Upper limit of this additional delay of polls.
 const MAX_POLL_DELAY: Duration = Duration::from_millis(200);
+/// How far ahead of an endpoint's clock a leader may estimate it: half of the longest poll.
+const MAX_CLOCK_ESTIMATE_ERROR: Duration = Duration::from_millis(800);
 /// Decay of the moving average of the processing lag at each answer.
 const LAG_DECAY: f64 = 0.98;
 /// Upper limit of the retry delay of failed polls, in multiples of `Settings::poll_retry_delay`.
@@ -220,6 +222,8 @@
         if answer.born > endpoint.born {
             self.endpoint_restarted(id, answer.born);
         }
+        let longest_lease =
+            self.settings.lease + self.settings.confirmation_grace + MAX_CLOCK_ESTIMATE_ERROR;
         let Some(endpoint) = self.endpoints.get_mut(id) else {
             return;
         };
@@ -228,6 +232,8 @@
         if endpoint.polled_at.is_none() {
             info!(endpoint = %id, running = answer.running.len(), ended = answer.ended.len(),
                 "first poll answered");
+            // From this answer on the endpoint refuses former leaders, whose leases may last.
+            endpoint.lease_requested(answer.clock + longest_lease);
         }
         let times = PollTimes::new(endpoint, answer);
         endpoint.is_unresponsive = false;
--- a/crates/pomelohitch-sched/tests/cell/leaders.rs
+++ b/crates/pomelohitch-sched/tests/cell/leaders.rs
@@ -61,6 +61,25 @@
     fleet.assert_invariants();
 }
 
+/// Guards against a second run while the former leader's lease lasts, where the new leader is suspended
+/// right after it has read the endpoint for the first time.
+#[test]
+fn a_suspended_new_leader_waits_for_leases_at_an_endpoint_that_it_has_read_once() {
+    let mut fleet = Fleet::new(2);
+    fleet.submit(ID, job(vec![step(1, 500, 30_000)]));
+    fleet.advance(20);
+    let (_, _, at) = fleet.starts[0].clone();
+    fleet.change_leader();
+    while fleet.cell.endpoints()[&at].polled_at.is_none() {
+        fleet.advance(1);
+    }
+    fleet.endpoint(&at).is_silent = true;
+    fleet.suspend_leader(200);
+    fleet.advance(300);
+    assert_eq!(fleet.starts.len(), 1);
+    fleet.assert_invariants();
+}
+
 /// Guards against a second run of each task that a former leader still keeps running, where it can be
 /// confirmed without its successor's knowledge.
 #[test]
