fix: a leadership is confirmed as of the request

Cause: the time of the store's answer was stored, so that operations on instances went out for up to 1.5 s after an answer that took any time, and a successor that waits for 1.8 s could be earlier.

The test failed before: a store that answers after 60 ms confirmed the leadership as of its answer.

--- a/pomelohitchd/src/fleet/leader/journal.rs
+++ b/pomelohitchd/src/fleet/leader/journal.rs
@@ -241,7 +241,7 @@
         let took = clock::steady().saturating_sub(started_at);
         lock(&self.common.timeout).add_sample(took);
         metrics::histogram!("journal_append_seconds").record(took.as_secs_f64());
-        self.common.confirmation.confirmed_by_store(clock::steady());
+        self.common.confirmation.confirmed_by_store(started_at);
         self.common.durable.fetch_max(sequence, Ordering::AcqRel);
         self.report_availability(true)?;
         self.events
--- a/pomelohitchd/tests/fleet/journal.rs
+++ b/pomelohitchd/tests/fleet/journal.rs
@@ -145,6 +145,25 @@
     }
 }
 
+/// Guards against a leader that takes itself for confirmed for as long as the store's answer took, after
+/// another one may have taken over.
+#[test]
+fn the_leadership_is_confirmed_as_of_the_request() {
+    let answers_after = Duration::from_millis(60);
+    let faults = StoreState {
+        answers_after,
+        ..StoreState::default()
+    };
+    let (addr, _) = store(faults);
+    let mut running = RunningJournal::start(addr);
+    let confirmation = running.confirmation.clone();
+    running.journal.commit(vec![record(1)]);
+    running.finish(1);
+    let confirmed_at = confirmation.store_at();
+    assert!(confirmed_at > Steady::ZERO);
+    assert!(confirmed_at + answers_after <= clock::steady());
+}
+
 /// Commits `count` batches of one record each, and waits until all are durable.
 fn commit_all(addr: SocketAddr, count: Sequence) {
     let mut running = RunningJournal::start(addr);
