model: leaderships, their leases and cuts

The promises: the task is never started elsewhere while it runs (`OneRun`), and the lease lasts while the leader has a majority, with or without the store (`LeaseKept`).

Before: not modelled.

--- a/crates/pomelohitch-model/src/check.rs
+++ b/crates/pomelohitch-model/src/check.rs
@@ -12,23 +12,23 @@
 
 /// Result of a search.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Outcome {
+pub struct Outcome<P = Promise, S = Step> {
     /// Number of states expanded.
     pub states: usize,
     /// A shortest sequence of steps to a broken promise, if one was found.
-    pub counterexample: Option<Counterexample>,
+    pub counterexample: Option<Counterexample<P, S>>,
 }
 
 /// A shortest sequence of steps to a broken promise.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Counterexample {
+pub struct Counterexample<P = Promise, S = Step> {
     /// The broken promise.
-    pub promise: Promise,
+    pub promise: P,
     /// The steps, in order.
-    pub steps: Vec<Step>,
+    pub steps: Vec<S>,
 }
 
-impl fmt::Display for Counterexample {
+impl<P: fmt::Debug, S: fmt::Debug> fmt::Display for Counterexample<P, S> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "{:?} is broken by:", self.promise)?;
         for step in &self.steps {
--- a/crates/pomelohitch-model/src/lib.rs
+++ b/crates/pomelohitch-model/src/lib.rs
@@ -5,7 +5,8 @@
 //! Records are evaluated by the real [`pomelohitch_core::State::apply`]. Each invariant is a
 //! [`Promise`]; for a broken one the check reports a shortest sequence of steps that breaks it. A
 //! [`Mutant`] disables one mechanism, to verify that the check finds the resulting fault.
-//! `docs/PROTOCOL.md` describes what is modelled and what is not.
+//! [`leadership`] is a separate model, of leases and changes of leader. `docs/PROTOCOL.md` describes
+//! what is modelled and what is not.
 //!
 //! * [`proposal`]: compact records, and their conversion to real ones.
 //! * [`world`]: state of the whole system.
@@ -16,8 +17,10 @@
 //! * [`publishing`]: transitions of operators.
 //! * [`promise`]: invariants that must hold in every state.
 //! * [`check`]: breadth-first search.
+//! * [`leadership`]: leases and changes of leader.
 
 pub mod check;
+pub mod leadership;
 pub mod planning;
 pub mod promise;
 pub mod proposal;
