model: quorums of half of the members

Cause: open what the size of the quorum decides.

Change: the share of the members that is a quorum is a parameter.

Before: only majorities. After: with half of the members no promise breaks; leases last where 2 of 4 are connected without the store, and a new leader concludes nothing while 2 of 4 are silent.

--- a/crates/pomelohitch-model/src/leadership/conclusion.rs
+++ b/crates/pomelohitch-model/src/leadership/conclusion.rs
@@ -48,7 +48,7 @@
     /// Processes the list of registered members.
     pub fn update_registered(&mut self, registered: Set, rules: &Rules) {
         self.registered = registered;
-        self.quorum = self.quorum.max(registered.majority());
+        self.quorum = self.quorum.max(rules.quorum_of(registered));
         self.check_former(rules);
     }
 
--- a/crates/pomelohitch-model/src/leadership/rules.rs
+++ b/crates/pomelohitch-model/src/leadership/rules.rs
@@ -1,5 +1,6 @@
 //! When leaders renew leases, and when they count as expired.
 
+use super::set::Set;
 use super::world::{LEASE, MARGIN};
 
 /// When leaders renew leases, and when they count as expired.
@@ -12,6 +13,8 @@
 )]
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Rules {
+    /// The share of the registered members that is a quorum.
+    pub quorum: Quorum,
     /// Whose acknowledgements confirm a leadership.
     pub confirmed_by: ConfirmedBy,
     /// The time as of which an answer confirms a leadership.
@@ -41,10 +44,19 @@
     pub waits_for_unanswered: bool,
 }
 
+/// The share of the registered members that is a quorum.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Quorum {
+    /// More than half.
+    Majority,
+    /// At least half.
+    Half,
+}
+
 /// Whose acknowledgements confirm a leadership. An accepted append confirms it as well.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConfirmedBy {
-    /// A majority of the largest number of registered members that the leader has known.
+    /// A quorum of the largest number of registered members that the leader has known.
     Quorum,
     /// Any other member.
     AnyMember,
@@ -83,6 +95,7 @@
 impl Default for Rules {
     fn default() -> Rules {
         Rules {
+            quorum: Quorum::Majority,
             confirmed_by: ConfirmedBy::Quorum,
             confirmed_as_of: AsOf::Sending,
             lease_end: LeaseEnd::AfterConfirmation,
@@ -101,6 +114,15 @@
 }
 
 impl Rules {
+    /// Number of members of a quorum of the registered members.
+    #[must_use]
+    pub fn quorum_of(&self, registered: Set) -> usize {
+        match self.quorum {
+            Quorum::Majority => registered.majority(),
+            Quorum::Half => registered.half(),
+        }
+    }
+
     /// Rules without quorums: a leader renews leases while any member answers, and a later leader
     /// waits for a fixed time after its takeover.
     #[must_use]
--- a/crates/pomelohitch-model/src/leadership/set.rs
+++ b/crates/pomelohitch-model/src/leadership/set.rs
@@ -35,6 +35,12 @@
         self.0.count_ones() as usize
     }
 
+    /// Number of members of at least half of the set.
+    #[must_use]
+    pub fn half(self) -> usize {
+        self.count().div_ceil(2)
+    }
+
     /// Number of members of a majority.
     #[must_use]
     pub fn majority(self) -> usize {
--- a/crates/pomelohitch-model/src/leadership/step.rs
+++ b/crates/pomelohitch-model/src/leadership/step.rs
@@ -110,7 +110,7 @@
             let registered = self.world.store.registered;
             let needed = match connected {
                 Connected::Majority => registered.majority(),
-                Connected::Half => registered.count().div_ceil(2),
+                Connected::Half => registered.half(),
             };
             if self.world.contacted.with(0).count() < needed {
                 return;
@@ -347,7 +347,7 @@
             quorum: store.quorum,
             acknowledged: Set::default().with(member),
         },
-        ..Leadership::new(store.epoch, store.registered)
+        ..Leadership::new(store.epoch, store.registered, rules)
     };
     store.quorum = leadership.recorded_quorum(rules);
     leadership.check_former(rules);
--- a/crates/pomelohitch-model/src/leadership/world.rs
+++ b/crates/pomelohitch-model/src/leadership/world.rs
@@ -81,7 +81,7 @@
     pub epoch: u8,
     /// The registered members that it knows.
     pub registered: Set,
-    /// Majority of the largest number of registered members that it has known.
+    /// Quorum of the largest number of registered members that it has known.
     pub quorum: usize,
     /// What it knows of former leaderships.
     pub former: Former,
@@ -139,13 +139,13 @@
             former: Former::Over(rules.expiry_wait),
             former_lease: Some(0),
             own_lease: LEASE + MARGIN,
-            ..Leadership::new(1, registered)
+            ..Leadership::new(1, registered, rules)
         });
         World {
             members,
             store: Store {
                 epoch: 1,
-                quorum: registered.majority(),
+                quorum: rules.quorum_of(registered),
                 registered,
             },
             endpoint: Endpoint {
@@ -178,11 +178,11 @@
     /// Creates a leadership without a former one, that was just confirmed by the append of its
     /// claim.
     #[must_use]
-    pub fn new(epoch: u8, registered: Set) -> Leadership {
+    pub fn new(epoch: u8, registered: Set, rules: &Rules) -> Leadership {
         Leadership {
             epoch,
             registered,
-            quorum: registered.majority(),
+            quorum: rules.quorum_of(registered),
             former: Former::Over(0),
             confirmed: [None; MAX_MEMBERS],
             appended: Some(0),
--- a/crates/pomelohitch-model/tests/leadership.rs
+++ b/crates/pomelohitch-model/tests/leadership.rs
@@ -1,6 +1,6 @@
 //! The check finds no broken promise in the rules of leaderships, and one without each part of them.
 
-use pomelohitch_model::leadership::rules::{AsOf, ConfirmedBy, ExpiryAfter, LeaseEnd};
+use pomelohitch_model::leadership::rules::{AsOf, ConfirmedBy, ExpiryAfter, LeaseEnd, Quorum};
 use pomelohitch_model::leadership::scenario::{self, Connected, Scenario};
 use pomelohitch_model::leadership::{Promise, Rules, can_take_over, check};
 
@@ -188,6 +188,31 @@
     assert_eq!(check(&scenario::joining(), &rules).counterexample, None);
 }
 
+/// The share that is a quorum decides only who renews longer, and who concludes later.
+#[test]
+fn one_run_needs_no_majority() {
+    let rules = Rules {
+        quorum: Quorum::Half,
+        ..Rules::default()
+    };
+    for scenario in [scenario::even_number(), scenario::joining()] {
+        assert_eq!(check(&scenario, &rules).counterexample, None);
+    }
+    let outage = Scenario {
+        members: 4,
+        joiners: 0,
+        connected: Some(Connected::Half),
+        ..scenario::store_outage()
+    };
+    assert_eq!(check(&outage, &rules).counterexample, None);
+    let half_ended = Scenario {
+        ended: 2,
+        ..scenario::even_number()
+    };
+    assert!(can_take_over(&half_ended, &Rules::default()));
+    assert!(!can_take_over(&half_ended, &rules));
+}
+
 /// A known limitation: without the store, half of the members are not enough to renew leases.
 #[test]
 fn leases_expire_without_the_store_and_without_a_majority() {
