store: an item of a page that can't be decoded doesn't hide the others

Cause: a page of newest records was decoded as a whole, and one value that isn't base64, or one item of another shape, failed the read. It was repeated for ever: at a takeover without a leader, later without any further entry.

Change: items are decoded one by one; the reader of the topic logs those that can't be.

--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -349,6 +349,9 @@
 
 /// Loads the records of operators and endpoints into a cell.
 fn load_records(cell: &mut Cell, records: &Records) -> ReadSoFar {
+    for error in &records.operators.unreadable {
+        warn!(%error, "record skipped");
+    }
     for (key, value) in &records.operators.records {
         match records::operator_record(key, value) {
             Ok(OperatorRecord::Config(cfg)) => cell.configure(Arc::new(cfg)),
--- a/pomelohitchd/src/fleet/leader/watch.rs
+++ b/pomelohitchd/src/fleet/leader/watch.rs
@@ -108,6 +108,9 @@
 fn read_operators(store: &Store, from: Option<u64>, tx: &Sender<Event>) -> ReadResult {
     let Some(from) = from else {
         let newest = store.newest(Topic::Operators)?;
+        for error in &newest.unreadable {
+            warn!(%error, "operator record skipped");
+        }
         for (key, value) in &newest.records {
             send_operator_record(key, value, tx);
         }
@@ -181,6 +184,9 @@
 
 /// Decodes the records of endpoints, without those that can't be read.
 pub fn endpoint_reports(newest: &Newest, skipped: &mut Skipped) -> Vec<Report> {
+    for error in &newest.unreadable {
+        log_skipped(error, skipped);
+    }
     let records = newest.records.iter();
     let reports = records.filter_map(|(id, value)| endpoint_report(id, value, skipped));
     reports.collect()
