instances: an entry of the list that can't be decoded doesn't hide the others

Cause: a page of the list was decoded as a whole: one entry with an unknown state kept the leader from any list, so that it moved and maintained nothing.

Change: entries are decoded one by one, and logged once. An endpoint that no listed instance runs may count as ended, so an instance whose entry can't be read stays as it was last listed; if an entry names no instance, so do all that the list lacks.

--- a/pomelohitchd/src/fleet/leader/platform_calls.rs
+++ b/pomelohitchd/src/fleet/leader/platform_calls.rs
@@ -1,5 +1,6 @@
 //! Calls to the platform's instances and policy services, and the status of waves.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::AtomicU64;
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -8,11 +9,13 @@
 use pomelohitch_adapter::records;
 use pomelohitch_adapter::store::{AppendCondition, Topic};
 use pomelohitch_adapter::{Client, instances, policy};
+use pomelohitch_sched::instances::Instance;
 use pomelohitch_sched::order::{Operation, OperationOutcome};
 use pomelohitch_sched::{EndpointId, Epoch, InstanceId, Steady, TaskId};
 use tracing::{info, warn};
 
 use super::core::{Event, time_since_confirmed};
+use super::skipped::Skipped;
 use crate::fleet::clock;
 use crate::fleet::shared::{Shared, spawn};
 
@@ -92,9 +95,10 @@
     let (tx, rx) = mpsc::channel();
     let instances = shared.site.load().instances;
     let client = instances.map(|addr| Client::new(addr, CONNECT_TIMEOUT));
+    let mut reader = ListReader::default();
     spawn("instances", move || {
         for () in rx {
-            if events.send(list_instances(client.as_ref())).is_err() {
+            if events.send(reader.list(client.as_ref())).is_err() {
                 return;
             }
         }
@@ -198,16 +202,47 @@
     }
 }
 
-fn list_instances(client: Option<&Client>) -> Event {
-    let asked_at = clock::steady();
-    let list = client.map(instances::list);
-    match list {
-        Some(Ok(list)) => Event::Instances(Some(list), asked_at),
-        Some(Err(error)) => {
-            info!(%error, "failed to list instances");
-            Event::Instances(None, asked_at)
+/// Reads the list of instances again and again.
+#[derive(Default)]
+struct ListReader {
+    skipped: Skipped,
+    /// The instances of the last list, by id.
+    last: BTreeMap<InstanceId, Instance>,
+}
+
+impl ListReader {
+    fn list(&mut self, client: Option<&Client>) -> Event {
+        let asked_at = clock::steady();
+        let list = client.map(instances::list);
+        match list {
+            Some(Ok(list)) => Event::Instances(Some(self.complete(list)), asked_at),
+            Some(Err(error)) => {
+                info!(%error, "failed to list instances");
+                Event::Instances(None, asked_at)
+            }
+            None => Event::Instances(None, asked_at),
+        }
+    }
+
+    /// Adds the instances of the last list whose entries may be those that can't be read now: an
+    /// endpoint counts as ended if no listed instance runs it.
+    fn complete(&mut self, list: instances::List) -> Vec<Instance> {
+        for error in &list.unreadable {
+            if self.skipped.insert(error) {
+                info!(%error, "instance skipped");
+            }
+        }
+        let unreadable: BTreeSet<_> = list.unreadable.iter().map(records::Error::key).collect();
+        let mut last = std::mem::take(&mut self.last);
+        if !unreadable.contains("") {
+            last.retain(|id, _| unreadable.contains(&**id));
+        }
+        for instance in list.instances {
+            self.skipped.remove(&instance.id);
+            last.insert(instance.id.clone(), instance);
         }
-        None => Event::Instances(None, asked_at),
+        self.last = last;
+        self.last.values().cloned().collect()
     }
 }
 
