members: records with absurd values are skipped

Cause: a record of the topic of members was taken if it could be decoded. A leader's record of epoch 2^64 - 1 left no later epoch, and a liveness record with a time near 2^64 ms overflowed the fleet's time (clock.rs): the threads that read the topic and that claim the leadership ended in builds with overflow checks, so that the fleet had no leader for good.

Change: an epoch above 2^32 - 1, a time after the year 9999 and an address without a host or port make a record unusable; the line `record of members skipped` names it. The fleet's time saturates.

--- a/pomelohitchd/src/fleet/clock.rs
+++ b/pomelohitchd/src/fleet/clock.rs
@@ -78,7 +78,8 @@
     #[must_use]
     pub fn at(&self, now: Steady) -> UnixMs {
         let passed = now.saturating_sub(self.at).as_millis();
-        self.ms + u64::try_from(passed).unwrap_or(0)
+        let passed = u64::try_from(passed).unwrap_or(u64::MAX);
+        self.ms.saturating_add(passed)
     }
 
     /// Whether this reading is better than `other`: of a later leader, or less delayed on its way.
--- a/pomelohitchd/src/fleet/members.rs
+++ b/pomelohitchd/src/fleet/members.rs
@@ -9,7 +9,7 @@
 
 use super::clock;
 use super::shared::{Shared, View};
-use super::wire::{self, Leader, LivenessRecord, Member};
+use super::wire::{self, CheckedRecord, Leader, LivenessRecord, Member};
 
 /// Time for which a read waits for new records. If shorter, every member reads more often; if
 /// longer, a dead connection is noticed later.
@@ -113,13 +113,13 @@
 /// Key and value of a record that was read; a deleted record has no value.
 type ReadRecord<'a> = (&'a str, Option<&'a [u8]>);
 
-/// Applies the records of members to the view. A member whose record can't be decoded is removed.
+/// Applies the records of members to the view. A member whose record can't be used is removed.
 fn apply_members(view: &mut View, records: &[ReadRecord<'_>]) {
     for (key, value) in records {
         let Some(name) = wire::member_name(key) else {
             continue;
         };
-        let member = value.and_then(|v| postcard::from_bytes::<Member>(v).ok());
+        let member = value.and_then(|v| usable_record::<Member>(key, v));
         let members = Arc::make_mut(&mut view.members);
         match member {
             Some(member) => members.insert(name.into(), member),
@@ -136,12 +136,12 @@
         };
         match *key {
             wire::LEADER_KEY => {
-                if let Ok(leader) = postcard::from_bytes::<Leader>(value) {
+                if let Some(leader) = usable_record::<Leader>(key, value) {
                     shared.observe_leader(&leader, is_new);
                 }
             }
             wire::LIVENESS_KEY => {
-                if let Ok(alive) = postcard::from_bytes::<LivenessRecord>(value) {
+                if let Some(alive) = usable_record::<LivenessRecord>(key, value) {
                     apply_liveness(shared, &alive, is_new);
                 }
             }
@@ -150,6 +150,16 @@
     }
 }
 
+/// Decodes a record of this topic. Returns `None` if it isn't one that a member can have written.
+fn usable_record<T: CheckedRecord>(key: &str, value: &[u8]) -> Option<T> {
+    let record = postcard::from_bytes::<T>(value).ok();
+    let usable = record.filter(CheckedRecord::is_usable);
+    if usable.is_none() {
+        info!(key, bytes = value.len(), "record of members skipped");
+    }
+    usable
+}
+
 fn apply_liveness(shared: &Shared, alive: &LivenessRecord, is_new: bool) {
     if is_new {
         shared.update_fleet_ms(alive.epoch, alive.fleet_ms);
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use pomelohitch_adapter::records::is_callable;
 use pomelohitch_sched::{Epoch, UnixMs};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 /// Path of [`Heartbeat`].
@@ -151,3 +153,33 @@
 pub fn member_name(key: &str) -> Option<&str> {
     key.strip_prefix(MEMBER_PREFIX)
 }
+
+/// A record of the topic of members, which another writer may have filled with any values.
+pub trait CheckedRecord: DeserializeOwned {
+    /// Whether a member can have written it.
+    fn is_usable(&self) -> bool;
+}
+
+/// Largest epoch that a leader can have: one more for each change of leader, each second for a
+/// century. Epochs are counted on from the one in the record.
+const MAX_EPOCH: Epoch = u32::MAX as Epoch;
+/// End of the year 9999, milliseconds since 1970.
+const MAX_UNIX_MS: UnixMs = 253_402_300_799_999;
+
+impl CheckedRecord for Leader {
+    fn is_usable(&self) -> bool {
+        self.epoch <= MAX_EPOCH && is_callable(self.addr)
+    }
+}
+
+impl CheckedRecord for Member {
+    fn is_usable(&self) -> bool {
+        is_callable(self.addr)
+    }
+}
+
+impl CheckedRecord for LivenessRecord {
+    fn is_usable(&self) -> bool {
+        self.epoch <= MAX_EPOCH && self.fleet_ms.is_none_or(|ms| ms <= MAX_UNIX_MS)
+    }
+}
