--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -507,12 +507,7 @@
     /// If a record cannot be encoded.
     pub fn advance(&mut self, steps: u32) {
         for _ in 0..steps {
-            self.now.steady += STEP;
-            self.now.unix_ms +=
-                u64::try_from(STEP.as_millis()).expect("a time step fits u64 milliseconds");
-            for endpoint in self.endpoints.values_mut() {
-                endpoint.advance(STEP);
-            }
+            self.pass_step();
             self.apply_due_crashes();
             self.return_instances();
             self.process_delayed_orders();
@@ -528,15 +523,19 @@
         }
     }
 
+    fn pass_step(&mut self) {
+        self.now.steady += STEP;
+        self.now.unix_ms +=
+            u64::try_from(STEP.as_millis()).expect("a time step fits u64 milliseconds");
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.advance(STEP);
+        }
+    }
+
     /// Lets time pass while the leader's process is suspended.
     pub fn suspend_leader(&mut self, steps: u32) {
         for _ in 0..steps {
-            self.now.steady += STEP;
-            self.now.unix_ms +=
-                u64::try_from(STEP.as_millis()).expect("a time step fits u64 milliseconds");
-            for endpoint in self.endpoints.values_mut() {
-                endpoint.advance(STEP);
-            }
+            self.pass_step();
         }
     }
 
