model: a delayed order outlives its leader

Cause: a delayed renewal vanished with the leadership that had sent it, so that its late arrival after a restart or an end wasn't explored.

Change: delayed orders belong to the member and are kept.

--- a/crates/pomelohitch-model/src/leadership/conclusion.rs
+++ b/crates/pomelohitch-model/src/leadership/conclusion.rs
@@ -2,7 +2,7 @@
 
 use super::rules::{AsOf, ConfirmedBy, ExpiryAfter, LeaseEnd, Rules};
 use super::set::Set;
-use super::world::{Ack, Former, LEASE, Leadership, MARGIN};
+use super::world::{Ack, Former, LEASE, Leadership, MARGIN, Order};
 
 impl Leadership {
     /// Age of the newest confirmation; `None` if it is as old as a lease.
@@ -122,9 +122,6 @@
             });
         }
         self.late_append = self.late_append.and_then(|age| late_age(age, rules));
-        if rules.lease_end == LeaseEnd::AfterConfirmation {
-            self.late_order = self.late_order.map(|l| l - 1).filter(|l| *l > 0);
-        }
         if let Former::Over(age) = &mut self.former {
             *age = (*age + 1).min(rules.expiry_wait);
         }
@@ -133,6 +130,19 @@
     }
 }
 
+impl Order {
+    /// The order a tick later; `None` if its lease has ended.
+    #[must_use]
+    pub fn after_tick(self, rules: &Rules) -> Option<Order> {
+        let passed = match rules.lease_end {
+            LeaseEnd::AfterConfirmation => 1,
+            LeaseEnd::AfterArrival => 0,
+        };
+        let length = self.length - passed;
+        (length > 0).then_some(Order { length, ..self })
+    }
+}
+
 fn confirm(newest: &mut Option<u8>, age: u8, rules: &Rules) {
     let age = match rules.confirmed_as_of {
         AsOf::Sending => age,
--- a/crates/pomelohitch-model/src/leadership/step.rs
+++ b/crates/pomelohitch-model/src/leadership/step.rs
@@ -3,7 +3,7 @@
 use super::rules::Rules;
 use super::scenario::{Connected, Scenario};
 use super::set::Set;
-use super::world::{Ack, Former, Leadership, MARGIN, Member, Promise, World};
+use super::world::{Ack, Former, Leadership, MARGIN, Member, Order, Promise, World};
 
 /// A transition between two states of the model.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,6 +87,9 @@
         if let Some(leadership) = &world.members[member].leading {
             transitions.of_leader(member, leadership);
         }
+        if let Some(order) = world.members[member].late_order {
+            transitions.order(member, order);
+        }
     }
     transitions.next
 }
@@ -122,8 +125,11 @@
                 renew(rules, world, 0);
             }
             world.endpoint.runs_for -= 1;
-            for leadership in world.members.iter_mut().filter_map(|m| m.leading.as_mut()) {
-                leadership.tick(rules);
+            for member in &mut world.members {
+                if let Some(leadership) = &mut member.leading {
+                    leadership.tick(rules);
+                }
+                member.late_order = member.late_order.and_then(|order| order.after_tick(rules));
             }
             if scenario.connected.is_some() && world.endpoint.runs_for == 0 {
                 world.broken = Some(Promise::LeaseKept);
@@ -140,6 +146,7 @@
             epoch,
             has_read,
             leading,
+            late_order,
         } = self.world.members[member];
         let store = self.world.store;
         if !store.registered.contains(member) {
@@ -161,7 +168,10 @@
         }
         if self.world.restarts < self.scenario.restarts {
             self.push(Step::Restart(member), |world| {
-                world.members[member] = Member::default();
+                world.members[member] = Member {
+                    late_order,
+                    ..Member::default()
+                };
                 world.restarts += 1;
             });
         }
@@ -240,10 +250,11 @@
 
     fn renewals(&mut self, leader: usize, leadership: &Leadership) {
         let rules = self.rules;
-        let is_refused = rules.endpoint_fences && leadership.epoch < self.world.endpoint.epoch;
+        let epoch = leadership.epoch;
+        let is_refused = self.is_refused(epoch);
         if !is_refused && leadership.former_lease.is_none() {
             self.push(Step::ReadEndpoint(leader), |world| {
-                world.endpoint.epoch = world.endpoint.epoch.max(leadership.epoch);
+                world.endpoint.epoch = world.endpoint.epoch.max(epoch);
                 change(world, leader, |l| l.endpoint_answered(rules));
             });
         }
@@ -252,22 +263,26 @@
         }
         if let Some(length) = leadership.lease_length(rules).filter(|_| self.may_delay()) {
             self.push(Step::LateRenew(leader), |world| {
-                change(world, leader, |l| {
-                    l.late_order = Some(length);
-                    l.lease_requested(length, rules);
-                });
-            });
-        }
-        if let Some(length) = leadership.late_order {
-            self.push(Step::RenewalArrives(leader), |world| {
-                change(world, leader, |l| l.late_order = None);
-                if !is_refused {
-                    world.endpoint.epoch = world.endpoint.epoch.max(leadership.epoch);
-                    extend(world, length);
-                }
+                world.members[leader].late_order = Some(Order { epoch, length });
+                change(world, leader, |l| l.lease_requested(length, rules));
             });
         }
     }
+
+    fn order(&mut self, member: usize, order: Order) {
+        let is_refused = self.is_refused(order.epoch);
+        self.push(Step::RenewalArrives(member), |world| {
+            world.members[member].late_order = None;
+            if !is_refused {
+                carry_out(world, order);
+            }
+        });
+    }
+
+    /// Whether the endpoint refuses orders of this epoch.
+    fn is_refused(&self, epoch: u8) -> bool {
+        self.rules.endpoint_fences && epoch < self.world.endpoint.epoch
+    }
 }
 
 fn change(world: &mut World, member: usize, change: impl FnOnce(&mut Leadership)) {
@@ -277,8 +292,10 @@
 }
 
 /// Extends the lease at the endpoint, where the task still runs.
-fn extend(world: &mut World, length: u8) {
-    world.endpoint.runs_for = world.endpoint.runs_for.max(length + MARGIN);
+fn carry_out(world: &mut World, order: Order) {
+    let endpoint = &mut world.endpoint;
+    endpoint.epoch = endpoint.epoch.max(order.epoch);
+    endpoint.runs_for = endpoint.runs_for.max(order.length + MARGIN);
 }
 
 fn renew(rules: &Rules, world: &mut World, leader: usize) {
@@ -288,8 +305,8 @@
     let Some(length) = leadership.lease_length(rules) else {
         return;
     };
-    world.endpoint.epoch = world.endpoint.epoch.max(leadership.epoch);
-    extend(world, length);
+    let epoch = leadership.epoch;
+    carry_out(world, Order { epoch, length });
     change(world, leader, |l| {
         l.lease_requested(length, rules);
         l.endpoint_answered(rules);
--- a/crates/pomelohitch-model/src/leadership/world.rs
+++ b/crates/pomelohitch-model/src/leadership/world.rs
@@ -72,6 +72,17 @@
     pub has_read: bool,
     /// Its leadership, if it believes that it leads.
     pub leading: Option<Leadership>,
+    /// A delayed order, which arrives even if the leadership or the process has ended.
+    pub late_order: Option<Order>,
+}
+
+/// An order that renews the lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Order {
+    /// The leader's epoch.
+    pub epoch: u8,
+    /// Length of the lease, counted from now.
+    pub length: u8,
 }
 
 /// A leadership.
@@ -93,8 +104,6 @@
     pub late_acks: [Option<Ack>; MAX_MEMBERS],
     /// Age of an accepted append whose answer is delayed.
     pub late_append: Option<u8>,
-    /// Length of the lease in a delayed order, counted from now.
-    pub late_order: Option<u8>,
     /// Ticks until leases of former leaders have expired at the endpoint; `None` before the endpoint
     /// has answered.
     pub former_lease: Option<u8>,
@@ -162,8 +171,11 @@
     /// Number of delayed messages.
     #[must_use]
     pub fn in_flight(&self) -> usize {
-        let leaderships = self.members.iter().filter_map(|m| m.leading.as_ref());
-        leaderships.map(Leadership::in_flight).sum()
+        let of_member = |member: &Member| {
+            let answers = member.leading.as_ref().map_or(0, Leadership::in_flight);
+            answers + usize::from(member.late_order.is_some())
+        };
+        self.members.iter().map(of_member).sum()
     }
 
     /// Whether a later leader has concluded that no former leadership is confirmed any more.
@@ -188,15 +200,12 @@
             appended: Some(0),
             late_acks: [None; MAX_MEMBERS],
             late_append: None,
-            late_order: None,
             former_lease: None,
             own_lease: 0,
         }
     }
 
     fn in_flight(&self) -> usize {
-        self.late_acks.iter().flatten().count()
-            + usize::from(self.late_append.is_some())
-            + usize::from(self.late_order.is_some())
+        self.late_acks.iter().flatten().count() + usize::from(self.late_append.is_some())
     }
 }
