--- a/crates/pomelohitch-model/src/leadership.rs
+++ b/crates/pomelohitch-model/src/leadership.rs
@@ -16,7 +16,7 @@
 //! * [`world`]: state of members, store and endpoint.
 //! * [`conclusion`]: what a leader concludes from answers.
 //! * [`step`]: all transitions.
-//! * [`check`]: breadth-first search.
+//! * [`mod@check`]: breadth-first search.
 
 pub mod check;
 pub mod conclusion;
