sched: a job whose record was skipped isn't accepted again

Cause: a leader that couldn't decode the record of an ended job, or the specification of a held one, knew nothing of the job.

Change: the leader keeps the ids of the jobs of which a record was skipped. A request about one that it doesn't hold is answered as undetermined, since a leader of another version may decode the record: the caller repeats its request. It is neither accepted nor said to be gone.

--- a/crates/pomelohitch-sched/src/cell.rs
+++ b/crates/pomelohitch-sched/src/cell.rs
@@ -247,6 +247,8 @@
     workspaces: HashMap<WorkspaceName, usize>,
     /// Number of records that couldn't be decoded when the leader took over.
     skipped_records: usize,
+    /// Jobs of which a record couldn't be decoded then.
+    skipped_jobs: BTreeSet<JobId>,
     housekeeping_at: Steady,
     scheduled_at: Steady,
     /// Moving average of the duration of a tick.
@@ -389,7 +391,10 @@
                     progresses.insert(id, progress);
                 }
                 Ok(Entry::Ended(job)) => ended.push(job),
-                Err(error) => errors.push(error),
+                Err(error) => {
+                    cell.skipped_jobs.extend(crate::id::job_at_end(key));
+                    errors.push(error);
+                }
             }
         }
         for job in ended {
@@ -431,6 +436,7 @@
             queues: HashMap::new(),
             workspaces: HashMap::new(),
             skipped_records: 0,
+            skipped_jobs: BTreeSet::new(),
             housekeeping_at: Steady::ZERO,
             scheduled_at: Steady::ZERO,
             tick_duration: Duration::ZERO,
--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -128,6 +128,8 @@
                 self.after_commit.push(accepted(call.id));
                 None
             }
+            // A leader of another version may decode the record, and knows what became of the job.
+            (_, _, Ok(job)) if self.is_skipped(job) => Some(Answer::Undetermined),
             (Verb::Submit(Ok(draft)), _, Ok(job)) => {
                 self.submit(call.id, job, queue, workspace, draft)
             }
@@ -139,6 +141,11 @@
         }
     }
 
+    /// Whether the job isn't held because its record couldn't be decoded.
+    fn is_skipped(&self, job: JobId) -> bool {
+        self.skipped_jobs.contains(&job) && !self.jobs.contains_key(&job)
+    }
+
     /// Accepts a job that isn't held yet.
     fn submit(
         &mut self,
