--- a/pomelohitchd/src/metrics_list.rs
+++ b/pomelohitchd/src/metrics_list.rs
@@ -192,6 +192,13 @@
         "messages",
         "Messages about permits between entry instances.",
     ),
+    Metric {
+        name: "leadership_confirmed_age_seconds",
+        kind: Kind::Gauge,
+        unit: "seconds",
+        labels: "by",
+        about: "Time since the store or a majority of the members confirmed the leadership, at the leader.",
+    },
     Metric {
         name: "journal_append_seconds",
         kind: Kind::Histogram,
