fix: a leader denies a job to its reader only after an append

Callers saw 410 for jobs that the next leader had accepted, in the first half second after its takeover (rule LOST).

Cause: a read of a job that the leader doesn't hold was answered from its own state at once; that of a cancellation already waits for an append. A leader that is cut off counts as confirmed for 1.5 s, and the next one may accept jobs from 1.2 s after the cut on.

Change: reads wait for the append as well; while the store is away they are refused with a Retry-After.

The test of the scheduler failed before (the answer was given at once).

--- a/crates/pomelohitch-sched/src/cell/calls.rs
+++ b/crates/pomelohitch-sched/src/cell/calls.rs
@@ -136,7 +136,7 @@
             (Verb::Submit(Err(reason)), _, Ok(_)) => Some(Answer::Malformed(reason.clone())),
             (Verb::Submit(_), _, Err(error)) => Some(Answer::Malformed(error.to_string().into())),
             (Verb::Confirm, ..) | (_, _, Err(_)) => Some(Answer::Gone),
-            (Verb::Read, _, Ok(job)) => Some(self.read(job, workspace.as_ref())),
+            (Verb::Read, _, Ok(job)) => self.read(call.id, job, workspace.as_ref()),
             (Verb::Cancel, _, Ok(job)) => self.cancel(call.id, job, workspace.as_ref()),
         }
     }
@@ -239,15 +239,29 @@
         tasks.filter(|t| !t.is_done && t.runs.is_empty()).count()
     }
 
-    fn read(&self, id: JobId, workspace: Option<&WorkspaceName>) -> Answer {
-        match self.jobs.get(&id) {
-            Some(job) if !is_visible_to(job, workspace) => Answer::Gone,
-            Some(job) if job.durable_state == JobState::Failed && job.progress.is_given_up => {
-                Answer::GivenUp
+    fn read(
+        &mut self,
+        call: CallId,
+        id: JobId,
+        workspace: Option<&WorkspaceName>,
+    ) -> Option<Answer> {
+        let Some(job) = self.jobs.get(&id) else {
+            if self.is_log_down {
+                return Some(Answer::Refused {
+                    retry_after: LOG_RETRY_AFTER,
+                    is_for_queue: false,
+                    reason: "whether the job exists can't be confirmed now",
+                });
             }
-            Some(job) => Answer::State(job.durable_state),
-            None => Answer::Gone,
-        }
+            return self.confirm_unknown(call);
+        };
+        Some(if !is_visible_to(job, workspace) {
+            Answer::Gone
+        } else if job.durable_state == JobState::Failed && job.progress.is_given_up {
+            Answer::GivenUp
+        } else {
+            Answer::State(job.durable_state)
+        })
     }
 
     fn cancel(
@@ -283,7 +297,7 @@
         None
     }
 
-    /// Answers that a job to be cancelled doesn't exist, once an append has shown that no later leader
+    /// Answers that a job doesn't exist, once an append has shown that no later leader
     /// was elected before the request arrived: a leader that was suspended doesn't know the jobs that
     /// its successor has accepted.
     fn confirm_unknown(&mut self, call: CallId) -> Option<Answer> {
--- a/crates/pomelohitch-sched/tests/cell/calls.rs
+++ b/crates/pomelohitch-sched/tests/cell/calls.rs
@@ -196,13 +196,23 @@
 /// the caller would take it for cancelled.
 #[test]
 fn a_cancellation_of_an_unknown_job_is_answered_only_after_a_confirming_append() {
+    assert_denied_only_after_an_append(Verb::Cancel);
+}
+
+/// Guards against an answer that there is no such job by a leader whose successor has accepted it.
+#[test]
+fn a_read_of_an_unknown_job_is_answered_only_after_a_confirming_append() {
+    assert_denied_only_after_an_append(Verb::Read);
+}
+
+fn assert_denied_only_after_an_append(verb: Verb) {
     let mut fleet = Fleet::new(1);
     fleet.advance(40);
-    let cancelled = fleet.call(&format!("/q/{ID}"), Verb::Cancel);
+    let denied = fleet.call(&format!("/q/{ID}"), verb);
     let batch = fleet.cell.take_batch().expect("records are encodable");
     let batch = batch.expect("the answer waits for an append");
     assert!(batch.needs_confirmation());
-    assert_eq!(fleet.replies.get(&cancelled), None);
+    assert_eq!(fleet.replies.get(&denied), None);
     let actions = fleet.cell.committed(batch);
     assert!(matches!(
         actions[..],
