election: a claim exceeds the epoch of the liveness record

Cause: the epoch of a claim follows that of the leader's record alone. If another writer overwrites it and all members start again, claims count from 1, and the store fences each in the topic of jobs until they exceed the last leader's epoch: one claim after another, without a leader meanwhile.

Change: a claim also exceeds the epoch of the liveness record, which the leader writes each second. A liveness record names at most half of the largest epoch, so that later ones are left.

Before: `an_overwritten_record_of_the_leader_stops_no_restarted_fleet` fails: with a last epoch of 1,000 no job is accepted within 30 s. After: the 10 tests of odd_entries pass in the debug build.

--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -284,12 +284,16 @@
     replaced: Epoch,
 ) -> Result<Option<(Leader, Option<Leader>)>> {
     let end = members::read_all(shared, store).context(StoreSnafu)?;
-    let former = shared.view().leader;
+    let view = shared.view();
+    let former = view.leader;
     let known = former.as_ref().map_or(0, |l| l.epoch);
     ensure!(known <= replaced, RacedSnafu);
+    // Another writer may have overwritten the record of a later leader.
+    let times = [view.fleet_time, view.min_fleet_time];
+    let alive = times.into_iter().flatten().map(|time| time.epoch).max();
     let site = shared.site.load();
     let leader = Leader {
-        epoch: known + 1,
+        epoch: known.max(alive.unwrap_or_default()) + 1,
         member: site.member.clone(),
         addr: site.internal,
         began_ms: shared.started_ms,
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -180,6 +180,7 @@
 
 impl CheckedRecord for LivenessRecord {
     fn is_usable(&self) -> bool {
-        self.epoch <= MAX_EPOCH && self.fleet_ms.is_none_or(|ms| ms <= MAX_UNIX_MS)
+        // Half of the epochs are left to later leaders, also if another writer named this one.
+        self.epoch <= MAX_EPOCH / 2 && self.fleet_ms.is_none_or(|ms| ms <= MAX_UNIX_MS)
     }
 }
