members: quorums of records and of claims count what answers

Found on review: a record with a quorum of zero, of another writer, would keep every later leader from counting earlier ones as over. The quorum of a claim counted members by name, the confirmations by address, so that two names of one address made the recorded one the larger.

--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -12,6 +12,7 @@
 //! * [`heartbeats`]: announces the leader to the other members.
 //! * [`handover`]: decides when the leadership ends in favour of another member.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError};
@@ -301,7 +302,9 @@
     let alive = times.into_iter().flatten().map(|time| time.epoch).max();
     let site = shared.site.load();
     let view = shared.view();
-    let own_quorum = majority(shared.others().len() + view.unreadable_members.len() + 1);
+    // Two members with one address answer as one.
+    let others: BTreeSet<_> = shared.peers().into_iter().collect();
+    let own_quorum = majority(others.len() + view.unreadable_members.len() + 1);
     let former_quorum = view.leader_quorum();
     let leader = Leader {
         epoch: known.max(alive.unwrap_or_default()) + 1,
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -183,7 +183,7 @@
 
 impl CheckedRecord for Leader {
     fn is_usable(&self) -> bool {
-        self.epoch <= MAX_EPOCH && is_callable(self.addr)
+        self.epoch <= MAX_EPOCH && is_callable(self.addr) && self.quorum > 0
     }
 }
 
@@ -196,6 +196,8 @@
 impl CheckedRecord for LivenessRecord {
     fn is_usable(&self) -> bool {
         // Half of the epochs are left to later leaders, also if another writer named this one.
-        self.epoch <= MAX_EPOCH / 2 && self.fleet_ms.is_none_or(|ms| ms <= MAX_UNIX_MS)
+        self.epoch <= MAX_EPOCH / 2
+            && self.fleet_ms.is_none_or(|ms| ms <= MAX_UNIX_MS)
+            && self.quorum > 0
     }
 }
