fix: a repeated append confirms the leadership as of its first attempt

Cause: a leader that repeats an append whose answer was lost takes itself for confirmed as of the repeat. Leases would then be renewed for 7.5 s, and operations on instances sent for 1.5 s, from a moment after the successor's takeover.

Change: after an attempt without an answer, the append confirms the leadership as of that attempt.

The test failed before: the append confirmed the leadership later than the store had carried it out. Found by reading, not in a play.

--- a/pomelohitchd/src/fleet/leader/journal.rs
+++ b/pomelohitchd/src/fleet/leader/journal.rs
@@ -180,6 +180,7 @@
         let Append { sequence, records } = append;
         let condition = epoch_condition(self.common.epoch, *sequence);
         let mut failed_attempts = 0;
+        let mut unanswered_since = None;
         while !self.common.is_durable(*sequence) {
             if !self.is_leader() {
                 return Err(LeadershipEnded);
@@ -195,7 +196,13 @@
             let started_at = clock::steady();
             let timeout = lock(&self.common.timeout).for_attempt(failed_attempts);
             match self.store.append(Topic::Jobs, records, condition, timeout) {
-                Ok(Appended::Done { .. }) => return self.mark_durable(*sequence, started_at),
+                Ok(Appended::Done { .. }) => {
+                    // A repeat may receive the answer to an attempt that was carried out before a later
+                    // leader took over.
+                    let confirmed_at = unanswered_since.unwrap_or(started_at);
+                    self.common.confirmation.confirmed_by_store(confirmed_at);
+                    return self.mark_durable(*sequence, started_at);
+                }
                 Ok(Appended::OutOfSequence)
                     if !is_predecessor_durable || self.common.is_durable(*sequence) =>
                 {
@@ -214,6 +221,9 @@
                 Err(_) if self.common.is_durable(*sequence) => {}
                 Err(error) => {
                     let is_timeout = error.status().is_none();
+                    if is_timeout {
+                        unanswered_since.get_or_insert(started_at);
+                    }
                     if self.common.is_available.load(Ordering::Acquire) {
                         info!(%error, within = ?timeout, sequence, "append failed; retrying");
                     }
@@ -241,7 +251,6 @@
         let took = clock::steady().saturating_sub(started_at);
         lock(&self.common.timeout).add_sample(took);
         metrics::histogram!("journal_append_seconds").record(took.as_secs_f64());
-        self.common.confirmation.confirmed_by_store(started_at);
         self.common.durable.fetch_max(sequence, Ordering::AcqRel);
         self.report_availability(true)?;
         self.events
--- a/pomelohitchd/tests/fleet/journal.rs
+++ b/pomelohitchd/tests/fleet/journal.rs
@@ -164,6 +164,33 @@
     assert!(confirmed_at + answers_after <= clock::steady());
 }
 
+/// Guards against a leader that takes itself for confirmed by the repeated answer to an append that was
+/// carried out before another one took over.
+#[test]
+fn a_repeated_append_confirms_the_leadership_as_of_its_first_attempt() {
+    let (addr, state) = store(StoreState {
+        lose_answers_to: vec![1],
+        ..StoreState::default()
+    });
+    let mut running = RunningJournal::start(addr);
+    let confirmation = running.confirmation.clone();
+    running.journal.commit(vec![record(1)]);
+    let carried_out = || {
+        let state = state
+            .lock()
+            .expect("no thread panics while holding the lock");
+        !state.sequences.is_empty()
+    };
+    while !carried_out() {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    let carried_out_at = clock::steady();
+    running.finish(1);
+    let confirmed_at = confirmation.store_at();
+    assert!(confirmed_at > Steady::ZERO);
+    assert!(confirmed_at <= carried_out_at);
+}
+
 /// Commits `count` batches of one record each, and waits until all are durable.
 fn commit_all(addr: SocketAddr, count: Sequence) {
     let mut running = RunningJournal::start(addr);
