fix: a request to take over names the leadership that it ends

Cause: a leader that hands over asks its successor to claim, without saying which leadership has ended. The request waits while the successor is suspended, or leads itself. When it was acted on, a later leader could be well: it was replaced, by a member that took it for ended and sent operations on instances 0.3 s after its takeover, in place of 1.8 s, while the later leader could still send its own.

Change: the request carries the epoch, has no effect once a later leader is known, and replaces only that leadership when the store is read. A member that a smaller one asks to lead no longer fails if it hasn't heard of the smaller one's claim yet.

The test fails where requests are taken whatever their epoch (trial: the check disabled).

--- a/pomelohitchd/src/fleet/election.rs
+++ b/pomelohitchd/src/fleet/election.rs
@@ -53,8 +53,12 @@
         let view = shared.view();
         let epoch = view.leader.as_ref().map_or(0, |l| l.epoch);
         if let Some(claim) = shared.take_claim() {
-            info!(has_ended = claim.has_ended, "asked to take over");
-            leader::claim(shared, epoch, claim.has_ended);
+            info!(
+                epoch = claim.epoch,
+                has_ended = claim.has_ended,
+                "asked to take over"
+            );
+            leader::claim(shared, claim.epoch, claim.has_ended);
         } else if is_suspect(shared, &view, now, claim_delay) && is_silent(shared) {
             leader::claim(shared, epoch, false);
         }
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -132,7 +132,8 @@
     let epoch = leader.epoch;
     let _announcement = announce(shared, &leader)?;
     if !is_handed_over && let Some(peer) = larger_member(shared) {
-        core::hand_over(peer, Claim { has_ended: false });
+        let has_ended = false;
+        core::hand_over(peer, Claim { epoch, has_ended });
         return YieldedSnafu { peer }.fail();
     }
     let fence_sent_at = clock::steady();
--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -242,7 +242,8 @@
         "leadership ended"
     );
     if let Some(successor) = end.successor {
-        hand_over(successor, Claim { has_ended: true });
+        let has_ended = true;
+        hand_over(successor, Claim { epoch, has_ended });
     }
 }
 
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -299,10 +299,13 @@
         self.changed.notify_all();
     }
 
-    /// Takes the pending request to take over the leadership, if there is one.
+    /// Takes the pending request to take over the leadership, if there is one. One that was made
+    /// before a later leader took over has no effect.
     #[must_use]
     pub fn take_claim(&self) -> Option<Claim> {
-        self.pending_claim().take()
+        let claim = self.pending_claim().take()?;
+        let known = self.lock().leader.as_ref().map_or(0, |l| l.epoch);
+        (known <= claim.epoch).then_some(claim)
     }
 
     fn pending_claim(&self) -> MutexGuard<'_, Option<Claim>> {
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -103,6 +103,8 @@
 /// Asks a member to take over the leadership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
+    /// Epoch of the leadership to take over. If a later one is known, the request is outdated.
+    pub epoch: Epoch,
     /// Whether the former leader has stopped and sends nothing more. If not, the sender only cedes
     /// the leadership to the receiver, and the former leader may still be active.
     pub has_ended: bool,
--- a/pomelohitchd/tests/fleet/leaders.rs
+++ b/pomelohitchd/tests/fleet/leaders.rs
@@ -8,7 +8,7 @@
 use pomelohitchd::fleet::succession::{
     candidates, larger_member_delay, larger_members, probe_sample, successor,
 };
-use pomelohitchd::fleet::wire::{Leader, Member, ProbeReply};
+use pomelohitchd::fleet::wire::{Claim, Leader, Member, ProbeReply};
 
 use super::site::{nowhere, site};
 
@@ -136,6 +136,30 @@
     assert!(!shared.observe_leader(&leader, true));
 }
 
+/// Guards against a claim over a healthy leader, by a request to take over from an earlier one that
+/// arrived late or while this member led.
+#[test]
+fn an_outdated_request_to_take_over_has_no_effect() {
+    let shared = Shared::new(site());
+    let leader = |epoch| Leader {
+        epoch,
+        member: "front-a-2".into(),
+        addr: nowhere(),
+        began_ms: 1,
+        quorum: 2,
+    };
+    let request = Claim {
+        epoch: 1,
+        has_ended: true,
+    };
+    shared.observe_leader(&leader(1), true);
+    shared.request_claim(request);
+    assert_eq!(shared.take_claim(), Some(request));
+    shared.request_claim(request);
+    shared.observe_leader(&leader(2), true);
+    assert_eq!(shared.take_claim(), None);
+}
+
 fn reading(epoch: u64, ms: u64, at_ms: u64) -> FleetTime {
     let at = Duration::from_millis(at_ms);
     FleetTime { epoch, ms, at }
