fix: a member whose cut heals doesn't claim the leadership of a leader that is well

Cause: the member asks the others whether they hear the leader while it is still cut off, and claims after that. The claim's read of the store shows that the leader has written its liveness record meanwhile, but only its epoch was looked at.

Change: a member that suspected the leader doesn't claim if the liveness record has changed since.

The test fails without the check (trial: 1 claim in place of none).

--- a/pomelohitchd/src/fleet/election.rs
+++ b/pomelohitchd/src/fleet/election.rs
@@ -12,6 +12,7 @@
 use pomelohitch_sched::Steady;
 use tracing::info;
 
+use super::leader::Reason;
 use super::leader::core::millis;
 use super::shared::{Shared, View};
 use super::wire::{self, Probe, ProbeReply};
@@ -58,9 +59,10 @@
                 has_ended = claim.has_ended,
                 "asked to take over"
             );
-            leader::claim(shared, claim.epoch, claim.has_ended);
+            let has_ended = claim.has_ended;
+            leader::claim(shared, claim.epoch, &Reason::Asked { has_ended });
         } else if is_suspect(shared, &view, now, claim_delay) && is_silent(shared) {
-            leader::claim(shared, epoch, false);
+            leader::claim(shared, epoch, &Reason::Silent(Box::new(view)));
         }
     }
 }
--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -31,7 +31,7 @@
 use self::skipped::Skipped;
 use self::watch::ReadSoFar;
 use super::clock;
-use super::shared::{Leadership, Shared, spawn, spawn_with};
+use super::shared::{Leadership, Shared, View, spawn, spawn_with};
 use super::wire::{self, Claim, Leader, Probe, ProbeReply};
 use super::{members, peers, succession};
 
@@ -71,6 +71,9 @@
     /// [`CLAIM_ATTEMPTS`] attempts.
     #[snafu(display("another member claimed the leadership first"))]
     Raced,
+    /// The leader has written its liveness record since it was suspected.
+    #[snafu(display("the leader has shown life since it was suspected"))]
+    Alive,
     /// A larger member can lead, and was asked to claim the leadership.
     #[snafu(display("yielded to the larger member at {peer}"))]
     Yielded {
@@ -97,6 +100,19 @@
 /// Result type of this module.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
+/// Why a member claims the leadership.
+#[derive(Debug)]
+pub enum Reason {
+    /// It suspected the leader as of this view. If the leader has shown life since, this member was cut
+    /// off for a while.
+    Silent(Box<View>),
+    /// It was asked to take over.
+    Asked {
+        /// See [`Claim::has_ended`].
+        has_ended: bool,
+    },
+}
+
 /// Newest records of the topics from which a leader restores its state.
 struct Records {
     jobs: Newest,
@@ -108,10 +124,9 @@
 /// suspects the leader.
 ///
 /// `epoch` is the epoch of the leader to replace: if a later one exists, another member claimed the
-/// leadership first. `is_handed_over` says that the former leader has ended and asked this member
-/// to take over.
-pub fn claim(shared: &Arc<Shared>, epoch: Epoch, is_handed_over: bool) {
-    if let Err(error) = take_over(shared, epoch, is_handed_over) {
+/// leadership first.
+pub fn claim(shared: &Arc<Shared>, epoch: Epoch, reason: &Reason) {
+    if let Err(error) = take_over(shared, epoch, reason) {
         info!(%error, "leadership not taken over");
         let now = clock::steady();
         shared.update(|view| {
@@ -124,11 +139,12 @@
 /// the next attempt comes soon but not at once.
 const RETRY_SILENCE: Duration = Duration::from_millis(500);
 
-fn take_over(shared: &Arc<Shared>, replaced: Epoch, is_handed_over: bool) -> Result<()> {
+fn take_over(shared: &Arc<Shared>, replaced: Epoch, reason: &Reason) -> Result<()> {
+    let is_handed_over = matches!(reason, Reason::Asked { has_ended: true });
     let started_at = clock::steady();
     let store = shared.store();
     let endpoints = read_in_background(shared, Topic::Endpoints)?;
-    let (leader, former) = claim_record(shared, &store, replaced)?;
+    let (leader, former) = claim_record(shared, &store, replaced, reason)?;
     let epoch = leader.epoch;
     let _announcement = announce(shared, &leader)?;
     if !is_handed_over && let Some(peer) = larger_member(shared) {
@@ -277,9 +293,10 @@
     shared: &Shared,
     store: &Store,
     replaced: Epoch,
+    reason: &Reason,
 ) -> Result<(Leader, Option<Leader>)> {
     for _ in 0..CLAIM_ATTEMPTS {
-        if let Some(claimed) = try_claim(shared, store, replaced)? {
+        if let Some(claimed) = try_claim(shared, store, replaced, reason)? {
             return Ok(claimed);
         }
     }
@@ -291,6 +308,7 @@
     shared: &Shared,
     store: &Store,
     replaced: Epoch,
+    reason: &Reason,
 ) -> Result<Option<(Leader, Option<Leader>)>> {
     let end = members::read_all(shared, store).context(StoreSnafu)?;
     let former = shared.view().leader;
@@ -298,6 +316,9 @@
     ensure!(known <= replaced, RacedSnafu);
     let site = shared.site.load();
     let view = shared.view();
+    if let Reason::Silent(suspected) = reason {
+        ensure!(!view.shows_life_since(suspected), AliveSnafu);
+    }
     let own_quorum = majority(shared.others().len() + view.unreadable_members.len() + 1);
     let former_quorum = view.leader_quorum();
     let leader = Leader {
--- a/pomelohitchd/src/fleet/members.rs
+++ b/pomelohitchd/src/fleet/members.rs
@@ -188,6 +188,7 @@
         if view.quorum.is_none_or(|(epoch, _)| epoch <= alive.epoch) {
             view.quorum = Some((alive.epoch, alive.quorum));
         }
+        view.liveness = view.liveness.max(Some((alive.epoch, alive.count)));
     });
 }
 
--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -57,6 +57,8 @@
     pub min_fleet_time: Option<FleetTime>,
     /// Epoch and quorum of the newest liveness record.
     pub quorum: Option<(Epoch, usize)>,
+    /// Epoch and count of the newest liveness record.
+    pub liveness: Option<(Epoch, u64)>,
 }
 
 impl View {
@@ -67,6 +69,14 @@
         let recorded = self.quorum.filter(|(epoch, _)| *epoch == leader.epoch);
         Some(recorded.map_or(leader.quorum, |(_, quorum)| quorum))
     }
+
+    /// Whether the known leader has written its liveness record since `earlier`.
+    #[must_use]
+    pub fn shows_life_since(&self, earlier: &View) -> bool {
+        let epoch = self.leader.as_ref().map(|l| l.epoch);
+        let is_of_leader = self.liveness.map(|(epoch, _)| epoch) == epoch;
+        is_of_leader && self.liveness > earlier.liveness
+    }
 }
 
 /// The leadership that this process holds.
--- a/pomelohitchd/tests/fleet.rs
+++ b/pomelohitchd/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 #[path = "fleet/callers.rs"]
 mod callers;
+#[path = "fleet/claims.rs"]
+mod claims;
 #[path = "fleet/clock.rs"]
 mod clock;
 #[path = "fleet/confirmations.rs"]
