fix: a quorum of no members isn't usable

Cause: a leader's or a liveness record with a quorum of 0, of another writer, was taken.

Change: such a record is skipped, like those with absurd epochs or times.

The test failed before: both records were usable.

--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -185,7 +185,7 @@
 
 impl CheckedRecord for Leader {
     fn is_usable(&self) -> bool {
-        self.epoch <= MAX_EPOCH && is_callable(self.addr)
+        self.epoch <= MAX_EPOCH && is_callable(self.addr) && self.quorum > 0
     }
 }
 
@@ -197,6 +197,8 @@
 
 impl CheckedRecord for LivenessRecord {
     fn is_usable(&self) -> bool {
-        self.epoch <= MAX_EPOCH && self.fleet_ms.is_none_or(|ms| ms <= MAX_UNIX_MS)
+        self.epoch <= MAX_EPOCH
+            && self.fleet_ms.is_none_or(|ms| ms <= MAX_UNIX_MS)
+            && self.quorum > 0
     }
 }
--- a/pomelohitchd/tests/fleet/confirmations.rs
+++ b/pomelohitchd/tests/fleet/confirmations.rs
@@ -9,7 +9,7 @@
 use pomelohitchd::fleet::internal;
 use pomelohitchd::fleet::leader::confirmation::{Confirmation, ConfirmationWatch};
 use pomelohitchd::fleet::shared::Shared;
-use pomelohitchd::fleet::wire::{Heartbeat, HeartbeatAck, Leader, LivenessRecord};
+use pomelohitchd::fleet::wire::{CheckedRecord, Heartbeat, HeartbeatAck, Leader, LivenessRecord};
 
 use super::site::{nowhere, site};
 
@@ -105,3 +105,26 @@
     member.observe_leader(&leader(4), false);
     assert_eq!(member.view().leader_quorum(), Some(2));
 }
+
+/// Guards against leaders that wait for ever for leases that they don't know, after a record of another
+/// writer.
+#[test]
+fn a_record_without_a_quorum_is_not_usable() {
+    let record = LivenessRecord {
+        epoch: 3,
+        count: 1,
+        fleet_ms: None,
+        quorum: 0,
+    };
+    let claim = Leader {
+        quorum: 0,
+        ..leader(3)
+    };
+    assert_eq!((record.is_usable(), claim.is_usable()), (false, false));
+    let record = LivenessRecord {
+        quorum: 1,
+        ..record
+    };
+    let claim = Leader { quorum: 1, ..claim };
+    assert_eq!((record.is_usable(), claim.is_usable()), (true, true));
+}
