fix: a claim counts members as confirmations do

Cause: a claim records the quorum of the members by name, and the leader is confirmed by that of their addresses. Where the record of a member that has ended names an address that another one has now, the recorded quorum can be larger than the one that confirms the leader. Its successor would take it for unable to be confirmed too early, until the first liveness record, which had the right number.

Change: the claim uses the same count.

The test failed before (a quorum of 3 in place of 2, for three names at one address).

--- a/pomelohitchd/src/fleet/leader.rs
+++ b/pomelohitchd/src/fleet/leader.rs
@@ -19,7 +19,7 @@
 
 use pomelohitch_adapter::records::{self, OperatorRecord};
 use pomelohitch_adapter::store::{AppendCondition, Appended, Newest, Store, Topic};
-use pomelohitch_sched::confirmation::majority;
+use pomelohitch_sched::confirmation::Confirmations;
 use pomelohitch_sched::policy::Policy;
 use pomelohitch_sched::progress;
 use pomelohitch_sched::{Cell, Epoch, Settings};
@@ -319,7 +319,10 @@
     if let Reason::Silent(suspected) = reason {
         ensure!(!view.shows_life_since(suspected), AliveSnafu);
     }
-    let own_quorum = majority(shared.others().len() + view.unreadable_members.len() + 1);
+    // Counted as for confirmations: a member that has ended may share its address with another.
+    let mut members = Confirmations::default();
+    members.set_members(shared.peers().into_iter(), view.unreadable_members.len());
+    let own_quorum = members.quorum();
     let former_quorum = view.leader_quorum();
     let leader = Leader {
         epoch: known + 1,
