fix: an older record of its member doesn't show that a leader has ended

Cause: a leader takes the former one's process for ended once its member is registered with another start time. A restarted process may lead before it has registered, with the record of its earlier process still there: the successor then sent operations on instances at once, in place of 1.8 s after its takeover, while the former leader could still send its own.

Change: only a later start time shows it.

The test fails with the former comparison (trial: an earlier record showed an end).

--- a/pomelohitchd/src/fleet/leader/handover.rs
+++ b/pomelohitchd/src/fleet/leader/handover.rs
@@ -128,7 +128,7 @@
             return;
         };
         let member = self.shared.member(&former.member);
-        if member.is_some_and(|m| m.began_ms != former.began_ms) {
+        if member.is_some_and(|m| former.has_ended(&m)) {
             self.cell.former_leader_ended();
             self.former = None;
         }
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -53,6 +53,15 @@
     pub quorum: usize,
 }
 
+impl Leader {
+    /// Whether its process has ended, by the record of its member. A record of an earlier process says
+    /// nothing: a process may lead before it has registered.
+    #[must_use]
+    pub fn has_ended(&self, member: &Member) -> bool {
+        member.began_ms > self.began_ms
+    }
+}
+
 /// The leader's heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
--- a/pomelohitchd/tests/fleet/leaders.rs
+++ b/pomelohitchd/tests/fleet/leaders.rs
@@ -136,6 +136,26 @@
     assert!(!shared.observe_leader(&leader, true));
 }
 
+/// Guards against operations of two leaders at a time, where the former one leads before its new process
+/// has registered.
+#[test]
+fn an_older_record_of_its_member_does_not_show_that_a_leader_has_ended() {
+    let leader = Leader {
+        epoch: 7,
+        member: "front-a-2".into(),
+        addr: nowhere(),
+        began_ms: 20,
+        quorum: 2,
+    };
+    let registered = [10, 20, 30].map(|began_ms| Member {
+        addr: nowhere(),
+        power: 500,
+        began_ms,
+    });
+    let has_ended = registered.map(|member| leader.has_ended(&member));
+    assert_eq!(has_ended, [false, false, true]);
+}
+
 /// Guards against a claim over a healthy leader, by a request to take over from an earlier one that
 /// arrived late or while this member led.
 #[test]
