--- a/pomelohitchd/src/fleet/leader/confirmation.rs
+++ b/pomelohitchd/src/fleet/leader/confirmation.rs
@@ -11,7 +11,7 @@
 
 use pomelohitch_sched::Steady;
 use pomelohitch_sched::confirmation::Confirmations;
-use tracing::info;
+use tracing::{info, warn};
 
 use super::core::millis;
 use crate::fleet::wire::Leader;
@@ -86,8 +86,15 @@
     /// Smallest number of members by which an earlier leader may still be confirmed; `None` once none
     /// can be.
     former_quorum: Option<usize>,
+    /// When a warning is due that earlier leaders may still be confirmed; `None` before the first
+    /// update, and zero once it was given.
+    warn_at: Option<Steady>,
 }
 
+/// Time after which a leader warns that earlier ones may still be confirmed. Members that answer have
+/// acknowledged it by then.
+const UNBOUNDED_WARNING_AFTER: Duration = Duration::from_secs(10);
+
 impl ConfirmationWatch {
     /// Begins to follow the answers to a new leader.
     #[must_use]
@@ -95,6 +102,7 @@
         ConfirmationWatch {
             confirmation: confirmation.clone(),
             former_quorum: Some(leader.quorum),
+            warn_at: None,
         }
     }
 
@@ -114,9 +122,25 @@
             info!(unacknowledged, quorum, "no earlier leader can be confirmed");
             self.former_quorum = None;
         }
+        self.warn_if_unbounded(unacknowledged, now);
         let quorums = [Some(answers.quorum()), self.former_quorum];
         let smallest = quorums.into_iter().flatten().min();
         self.confirmation.set_quorum(smallest.unwrap_or_default());
         is_bounded
     }
+
+    /// Warns once if earlier leaders may still be confirmed long after the takeover.
+    fn warn_if_unbounded(&mut self, unacknowledged: usize, now: Steady) {
+        let due = *self.warn_at.get_or_insert(now + UNBOUNDED_WARNING_AFTER);
+        if let Some(quorum) = self.former_quorum
+            && !due.is_zero()
+            && now >= due
+        {
+            warn!(
+                unacknowledged,
+                quorum, "earlier leaders may still be confirmed"
+            );
+            self.warn_at = Some(Steady::ZERO);
+        }
+    }
 }
