fix: records of the leader of the former version are read

Cause: the records of the leader and of its liveness gained a quorum, so that those of the former version couldn't be decoded. A fleet that was upgraded knew no leader, and the store refused its claims one after another up to the last epoch.

--- a/pomelohitchd/src/fleet/members.rs
+++ b/pomelohitchd/src/fleet/members.rs
@@ -167,7 +167,7 @@
 
 /// Decodes a record of this topic. Returns `None` if it isn't one that a member can have written.
 fn usable_record<T: CheckedRecord>(key: &str, value: &[u8]) -> Option<T> {
-    let record = postcard::from_bytes::<T>(value).ok();
+    let record = T::decode(value).ok();
     let usable = record.filter(CheckedRecord::is_usable);
     if usable.is_none() {
         info!(key, bytes = value.len(), "record of members skipped");
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -184,8 +184,19 @@
 pub trait CheckedRecord: DeserializeOwned {
     /// Whether a member can have written it.
     fn is_usable(&self) -> bool;
+
+    /// Decodes a record of this or the former version.
+    ///
+    /// # Errors
+    /// If the bytes are no such record.
+    fn decode(bytes: &[u8]) -> postcard::Result<Self> {
+        postcard::from_bytes(bytes)
+    }
 }
 
+/// Quorum of a leader whose record has none: leaders of the former version needed no confirmation.
+const FORMER_VERSION_QUORUM: usize = 1;
+
 /// Largest epoch that a leader can have: one more for each change of leader, each second for a
 /// century. Epochs are counted on from the one in the record.
 const MAX_EPOCH: Epoch = u32::MAX as Epoch;
@@ -193,6 +204,19 @@
 const MAX_UNIX_MS: UnixMs = 253_402_300_799_999;
 
 impl CheckedRecord for Leader {
+    fn decode(bytes: &[u8]) -> postcard::Result<Leader> {
+        postcard::from_bytes(bytes).or_else(|_| {
+            let (epoch, member, addr, began_ms) = postcard::from_bytes(bytes)?;
+            Ok(Leader {
+                epoch,
+                member,
+                addr,
+                began_ms,
+                quorum: FORMER_VERSION_QUORUM,
+            })
+        })
+    }
+
     fn is_usable(&self) -> bool {
         self.epoch <= MAX_EPOCH && is_callable(self.addr) && self.quorum > 0
     }
@@ -205,6 +229,18 @@
 }
 
 impl CheckedRecord for LivenessRecord {
+    fn decode(bytes: &[u8]) -> postcard::Result<LivenessRecord> {
+        postcard::from_bytes(bytes).or_else(|_| {
+            let (epoch, count, fleet_ms) = postcard::from_bytes(bytes)?;
+            Ok(LivenessRecord {
+                epoch,
+                count,
+                fleet_ms,
+                quorum: FORMER_VERSION_QUORUM,
+            })
+        })
+    }
+
     fn is_usable(&self) -> bool {
         // Half of the epochs are left to later leaders, also if another writer named this one.
         self.epoch <= MAX_EPOCH / 2
--- a/pomelohitchd/tests/fleet/confirmations.rs
+++ b/pomelohitchd/tests/fleet/confirmations.rs
@@ -88,6 +88,27 @@
     insta::assert_debug_snapshot!(seen);
 }
 
+/// Guards against a fleet without a leader after an upgrade, whose claims the store refuses until they
+/// exceed the epoch of the last leader of the former version.
+#[test]
+fn records_of_the_former_version_are_read() {
+    let record = leader(7);
+    let former = (record.epoch, &record.member, record.addr, record.began_ms);
+    let bytes = postcard::to_allocvec(&former).expect("the record can be encoded");
+    let read = Leader::decode(&bytes).expect("it is a record of the former version");
+    assert_eq!(
+        read,
+        Leader {
+            quorum: 1,
+            ..record
+        }
+    );
+    let former = (7_u64, 3_u64, Some(1_000_u64));
+    let bytes = postcard::to_allocvec(&former).expect("the record can be encoded");
+    let read = LivenessRecord::decode(&bytes).expect("it is a record of the former version");
+    assert_eq!((read.epoch, read.count, read.quorum), (7, 3, 1));
+}
+
 /// Guards against the quorum of another leader's liveness record.
 #[test]
 fn the_recorded_quorum_is_that_of_the_known_leader() {
