--- a/pomelohitchd/src/fleet/shared.rs
+++ b/pomelohitchd/src/fleet/shared.rs
@@ -57,6 +57,8 @@
     pub min_fleet_time: Option<FleetTime>,
     /// Epoch and quorum of the newest liveness record.
     pub quorum: Option<(Epoch, usize)>,
+    /// Epoch and count of the newest liveness record.
+    pub liveness: Option<(Epoch, u64)>,
 }
 
 impl View {
@@ -67,6 +69,14 @@
         let recorded = self.quorum.filter(|(epoch, _)| *epoch == leader.epoch);
         Some(recorded.map_or(leader.quorum, |(_, quorum)| quorum))
     }
+
+    /// Whether the known leader has written its liveness record since `earlier`.
+    #[must_use]
+    pub fn shows_life_since(&self, earlier: &View) -> bool {
+        let epoch = self.leader.as_ref().map(|l| l.epoch);
+        let is_of_leader = self.liveness.map(|(epoch, _)| epoch) == epoch;
+        is_of_leader && self.liveness > earlier.liveness
+    }
 }
 
 /// The leadership that this process holds.
@@ -299,10 +309,13 @@
         self.changed.notify_all();
     }
 
-    /// Takes the pending request to take over the leadership, if there is one.
+    /// Takes the pending request to take over the leadership, if there is one. One that was made
+    /// before a later leader took over has no effect.
     #[must_use]
     pub fn take_claim(&self) -> Option<Claim> {
-        self.pending_claim().take()
+        let claim = self.pending_claim().take()?;
+        let known = self.lock().leader.as_ref().map_or(0, |l| l.epoch);
+        (known <= claim.epoch).then_some(claim)
     }
 
     fn pending_claim(&self) -> MutexGuard<'_, Option<Claim>> {
--- a/pomelohitchd/src/fleet/wire.rs
+++ b/pomelohitchd/src/fleet/wire.rs
@@ -53,6 +53,15 @@
     pub quorum: usize,
 }
 
+impl Leader {
+    /// Whether its process has ended, by the record of its member. A record of an earlier process says
+    /// nothing: a process may lead before it has registered.
+    #[must_use]
+    pub fn has_ended(&self, member: &Member) -> bool {
+        member.began_ms > self.began_ms
+    }
+}
+
 /// The leader's heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -103,6 +112,8 @@
 /// Asks a member to take over the leadership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Claim {
+    /// Epoch of the leadership to take over. If a later one is known, the request is outdated.
+    pub epoch: Epoch,
     /// Whether the former leader has stopped and sends nothing more. If not, the sender only cedes
     /// the leadership to the receiver, and the former leader may still be active.
     pub has_ended: bool,
@@ -173,8 +184,19 @@
 pub trait CheckedRecord: DeserializeOwned {
     /// Whether a member can have written it.
     fn is_usable(&self) -> bool;
+
+    /// Decodes a record of this or the former version.
+    ///
+    /// # Errors
+    /// If the bytes are no such record.
+    fn decode(bytes: &[u8]) -> postcard::Result<Self> {
+        postcard::from_bytes(bytes)
+    }
 }
 
+/// Quorum of a leader whose record has none: leaders of the former version needed no confirmation.
+const FORMER_VERSION_QUORUM: usize = 1;
+
 /// Largest epoch that a leader can have: one more for each change of leader, each second for a
 /// century. Epochs are counted on from the one in the record.
 const MAX_EPOCH: Epoch = u32::MAX as Epoch;
@@ -182,8 +204,21 @@
 const MAX_UNIX_MS: UnixMs = 253_402_300_799_999;
 
 impl CheckedRecord for Leader {
+    fn decode(bytes: &[u8]) -> postcard::Result<Leader> {
+        postcard::from_bytes(bytes).or_else(|_| {
+            let (epoch, member, addr, began_ms) = postcard::from_bytes(bytes)?;
+            Ok(Leader {
+                epoch,
+                member,
+                addr,
+                began_ms,
+                quorum: FORMER_VERSION_QUORUM,
+            })
+        })
+    }
+
     fn is_usable(&self) -> bool {
-        self.epoch <= MAX_EPOCH && is_callable(self.addr)
+        self.epoch <= MAX_EPOCH && is_callable(self.addr) && self.quorum > 0
     }
 }
 
@@ -194,7 +229,22 @@
 }
 
 impl CheckedRecord for LivenessRecord {
+    fn decode(bytes: &[u8]) -> postcard::Result<LivenessRecord> {
+        postcard::from_bytes(bytes).or_else(|_| {
+            let (epoch, count, fleet_ms) = postcard::from_bytes(bytes)?;
+            Ok(LivenessRecord {
+                epoch,
+                count,
+                fleet_ms,
+                quorum: FORMER_VERSION_QUORUM,
+            })
+        })
+    }
+
     fn is_usable(&self) -> bool {
-        self.epoch <= MAX_EPOCH && self.fleet_ms.is_none_or(|ms| ms <= MAX_UNIX_MS)
+        // Half of the epochs are left to later leaders, also if another writer named this one.
+        self.epoch <= MAX_EPOCH / 2
+            && self.fleet_ms.is_none_or(|ms| ms <= MAX_UNIX_MS)
+            && self.quorum > 0
     }
 }
--- a/pomelohitchd/tests/fleet/confirmations.rs
+++ b/pomelohitchd/tests/fleet/confirmations.rs
@@ -9,7 +9,7 @@
 use pomelohitchd::fleet::internal;
 use pomelohitchd::fleet::leader::confirmation::{Confirmation, ConfirmationWatch};
 use pomelohitchd::fleet::shared::Shared;
-use pomelohitchd::fleet::wire::{Heartbeat, HeartbeatAck, Leader, LivenessRecord};
+use pomelohitchd::fleet::wire::{CheckedRecord, Heartbeat, HeartbeatAck, Leader, LivenessRecord};
 
 use super::site::{nowhere, site};
 
@@ -88,6 +88,27 @@
     insta::assert_debug_snapshot!(seen);
 }
 
+/// Guards against a fleet without a leader after an upgrade, whose claims the store refuses until they
+/// exceed the epoch of the last leader of the former version.
+#[test]
+fn records_of_the_former_version_are_read() {
+    let record = leader(7);
+    let former = (record.epoch, &record.member, record.addr, record.began_ms);
+    let bytes = postcard::to_allocvec(&former).expect("the record can be encoded");
+    let read = Leader::decode(&bytes).expect("it is a record of the former version");
+    assert_eq!(
+        read,
+        Leader {
+            quorum: 1,
+            ..record
+        }
+    );
+    let former = (7_u64, 3_u64, Some(1_000_u64));
+    let bytes = postcard::to_allocvec(&former).expect("the record can be encoded");
+    let read = LivenessRecord::decode(&bytes).expect("it is a record of the former version");
+    assert_eq!((read.epoch, read.count, read.quorum), (7, 3, 1));
+}
+
 /// Guards against the quorum of another leader's liveness record.
 #[test]
 fn the_recorded_quorum_is_that_of_the_known_leader() {
@@ -105,3 +126,26 @@
     member.observe_leader(&leader(4), false);
     assert_eq!(member.view().leader_quorum(), Some(2));
 }
+
+/// Guards against leaders that wait for ever for leases that they don't know, after a record of another
+/// writer.
+#[test]
+fn a_record_without_a_quorum_is_not_usable() {
+    let record = LivenessRecord {
+        epoch: 3,
+        count: 1,
+        fleet_ms: None,
+        quorum: 0,
+    };
+    let claim = Leader {
+        quorum: 0,
+        ..leader(3)
+    };
+    assert_eq!((record.is_usable(), claim.is_usable()), (false, false));
+    let record = LivenessRecord {
+        quorum: 1,
+        ..record
+    };
+    let claim = Leader { quorum: 1, ..claim };
+    assert_eq!((record.is_usable(), claim.is_usable()), (true, true));
+}
