--- a/pomelohitchd/src/fleet/leader/core.rs
+++ b/pomelohitchd/src/fleet/leader/core.rs
@@ -184,7 +184,8 @@
 }
 
 /// Leads until a later leader is known, this process has lost the store while other members have it
-/// or don't answer, a larger member can lead, or the process shuts down.
+/// or don't answer, nothing confirms the leadership, a larger member can lead, or the process shuts
+/// down.
 pub fn run(shared: &Arc<Shared>, initial: InitialState) {
     let epoch = initial.leader.epoch;
     let confirmation = initial.confirmation;
--- a/pomelohitchd/src/fleet/leader/handover.rs
+++ b/pomelohitchd/src/fleet/leader/handover.rs
@@ -1,8 +1,9 @@
 //! Decides when the leadership ends in favour of another member.
 //!
 //! A leader hands over if it loses the store while other members have it, if a much larger member
-//! can lead, or if the process shuts down. The choice of a successor is in [`succession`]; this
-//! module probes the members.
+//! can lead, or if the process shuts down. It also ends once its leases have expired because neither
+//! the store nor a majority of the members confirms it. The choice of a successor is in
+//! [`succession`]; this module probes the members.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -36,8 +37,7 @@
 /// have requested has expired.
 const MAX_UNCONFIRMED: Duration = Duration::from_secs(9);
 /// Time without the store and without an answer of any other member after which this process stops
-/// leading. The other members may have elected another leader, which relies on leases not being
-/// renewed for longer.
+/// leading: the other members have probably elected another leader.
 const ISOLATED_AFTER: Duration = Duration::from_secs(2);
 
 /// Initial value of the time of the last check for larger members, which puts the first check
--- a/pomelohitchd/src/fleet/relay/server.rs
+++ b/pomelohitchd/src/fleet/relay/server.rs
@@ -25,7 +25,7 @@
 /// Interval of keep-alive frames while there are no replies, and pause after a failed receive or
 /// accept.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(100);
-/// Longer datagrams are truncated; a heartbeat takes about 60 bytes.
+/// Longer datagrams are truncated; a heartbeat takes about 70 bytes.
 const MAX_DATAGRAM_BYTES: usize = 1_500;
 /// Replies that arrive within this time share a frame.
 const REPLY_BATCH_DELAY: Duration = Duration::from_millis(5);
