--- a/crates/pomelohitch-emulator/src/fleet.rs
+++ b/crates/pomelohitch-emulator/src/fleet.rs
@@ -51,6 +51,8 @@
 /// A copy whose start was sent before may take effect for this long after the completion of its
 /// task was acknowledged.
 const COPY_GRACE: Duration = Duration::from_secs(1);
+/// Time within which a caller's request is answered while the log is available.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(3);
 /// Timeout of a poll beyond its wait.
 const POLL_MARGIN: Duration = Duration::from_millis(250);
 
@@ -486,13 +488,28 @@
         self.call(&format!("/q/{id}"), Verb::Submit(Ok(draft)))
     }
 
-    /// Reads the state of a job as a caller does; takes one time step.
+    /// Reads the state of a job as a caller does; takes one time step, or more if the answer waits for
+    /// an append.
     ///
     /// # Panics
-    /// If the call isn't answered within the step.
+    /// If the call isn't answered in time.
     pub fn state(&mut self, id: &str) -> Answer {
         let call = self.call(&format!("/q/{id}"), Verb::Read);
         self.advance(1);
+        self.reply_to(call)
+    }
+
+    /// Waits for the answer to an API call.
+    ///
+    /// # Panics
+    /// If the call isn't answered in time.
+    pub fn reply_to(&mut self, call: u64) -> Answer {
+        let began = self.now.steady;
+        while !self.replies.contains_key(&call) {
+            let waited = self.now.steady.saturating_sub(began);
+            assert!(waited < REPLY_TIMEOUT, "call {call} isn't answered");
+            self.advance(1);
+        }
         self.replies[&call].clone()
     }
 
