--- /dev/null
+++ b/review/lib-2/src/cases.rs
@@ -0,0 +1,423 @@
+//! The cases. Each returns whether the rule was broken, or `None` if it couldn't run.
+
+use std::time::Duration;
+
+use crate::fleet::{DECIDE_MS, Fleet, HOST, PER_WORKER_MS, Paths, VALIDITY_MS};
+use crate::world::unix_ms;
+
+const SERVICE: &str = "kiosk";
+const KEY: &str = "key-one";
+const OTHER_KEY: &str = "key-two";
+/// `finish_s` and `visible_ms` of the small deployments.
+const FINISH_S: f64 = 14.0;
+const VISIBLE_S: f64 = 3.0;
+
+/// A route of the service.
+#[derive(Clone, Copy)]
+struct Route {
+    name: &'static str,
+    attempts: u32,
+    is_advised: bool,
+}
+
+impl Route {
+    fn new(name: &'static str, attempts: u32) -> Route {
+        Route {
+            name,
+            attempts,
+            is_advised: false,
+        }
+    }
+}
+
+/// A configuration with these routes and two tenants without upper bounds.
+fn config(version: u64, routes: &[Route]) -> String {
+    let routes: Vec<_> = routes
+        .iter()
+        .map(|Route { name, attempts, is_advised }| {
+            let advice = format!(
+                ",\"advice\":{{\"decide_ms\":{DECIDE_MS},\"per_worker_ms\":{PER_WORKER_MS},\"validity_ms\":{VALIDITY_MS}}}"
+            );
+            let advice = if *is_advised { advice.as_str() } else { "" };
+            format!(
+                "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\
+                 \"service\":\"{SERVICE}\",\"priority\":0,\"max_attempts\":{attempts},\
+                 \"stretch\":1.6,\"slo_ms\":600{advice}}}"
+            )
+        })
+        .collect();
+    let tenant = |name: &str, key: &str| {
+        format!(
+            "{{\"name\":\"{name}\",\"api_keys\":[\"{key}\"],\"weight\":5,\
+             \"upper_bound\":{{\"cpu\":0,\"mem_mb\":0,\"gpu\":0}}}}"
+        )
+    };
+    format!(
+        "{{\"version\":{version},\"routes\":[{}],\
+         \"services\":[{{\"name\":\"{SERVICE}\",\"admission_control\":false}}],\
+         \"tenants\":[{},{}],\"limits\":{{}}}}",
+        routes.join(","),
+        tenant("one", KEY),
+        tenant("two", OTHER_KEY)
+    )
+}
+
+fn id(number: u64) -> String {
+    format!("{:016x}", 0x5c0e_7a21_0000_0000_u64 + number)
+}
+
+/// A timed job that can never be done, among ordinary jobs. LOST: an accepted ordinary job isn't
+/// done `finish_s` after the end of the traffic, though runners are idle and it has nothing running.
+pub fn oversized_progress(paths: &Paths, trouble: bool) -> Option<bool> {
+    /// Every 3 s, 4 steps of 24 tasks: the widest that the site file has.
+    const INTERVAL_MS: u64 = 3_000;
+    const DUE: u64 = 2_538;
+    const TRAFFIC_S: f64 = 60.0;
+    let routes = [Route::new("q", 4)];
+    let mut fleet = Fleet::start(paths, SERVICE, &["a"; 8], &config(10, &routes))?;
+    let began = fleet.world.now();
+    let mut accepted = Vec::new();
+    let (mut rejected, mut unknown, mut number) = (0, 0, 0);
+    let mut poison = None;
+    while fleet.world.now() < began + TRAFFIC_S {
+        number += 1;
+        let job = id(number);
+        let body = "{\"task_spec\":\"ms=640\",\"steps\":[\
+             {\"count\":6,\"cpu\":880,\"mem_mb\":2500,\"estimated_ms\":640},\
+             {\"count\":6,\"cpu\":880,\"mem_mb\":2500,\"estimated_ms\":640,\"after\":[0]}]}";
+        match fleet.submit(number as usize, &format!("/q/{job}"), KEY, body) {
+            Some(true) => accepted.push(job),
+            Some(false) => rejected += 1,
+            None => unknown += 1,
+        }
+        if trouble && number == 20 {
+            let step = |after: &str, cpu: u32| {
+                format!(
+                    "{{\"count\":24,\"cpu\":{cpu},\"mem_mb\":2500,\"estimated_ms\":640{after}}}"
+                )
+            };
+            let start_at = unix_ms() - (DUE - 1) * INTERVAL_MS - INTERVAL_MS / 2;
+            // No runner has 32 cores, so that its first step never starts.
+            let body = format!(
+                "{{\"task_spec\":\"ms=640\",\"steps\":[{},{},{},{}],\"repeat_count\":3600,\
+                 \"start_at_ms\":{start_at},\"interval_ms\":{INTERVAL_MS}}}",
+                step("", 32_000),
+                step(",\"after\":[0]", 880),
+                step(",\"after\":[1]", 880),
+                step(",\"after\":[2]", 880)
+            );
+            let job = id(0xffff);
+            poison = Some(fleet.submit(1, &format!("/q/{job}"), OTHER_KEY, &body));
+        }
+        fleet.wait(0.5);
+    }
+    fleet.world.note(&format!(
+        "end of the traffic: {} jobs accepted, {rejected} rejected, {unknown} unknown; the job that \
+         can't be done: {poison:?} (Some(true): accepted)",
+        accepted.len()
+    ));
+    let traffic_end = fleet.world.now();
+    fleet.wait_until(traffic_end + FINISH_S);
+    let mut lost = Vec::new();
+    for job in &accepted {
+        let state = fleet.state(&format!("/q/{job}"), KEY);
+        if state.as_deref() == Some("completed") {
+            continue;
+        }
+        // Not lost if something of it ran in the last three seconds.
+        let now = fleet.world.now();
+        let last = fleet
+            .world
+            .runs_of(job)
+            .iter()
+            .map(|r| r.ended.map_or(now, |(at, _)| at))
+            .fold(0.0, f64::max);
+        if now - last > 3.0 {
+            lost.push(format!(
+                "{job} is shown as {state:?}, nothing of it has run for {:.1} s",
+                now - last
+            ));
+        }
+    }
+    let idle = fleet
+        .runners
+        .iter()
+        .filter(|r| r.is_up() && r.load() == 0)
+        .count();
+    fleet.world.note(&format!(
+        "{idle} of {} runners are up and idle",
+        fleet.runners.len()
+    ));
+    for line in &lost {
+        fleet.world.note(&format!("LOST   {line}"));
+    }
+    let refused = fleet
+        .store
+        .refused
+        .lock()
+        .map(|r| r.clone())
+        .unwrap_or_default();
+    fleet.world.note(&format!(
+        "appends refused for their size: {}; first: {:?}",
+        refused.len(),
+        refused.first()
+    ));
+    if fleet.has_ended() {
+        fleet.world.note("an entry instance has ended by itself");
+    }
+    if trouble && poison != Some(Some(true)) {
+        fleet
+            .world
+            .note("the job that can't be done wasn't accepted: the disruption didn't come about");
+        return None;
+    }
+    Some(!lost.is_empty() && idle * 2 > fleet.runners.len())
+}
+
+/// A route is removed and added again while a job's first task fails. LOST: the job is shown as
+/// `failed` with fewer failed runs than `max_attempts`.
+pub fn removed_route(paths: &Paths, trouble: bool) -> Option<bool> {
+    const ATTEMPTS: u32 = 4;
+    let routes = || vec![Route::new("q", ATTEMPTS), Route::new("other", 4)];
+    let fleet = Fleet::start(paths, SERVICE, &["a"; 8], &config(10, &routes()))?;
+    let job = id(1);
+    // Ends `failed` in its first three runs and `done` in the fourth.
+    let body = "{\"task_spec\":\"ms=1300 fail=3\",\"steps\":[\
+         {\"count\":1,\"cpu\":1900,\"mem_mb\":2500,\"estimated_ms\":1300}]}";
+    if fleet.submit(0, &format!("/q/{job}"), KEY, body) != Some(true) {
+        return None;
+    }
+    let accepted = fleet.world.now();
+    if trouble {
+        fleet.wait_until(accepted + 0.5);
+        fleet.configure(&config(13, &routes()[1..]), "version 13 removes route q");
+        fleet.wait_until(accepted + 7.5);
+        fleet.configure(&config(17, &routes()), "version 17 adds route q again");
+    }
+    fleet.wait_until(accepted + 12.0);
+    let state = fleet.state(&format!("/q/{job}"), KEY);
+    let failed = fleet
+        .world
+        .runs_of(&job)
+        .iter()
+        .filter(|r| matches!(r.ended, Some((_, "failed"))))
+        .count();
+    fleet.world.note(&format!(
+        "job is shown as {state:?} after {failed} failed runs; max_attempts is {ATTEMPTS}"
+    ));
+    let is_lost = state.as_deref() == Some("failed") && failed < ATTEMPTS as usize;
+    if is_lost {
+        fleet
+            .world
+            .note("LOST   an accepted job is shown as failed without cause");
+    }
+    state.map(|_| is_lost)
+}
+
+/// One runner of eight refuses all starts while the others are full. MIXED: a machine gives under
+/// half of the jobs that haven't begun as `waiting`.
+pub fn waiting_count(paths: &Paths, trouble: bool) -> Option<bool> {
+    const JOBS: u64 = 20;
+    let routes = [Route::new("q", 4)];
+    let fleet = Fleet::start(paths, SERVICE, &["a"; 8], &config(10, &routes))?;
+    // Seven jobs that take a whole runner each.
+    for number in 0..7 {
+        let body = "{\"task_spec\":\"ms=40000\",\"steps\":[\
+             {\"count\":1,\"cpu\":16000,\"mem_mb\":2500,\"estimated_ms\":40000}]}";
+        let job = id(0x100 + number);
+        if fleet.submit(number as usize, &format!("/q/{job}"), KEY, body) != Some(true) {
+            return None;
+        }
+    }
+    fleet.wait(2.0);
+    let idle: Vec<_> = fleet.runners.iter().filter(|r| r.load() == 0).collect();
+    let [eighth] = &idle[..] else {
+        fleet
+            .world
+            .note("the seven jobs don't run on seven runners");
+        return None;
+    };
+    if trouble {
+        eighth.set_shedding(true);
+    }
+    let refusing = fleet.world.now();
+    let mut accepted = Vec::new();
+    for number in 0..JOBS {
+        let body = "{\"task_spec\":\"ms=640\",\"steps\":[\
+             {\"count\":1,\"cpu\":500,\"mem_mb\":500,\"estimated_ms\":640}]}";
+        let job = id(number);
+        if fleet.submit(number as usize, &format!("/q/{job}"), KEY, body) == Some(true) {
+            accepted.push((job, fleet.world.now()));
+        }
+    }
+    let last = accepted.last()?.1;
+    let mut is_broken = false;
+    for step in 0..4 {
+        // Accepted over visible_ms + 2 s before; the runner refuses for 6.4 s.
+        fleet.wait_until(last + VISIBLE_S + 2.1 + 0.1 * f64::from(step));
+        let asked = fleet.world.now();
+        if asked - refusing > 6.3 {
+            break;
+        }
+        let answer = fleet.call(step as usize, "GET", "/q/", KEY, "");
+        let given = answer
+            .filter(|(status, _)| *status == 200)
+            .and_then(|(_, body)| Some(crate::json::parse(body.as_bytes())?.whole("waiting")));
+        let not_begun = accepted
+            .iter()
+            .filter(|(job, _)| fleet.world.runs_of(job).is_empty())
+            .count();
+        fleet.world.note(&format!(
+            "member {step} gives {given:?} as waiting; {not_begun} jobs haven't begun"
+        ));
+        if given.is_some_and(|given| given * 2 < not_begun as u64) {
+            fleet
+                .world
+                .note("MIXED  under half of the jobs that haven't begun are given as waiting");
+            is_broken = true;
+        }
+    }
+    if trouble {
+        fleet.wait_until(refusing + 6.4);
+        eighth.set_shedding(false);
+    }
+    fleet.wait(3.0);
+    Some(is_broken)
+}
+
+/// Accepted jobs that aren't done and of which nothing has run for 3 s.
+fn stalled(fleet: &Fleet, jobs: &[String]) -> Vec<String> {
+    let mut stalled = Vec::new();
+    for job in jobs {
+        let state = fleet.state(&format!("/q/{job}"), KEY);
+        if state.as_deref() == Some("completed") {
+            continue;
+        }
+        let now = fleet.world.now();
+        let runs = fleet.world.runs_of(job);
+        let last = runs
+            .iter()
+            .map(|r| r.ended.map_or(now, |(at, _)| at))
+            .fold(0.0, f64::max);
+        if now - last > 3.0 {
+            stalled.push(format!(
+                "{job} is shown as {state:?}, {} runs so far",
+                runs.len()
+            ));
+        }
+    }
+    stalled
+}
+
+/// A job that can never be done waits while others have become late. LOST: these never start, though
+/// all runners are idle.
+pub fn late_behind_hopeless(paths: &Paths, trouble: bool) -> Option<bool> {
+    let fleet = Fleet::start(
+        paths,
+        SERVICE,
+        &["a"; 8],
+        &config(10, &[Route::new("q", 4)]),
+    )?;
+    if trouble {
+        // No runner has 32 cores.
+        let body = "{\"task_spec\":\"ms=3300\",\"steps\":[\
+             {\"count\":1,\"cpu\":32000,\"mem_mb\":2500,\"estimated_ms\":3300}]}";
+        let job = id(0xffff);
+        if fleet.submit(1, &format!("/q/{job}"), OTHER_KEY, body) != Some(true) {
+            return None;
+        }
+    }
+    fleet.wait(16.0);
+    // A burst: more than the pool holds for some seconds.
+    let mut accepted = Vec::new();
+    for number in 0..24 {
+        let body = "{\"task_spec\":\"ms=3300\",\"steps\":[\
+             {\"count\":24,\"cpu\":2700,\"mem_mb\":2500,\"estimated_ms\":3300}]}";
+        let job = id(number);
+        if fleet.submit(number as usize, &format!("/q/{job}"), KEY, body) == Some(true) {
+            accepted.push(job);
+        }
+    }
+    fleet.world.note(&format!(
+        "end of the traffic: {} jobs accepted",
+        accepted.len()
+    ));
+    // The work takes 24 x 24 tasks / 40 places x 3.3 s = 48 s.
+    fleet.wait(50.0 + FINISH_S);
+    let lost = stalled(&fleet, &accepted);
+    let idle = fleet
+        .runners
+        .iter()
+        .filter(|r| r.is_up() && r.load() == 0)
+        .count();
+    fleet.world.note(&format!(
+        "{idle} of {} runners are up and idle",
+        fleet.runners.len()
+    ));
+    for line in &lost {
+        fleet.world.note(&format!("LOST   {line}"));
+    }
+    Some(!lost.is_empty() && idle * 2 > fleet.runners.len())
+}
+
+/// Jobs of a queue with advice come at 2.6 times their rate for 4 s. LOST: afterwards jobs don't
+/// start any more, though all runners are idle.
+pub fn advice_after_burst(paths: &Paths, trouble: bool) -> Option<bool> {
+    const TRAFFIC_S: f64 = 60.0;
+    const INTERVAL_S: f64 = 0.125;
+    const BURST: f64 = 2.6;
+    let route = Route {
+        is_advised: true,
+        ..Route::new("q", 4)
+    };
+    let fleet = Fleet::start(paths, SERVICE, &["a"; 8], &config(10, &[route]))?;
+    let began = fleet.world.now();
+    let mut number = 0;
+    let mut due = began;
+    let accepted = std::sync::Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        while due < began + TRAFFIC_S {
+            let since = due - began;
+            let is_burst = trouble && (10.0..14.0).contains(&since);
+            due += if is_burst {
+                INTERVAL_S / BURST
+            } else {
+                INTERVAL_S
+            };
+            number += 1;
+            let (fleet, accepted) = (&fleet, &accepted);
+            scope.spawn(move || {
+                let body = "{\"task_spec\":\"ms=640\",\"steps\":[\
+                     {\"count\":1,\"cpu\":880,\"mem_mb\":2500,\"estimated_ms\":640}]}";
+                let job = id(number);
+                if fleet.submit(number as usize, &format!("/q/{job}"), KEY, body) == Some(true) {
+                    let _ = accepted.lock().map(|mut a| a.push(job));
+                }
+            });
+            fleet.wait_until(due);
+        }
+    });
+    let accepted = accepted.into_inner().unwrap_or_default();
+    fleet.world.note(&format!(
+        "end of the traffic: {} of {number} jobs accepted",
+        accepted.len()
+    ));
+    fleet.wait(FINISH_S);
+    let lost = stalled(&fleet, &accepted);
+    let idle = fleet
+        .runners
+        .iter()
+        .filter(|r| r.is_up() && r.load() * 2 <= 18)
+        .count();
+    fleet.world.note(&format!(
+        "{idle} of {} runners are up and at most half full",
+        fleet.runners.len()
+    ));
+    fleet
+        .world
+        .note(&format!("{} jobs are stalled", lost.len()));
+    for line in &lost {
+        fleet.world.note(&format!("LOST   {line}"));
+    }
+    Some(!lost.is_empty() && idle * 2 > fleet.runners.len())
+}
