review: case 8, jobs whose starts were refused aren't counted as waiting

Cause: a job's state becomes running when a start is decided, and stays so when the start is refused. Nothing is fixed.

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+"$(dirname "$0")"/../lib-2/run.sh 8 waiting-count
