review: case 4 is a late start at a runner that has started again

Cause: the task of an unanswered start is held for 2 s, while an order may arrive up to 12 s late; a runner that has started again under its id carries it out.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-"$(dirname "$0")"/../lib-2/run.sh 4 oversized-progress
+"$(dirname "$0")"/../lib-2/run.sh 4 late-start-after-restart
--- a/review/lib-2/src/cases.rs
+++ b/review/lib-2/src/cases.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use crate::fleet::{DECIDE_MS, Fleet, HOST, PER_WORKER_MS, Paths, VALIDITY_MS};
-use crate::world::unix_ms;
 
 const SERVICE: &str = "kiosk";
 const KEY: &str = "key-one";
@@ -66,112 +65,84 @@
     format!("{:016x}", 0x5c0e_7a21_0000_0000_u64 + number)
 }
 
-/// A timed job that can never be done, among ordinary jobs. LOST: an accepted ordinary job isn't
-/// done `finish_s` after the end of the traffic, though runners are idle and it has nothing running.
-pub fn oversized_progress(paths: &Paths, trouble: bool) -> Option<bool> {
-    /// Every 3 s, 4 steps of 24 tasks: the widest that the site file has.
-    const INTERVAL_MS: u64 = 3_000;
-    const DUE: u64 = 2_538;
-    const TRAFFIC_S: f64 = 60.0;
-    let routes = [Route::new("q", 4)];
-    let mut fleet = Fleet::start(paths, SERVICE, &["a"; 8], &config(10, &routes))?;
-    let began = fleet.world.now();
-    let mut accepted = Vec::new();
-    let (mut rejected, mut unknown, mut number) = (0, 0, 0);
-    let mut poison = None;
-    while fleet.world.now() < began + TRAFFIC_S {
-        number += 1;
-        let job = id(number);
-        let body = "{\"task_spec\":\"ms=640\",\"steps\":[\
-             {\"count\":6,\"cpu\":880,\"mem_mb\":2500,\"estimated_ms\":640},\
-             {\"count\":6,\"cpu\":880,\"mem_mb\":2500,\"estimated_ms\":640,\"after\":[0]}]}";
-        match fleet.submit(number as usize, &format!("/q/{job}"), KEY, body) {
-            Some(true) => accepted.push(job),
-            Some(false) => rejected += 1,
-            None => unknown += 1,
+/// The start of a task is left unanswered and carried out late, by a runner that has crashed and
+/// started again under its id. TWICE: two runs of the task at the same time, on runners that are up.
+pub fn late_start_after_restart(paths: &Paths, trouble: bool) -> Option<bool> {
+    /// On its way for 4 s; orders may be carried out 2 to 12 s late.
+    const LATE: Duration = Duration::from_millis(4_000);
+    /// How long the runner is down.
+    const DOWN_S: f64 = 3.5;
+    let fleet = Fleet::start(
+        paths,
+        SERVICE,
+        &["a"; 8],
+        &config(10, &[Route::new("q", 4)]),
+    )?;
+    let job = id(0xaaaa);
+    let task = format!("{job}.0.0.0");
+    if trouble {
+        fleet.late.set(&task, LATE);
+    }
+    let is_over = std::sync::atomic::AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        // Ordinary traffic, so that the late order is one of about eighty.
+        scope.spawn(|| {
+            for number in 0..80 {
+                let body = "{\"task_spec\":\"ms=640\",\"steps\":[\
+                     {\"count\":1,\"cpu\":880,\"mem_mb\":2500,\"estimated_ms\":640}]}";
+                fleet.submit(number as usize, &format!("/q/{}", id(number)), KEY, body);
+                fleet.wait(0.2);
+                if is_over.load(std::sync::atomic::Ordering::SeqCst) {
+                    return;
+                }
+            }
+        });
+        let end = || is_over.store(true, std::sync::atomic::Ordering::SeqCst);
+        fleet.wait(2.0);
+        let body = "{\"task_spec\":\"ms=6000\",\"steps\":[\
+             {\"count\":1,\"cpu\":1900,\"mem_mb\":2500,\"estimated_ms\":6000}]}";
+        if fleet.submit(1, &format!("/q/{job}"), KEY, body) != Some(true) {
+            end();
+            return None;
         }
-        if trouble && number == 20 {
-            let step = |after: &str, cpu: u32| {
-                format!(
-                    "{{\"count\":24,\"cpu\":{cpu},\"mem_mb\":2500,\"estimated_ms\":640{after}}}"
-                )
+        if trouble {
+            let until = fleet.world.now() + 2.0;
+            let chosen = loop {
+                let chosen = fleet.late.runner();
+                let found = chosen.and_then(|id| fleet.runners.iter().find(|r| r.id == id));
+                if found.is_some() || fleet.world.now() > until {
+                    break found;
+                }
+                fleet.wait(0.01);
             };
-            let start_at = unix_ms() - (DUE - 1) * INTERVAL_MS - INTERVAL_MS / 2;
-            // No runner has 32 cores, so that its first step never starts.
-            let body = format!(
-                "{{\"task_spec\":\"ms=640\",\"steps\":[{},{},{},{}],\"repeat_count\":3600,\
-                 \"start_at_ms\":{start_at},\"interval_ms\":{INTERVAL_MS}}}",
-                step("", 32_000),
-                step(",\"after\":[0]", 880),
-                step(",\"after\":[1]", 880),
-                step(",\"after\":[2]", 880)
-            );
-            let job = id(0xffff);
-            poison = Some(fleet.submit(1, &format!("/q/{job}"), OTHER_KEY, &body));
-        }
-        fleet.wait(0.5);
-    }
-    fleet.world.note(&format!(
-        "end of the traffic: {} jobs accepted, {rejected} rejected, {unknown} unknown; the job that \
-         can't be done: {poison:?} (Some(true): accepted)",
-        accepted.len()
-    ));
-    let traffic_end = fleet.world.now();
-    fleet.wait_until(traffic_end + FINISH_S);
-    let mut lost = Vec::new();
-    for job in &accepted {
-        let state = fleet.state(&format!("/q/{job}"), KEY);
-        if state.as_deref() == Some("completed") {
-            continue;
+            let Some(runner) = chosen else {
+                end();
+                return None;
+            };
+            runner.crash();
+            fleet.wait(DOWN_S);
+            // Its entry reaches the store half a heartbeat interval later.
+            runner.start_again("a", Duration::from_millis(750));
         }
-        // Not lost if something of it ran in the last three seconds.
-        let now = fleet.world.now();
-        let last = fleet
-            .world
-            .runs_of(job)
-            .iter()
-            .map(|r| r.ended.map_or(now, |(at, _)| at))
-            .fold(0.0, f64::max);
-        if now - last > 3.0 {
-            lost.push(format!(
-                "{job} is shown as {state:?}, nothing of it has run for {:.1} s",
-                now - last
-            ));
+        fleet.wait(12.0);
+        end();
+        let runs = fleet.world.runs_of(&job);
+        let mut is_twice = false;
+        for (at, first) in runs.iter().enumerate() {
+            for second in &runs[at + 1..] {
+                // A run that was lost with its runner ended with it.
+                let end = first.ended.map_or(f64::INFINITY, |(end, _)| end);
+                if second.started < end && first.runner != second.runner {
+                    is_twice = true;
+                    fleet.world.note(&format!(
+                        "TWICE  {task}: run {} on {} from {:.3} to {end:.3}, run {} on {} from {:.3}",
+                        first.number, first.runner, first.started, second.number, second.runner, second.started
+                    ));
+                }
+            }
         }
-    }
-    let idle = fleet
-        .runners
-        .iter()
-        .filter(|r| r.is_up() && r.load() == 0)
-        .count();
-    fleet.world.note(&format!(
-        "{idle} of {} runners are up and idle",
-        fleet.runners.len()
-    ));
-    for line in &lost {
-        fleet.world.note(&format!("LOST   {line}"));
-    }
-    let refused = fleet
-        .store
-        .refused
-        .lock()
-        .map(|r| r.clone())
-        .unwrap_or_default();
-    fleet.world.note(&format!(
-        "appends refused for their size: {}; first: {:?}",
-        refused.len(),
-        refused.first()
-    ));
-    if fleet.has_ended() {
-        fleet.world.note("an entry instance has ended by itself");
-    }
-    if trouble && poison != Some(Some(true)) {
-        fleet
-            .world
-            .note("the job that can't be done wasn't accepted: the disruption didn't come about");
-        return None;
-    }
-    Some(!lost.is_empty() && idle * 2 > fleet.runners.len())
+        (!runs.is_empty()).then_some(is_twice)
+    })
 }
 
 /// A route is removed and added again while a job's first task fails. LOST: the job is shown as
--- a/review/lib-2/src/fleet.rs
+++ b/review/lib-2/src/fleet.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{self, Reply, Request};
-use crate::runner::{Place, Runner};
+use crate::runner::{LateOrder, Place, Runner};
 use crate::store::Store;
 use crate::world::World;
 
@@ -24,6 +24,7 @@
     pub world: Arc<World>,
     pub store: Arc<Store>,
     pub runners: Vec<Arc<Runner>>,
+    pub late: Arc<LateOrder>,
     fronts: Vec<SocketAddr>,
     readiness: Vec<SocketAddr>,
     children: Vec<Child>,
@@ -95,6 +96,7 @@
         let answering = store.clone();
         serve(store_addr, move |req| answering.answer(req));
         let failures = Arc::new(Mutex::new(HashMap::new()));
+        let late = Arc::<LateOrder>::default();
         let runners: Vec<_> = kinds
             .iter()
             .enumerate()
@@ -110,6 +112,7 @@
                     &world,
                     &store,
                     &failures,
+                    &late,
                 )
             })
             .collect();
@@ -150,6 +153,7 @@
             world,
             store,
             runners,
+            late,
             fronts: Vec::new(),
             readiness: Vec::new(),
             children: Vec::new(),
@@ -210,13 +214,6 @@
         })
     }
 
-    /// Whether an entry instance has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.children
-            .iter_mut()
-            .any(|c| !matches!(c.try_wait(), Ok(None)))
-    }
-
     pub fn configure(&self, config: &str, what: &str) {
         self.store.put("keyed.op", "config", config.as_bytes());
         self.world.note(&format!("config {what}: acknowledged"));
--- a/review/lib-2/src/main.rs
+++ b/review/lib-2/src/main.rs
@@ -31,7 +31,7 @@
     }
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = match case.as_str() {
-        "oversized-progress" => cases::oversized_progress,
+        "late-start-after-restart" => cases::late_start_after_restart,
         "removed-route" => cases::removed_route,
         "waiting-count" => cases::waiting_count,
         "late-behind-hopeless" => cases::late_behind_hopeless,
--- a/review/lib-2/src/runner.rs
+++ b/review/lib-2/src/runner.rs
@@ -76,6 +76,40 @@
     store: Arc<Store>,
     /// Failed ends of each task so far, on all runners.
     failures: Arc<Mutex<HashMap<String, u32>>>,
+    late: Arc<LateOrder>,
+}
+
+/// The first start of one task, which stays on its way for a while: nobody answers it, and it is
+/// carried out when it arrives.
+#[derive(Default)]
+pub struct LateOrder {
+    task: Mutex<Option<(String, Duration)>>,
+    /// The runner that it is for, once it was sent.
+    runner: Mutex<Option<String>>,
+}
+
+impl LateOrder {
+    pub fn set(&self, task: &str, time: Duration) {
+        let mut held = self.task.lock().unwrap_or_else(PoisonError::into_inner);
+        *held = Some((task.to_owned(), time));
+    }
+
+    fn send_to(&self, id: &str) {
+        let mut runner = self.runner.lock().unwrap_or_else(PoisonError::into_inner);
+        *runner = Some(id.to_owned());
+    }
+
+    pub fn runner(&self) -> Option<String> {
+        let runner = self.runner.lock();
+        runner.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// How long this start is on its way, if it is the one.
+    fn take(&self, task: &str) -> Option<Duration> {
+        let mut held = self.task.lock().unwrap_or_else(PoisonError::into_inner);
+        let (_, time) = held.take_if(|(late, _)| late == task)?;
+        Some(time)
+    }
 }
 
 /// Where a runner stands.
@@ -92,6 +126,7 @@
         world: &Arc<World>,
         store: &Arc<Store>,
         failures: &Arc<Mutex<HashMap<String, u32>>>,
+        late: &Arc<LateOrder>,
     ) -> Arc<Runner> {
         let Place {
             number,
@@ -131,6 +166,7 @@
             world: world.clone(),
             store: store.clone(),
             failures: failures.clone(),
+            late: late.clone(),
         });
         let listening = runner.clone();
         std::thread::spawn(move || listening.listen());
@@ -227,10 +263,6 @@
         self.lock().runs.len()
     }
 
-    pub fn runs_task(&self, task: &str) -> bool {
-        self.lock().runs.keys().any(|(t, _)| t == task)
-    }
-
     /// Its entry in the list of machines.
     pub fn machine_entry(&self) -> String {
         let state = self.lock();
@@ -325,7 +357,39 @@
         }
     }
 
-    fn answer(&self, req: &Request) -> Reply {
+    fn answer(self: &Arc<Runner>, req: &Request) -> Reply {
+        if req.path == "/-/run-start" {
+            let body = json::parse(&req.body);
+            let task = body
+                .as_ref()
+                .and_then(|b| b.text("task"))
+                .unwrap_or_default();
+            if let Some(time) = self.late.take(task) {
+                self.world.note(&format!(
+                    "order  start of {task} at {}: on its way for {time:?}",
+                    self.id
+                ));
+                self.late.send_to(&self.id);
+                let (runner, req) = (self.clone(), req.clone());
+                std::thread::spawn(move || {
+                    std::thread::sleep(time);
+                    let status = match runner.carry_out(&req) {
+                        Reply::Full(status, _) => status.to_string(),
+                        Reply::Close => "nobody there".to_owned(),
+                    };
+                    runner.world.note(&format!(
+                        "order  the late start arrives at {}: {status}",
+                        runner.id
+                    ));
+                });
+                std::thread::sleep(time);
+                return Reply::Close;
+            }
+        }
+        self.carry_out(req)
+    }
+
+    fn carry_out(&self, req: &Request) -> Reply {
         let mut state = self.lock();
         if !state.is_up {
             return Reply::Close;
--- a/review/lib-2/src/world.rs
+++ b/review/lib-2/src/world.rs
@@ -11,7 +11,6 @@
     pub task: String,
     pub number: u32,
     pub runner: String,
-    pub kind: String,
     pub started: f64,
     /// When and how it ended; `lost` with its runner.
     pub ended: Option<(f64, &'static str)>,
@@ -54,7 +53,6 @@
                 task: task.to_owned(),
                 number,
                 runner: runner.to_owned(),
-                kind: kind.to_owned(),
                 started: self.now(),
                 ended: None,
             });
